--- /dev/null
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the decision classes. */
+package dev.cactusspan.benchmark;
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/DemoCommand.java
@@ -0,0 +1,105 @@
+package dev.cactusspan.standin;
+
+import dev.cactusspan.command.Command;
+import dev.cactusspan.command.ExitCode;
+import dev.cactusspan.text.JsonText;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.kohsuke.args4j.Option;
+
+/** Sends callers' traffic and a trainer's step, then checks what came of it. */
+public final class DemoCommand implements Command {
+    private static final long READY_MS = 30_000;
+    private static final long POLL_MS = 100;
+
+    @Option(name = "--entry", required = true, usage = "an entry, may be given several times")
+    private List<URI> mEntries = new ArrayList<>();
+
+    @Option(name = "--admin", required = true, usage = "admin address of an entry")
+    private List<URI> mAdmins = new ArrayList<>();
+
+    @Option(name = "--service", required = true, usage = "the plain service stand-in")
+    private URI mService;
+
+    @Option(name = "--keys", required = true, usage = "keys of the client accounts")
+    private Path mKeys;
+
+    @Option(name = "--targets", required = true, usage = "targets to wait for")
+    private int mTargets;
+
+    @Option(name = "--requests", usage = "requests of callers")
+    private int mRequests = 2_000;
+
+    @Option(name = "--groups", usage = "groups of the trainer's step")
+    private int mGroups = 32;
+
+    @Option(name = "--group-samples", usage = "samples of a group")
+    private int mGroupSamples = 8;
+
+    @Override
+    @SuppressWarnings("unchecked")
+    public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        Map<String, String> keys = JsonText.read(Files.readAllBytes(mKeys), Map.class).get();
+        DemoClient client = new DemoClient();
+        if (!awaitReady(client)) {
+            err.println("demo: entries are not ready within " + READY_MS + " ms");
+            return ExitCode.FAILED;
+        }
+        DemoTrainer trainer =
+                new DemoTrainer(
+                        client,
+                        mEntries.get(0),
+                        keys.get("lantern-trainer"),
+                        mGroups,
+                        mGroupSamples);
+        DemoCallers callers = new DemoCallers(client, mEntries, keys, mRequests);
+        Thread training = new Thread(trainer, "demo-trainer");
+        training.start();
+        callers.run();
+        try {
+            training.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Map<?, ?> runs =
+                JsonText.read(
+                                client.send("GET", mService.resolve("/runs"), Map.of(), null)
+                                        .body(),
+                                Map.class)
+                        .get();
+        DemoReport report = DemoReport.of(callers, trainer, runs);
+        report.print(out);
+        return report.isRight() ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private boolean awaitReady(DemoClient client) {
+        long untilMs = System.currentTimeMillis() + READY_MS;
+        while (System.currentTimeMillis() < untilMs) {
+            if (mAdmins.stream().allMatch(admin -> isReady(client, admin))) {
+                return true;
+            }
+            try {
+                Thread.sleep(POLL_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        return false;
+    }
+
+    private boolean isReady(DemoClient client, URI admin) {
+        boolean isUp = client.send("GET", admin.resolve("/readyz"), Map.of(), null).isOk();
+        if (!isUp) {
+            return false;
+        }
+        DemoClient.Reply status = client.send("GET", admin.resolve("/status"), Map.of(), null);
+        return status.json().path("targets").asInt() >= mTargets;
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/DemoReport.java
@@ -0,0 +1,107 @@
+package dev.cactusspan.standin;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import dev.cactusspan.text.JsonText;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What came of the demo.
+ *
+ * @param requests requests of callers
+ * @param answered requests with an answer
+ * @param refusedNotRun requests refused with proof that they did not run
+ * @param outcomeUnknown requests that may have run
+ * @param wrongAnswers answers that are not the caller's own, whole one
+ * @param holdsPlaced holds that were answered
+ * @param holdsDoubled holds that ran twice
+ * @param holdsLost holds that were answered and did not run
+ * @param samplesDelivered samples that the trainer holds
+ * @param samplesDuplicate samples that came twice
+ * @param samplesMissing samples that did not come
+ * @param samplesWrong samples that are not whole, and failed calls of the trainer
+ * @param weightVersions weight versions that the samples name
+ * @param p50Ms median time of a request
+ * @param p99Ms 99th percentile of the time of a request
+ */
+record DemoReport(
+        int requests,
+        int answered,
+        int refusedNotRun,
+        int outcomeUnknown,
+        int wrongAnswers,
+        int holdsPlaced,
+        int holdsDoubled,
+        int holdsLost,
+        int samplesDelivered,
+        int samplesDuplicate,
+        int samplesMissing,
+        int samplesWrong,
+        List<Long> weightVersions,
+        @JsonProperty("p50_ms") double p50Ms,
+        @JsonProperty("p99_ms") double p99Ms) {
+
+    static DemoReport of(DemoCallers callers, DemoTrainer trainer, Map<?, ?> runs) {
+        int doubled = (int) runs.values().stream().filter(n -> ((Number) n).intValue() > 1).count();
+        int lost =
+                (int)
+                        callers.holds().entrySet().stream()
+                                .filter(h -> h.getValue().equals("placed"))
+                                .filter(h -> !runs.containsKey(h.getKey()))
+                                .count();
+        return new DemoReport(
+                callers.requests(),
+                callers.answered(),
+                callers.refusedNotRun(),
+                callers.outcomeUnknown(),
+                callers.wrong(),
+                callers.holds().size(),
+                doubled,
+                lost,
+                trainer.delivered(),
+                trainer.duplicates(),
+                trainer.missing(),
+                trainer.wrong(),
+                trainer.versions().stream().sorted().toList(),
+                callers.milliseconds(50),
+                callers.milliseconds(99));
+    }
+
+    boolean isRight() {
+        int faults =
+                wrongAnswers
+                        + holdsDoubled
+                        + holdsLost
+                        + outcomeUnknown
+                        + samplesDuplicate
+                        + samplesMissing
+                        + samplesWrong;
+        return faults == 0 && answered > 0 && weightVersions.size() > 1;
+    }
+
+    void print(PrintStream out) {
+        out.printf("%-34s %8s%n", "callers", "");
+        row(out, "requests", requests);
+        row(out, "answered", answered);
+        row(out, "refused, not run", refusedNotRun);
+        row(out, "outcome unknown", outcomeUnknown);
+        row(out, "wrong or cut answers", wrongAnswers);
+        row(out, "time, median (ms)", p50Ms);
+        row(out, "time, 99th percentile (ms)", p99Ms);
+        out.printf("%-34s %8s%n", "seat holds", "");
+        row(out, "placed", holdsPlaced);
+        row(out, "run twice", holdsDoubled);
+        row(out, "lost", holdsLost);
+        out.printf("%-34s %8s%n", "trainer", "");
+        row(out, "samples delivered", samplesDelivered);
+        row(out, "samples twice", samplesDuplicate);
+        row(out, "samples missing", samplesMissing);
+        row(out, "weight versions", weightVersions);
+        out.println(JsonText.line(this));
+    }
+
+    private static void row(PrintStream out, String name, Object value) {
+        out.printf("  %-32s %8s%n", name, value);
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/EngineCommand.java
@@ -0,0 +1,25 @@
+package dev.cactusspan.standin;
+
+import dev.cactusspan.command.DaemonCommand;
+import dev.cactusspan.command.ExitCode;
+import java.io.PrintStream;
+import org.kohsuke.args4j.Option;
+
+/** Runs a model engine stand-in. */
+public final class EngineCommand implements DaemonCommand {
+    @Option(name = "--port", required = true, usage = "port to listen at")
+    private int mPort;
+
+    @Option(name = "--token-us", usage = "microseconds for one token")
+    private long mTokenMicros = 2_000;
+
+    @Option(name = "--unnamed-versions", usage = "do not name the weight version in answers")
+    private boolean mIsUnnamed;
+
+    @Override
+    public ExitCode run(PrintStream out, PrintStream err) {
+        EngineStandIn.start(
+                new EngineStandIn.EngineOptions("127.0.0.1", mPort, mTokenMicros, !mIsUnnamed));
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/NextToken.java
@@ -0,0 +1,26 @@
+package dev.cactusspan.standin;
+
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import org.xnio.IoUtils;
+
+/** Goes on with the next token once the last one was sent. */
+final class NextToken implements IoCallback {
+    private final Runnable mNext;
+
+    NextToken(Runnable next) {
+        mNext = next;
+    }
+
+    @Override
+    public void onComplete(HttpServerExchange exchange, Sender sender) {
+        mNext.run();
+    }
+
+    @Override
+    public void onException(HttpServerExchange exchange, Sender sender, IOException e) {
+        IoUtils.safeClose(exchange.getConnection());
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/PlatformStandIn.java
@@ -0,0 +1,256 @@
+package dev.cactusspan.standin;
+
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.membership.VmRecord;
+import dev.cactusspan.platform.KeyValueService.Entry;
+import dev.cactusspan.text.JsonText;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.HttpString;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The platform: key-value service, VM list, target interface and usage interface, with faults that
+ * a test switches on and off.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+    private static final HttpString VERSION = new HttpString("kv-version");
+    private static final long EXPIRE_MS = 20;
+
+    private final FakeKeyValueService mKeyValues = new FakeKeyValueService();
+    private final Map<VmId, VmRecord> mVms = new ConcurrentHashMap<>();
+    private final List<Object> mOrders = new ArrayList<>();
+    private final List<Object> mUsageReports = new ArrayList<>();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(PlatformStandIn::daemon);
+    private final Undertow mServer;
+    private volatile Faults mFaults = Faults.NONE;
+
+    private PlatformStandIn(String ip, int port) {
+        HttpHandler routes =
+                new RoutingHandler()
+                        .get("/kv", this::read)
+                        .put("/kv", this::write)
+                        .get("/vms", this::listVms)
+                        .put("/vms", this::putVm)
+                        .post("/targets/orders", e -> record(e, mOrders))
+                        .get("/targets/orders", e -> show(e, mOrders))
+                        .post("/usage", e -> record(e, mUsageReports))
+                        .get("/usage", e -> show(e, mUsageReports))
+                        .put("/faults", this::putFaults)
+                        .get("/counters", e -> StandInServer.json(e, 200, mKeyValues.counters()));
+        mServer = StandInServer.start(ip, port, routes);
+        mTimer.scheduleWithFixedDelay(
+                () -> mKeyValues.expire(nowMs()), EXPIRE_MS, EXPIRE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts a platform.
+     *
+     * @param ip address to listen at
+     * @param port port to listen at, zero for a free one
+     * @return the running platform
+     */
+    public static PlatformStandIn start(String ip, int port) {
+        return new PlatformStandIn(ip, port);
+    }
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "platform-timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    // Operations
+
+    /**
+     * Switches faults of the key-value service.
+     *
+     * @param faults the faults from now on
+     */
+    public void faults(Faults faults) {
+        mFaults = faults;
+    }
+
+    /**
+     * Lists a VM.
+     *
+     * @param vm the VM
+     */
+    public void list(VmRecord vm) {
+        mVms.put(vm.vm(), vm);
+    }
+
+    private void read(HttpServerExchange exchange) {
+        if (isDown(exchange)) {
+            return;
+        }
+        String key = StandInServer.query(exchange, "key", "");
+        long after = StandInServer.number(exchange, "after", -1);
+        if (after < 0) {
+            delayed(exchange, () -> answer(exchange, mKeyValues.get(key), 404));
+            return;
+        }
+        long untilMs = nowMs() + StandInServer.number(exchange, "wait_ms", 0);
+        exchange.dispatch();
+        mKeyValues.watch(
+                key,
+                after,
+                untilMs,
+                entry -> exchange.getIoThread().execute(() -> answer(exchange, entry, 304)));
+    }
+
+    private static void answer(
+            HttpServerExchange exchange, Optional<Entry> entry, int absentStatus) {
+        if (entry.isEmpty()) {
+            exchange.setStatusCode(absentStatus);
+            exchange.endExchange();
+            return;
+        }
+        exchange.getResponseHeaders().put(VERSION, entry.get().version());
+        exchange.getResponseSender().send(ByteBuffer.wrap(entry.get().value()));
+    }
+
+    private void write(HttpServerExchange exchange) {
+        if (isDown(exchange)) {
+            return;
+        }
+        String key = StandInServer.query(exchange, "key", "");
+        long expected = StandInServer.number(exchange, "expect", 0);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, value) ->
+                                delayed(
+                                        e,
+                                        () ->
+                                                written(
+                                                        e,
+                                                        mKeyValues.compareAndSwap(
+                                                                key, expected, value))));
+    }
+
+    private void written(HttpServerExchange exchange, Optional<Long> version) {
+        if (mFaults.losesReplies()) {
+            exchange.setStatusCode(503);
+            exchange.endExchange();
+            return;
+        }
+        exchange.setStatusCode(version.isPresent() ? 200 : 409);
+        version.ifPresent(v -> exchange.getResponseHeaders().put(VERSION, v));
+        exchange.endExchange();
+    }
+
+    private boolean isDown(HttpServerExchange exchange) {
+        if (!mFaults.down()) {
+            return false;
+        }
+        exchange.setStatusCode(503);
+        exchange.endExchange();
+        return true;
+    }
+
+    private void delayed(HttpServerExchange exchange, Runnable task) {
+        long delayMs = mFaults.delayMs();
+        if (delayMs == 0) {
+            task.run();
+            return;
+        }
+        exchange.dispatch();
+        mTimer.schedule(() -> exchange.getIoThread().execute(task), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void listVms(HttpServerExchange exchange) {
+        String environment = StandInServer.query(exchange, "environment", "");
+        List<VmRecord> vms =
+                mVms.values().stream()
+                        .filter(v -> v.environment().value().equals(environment))
+                        .toList();
+        StandInServer.json(exchange, 200, vms);
+    }
+
+    private void putVm(HttpServerExchange exchange) {
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> {
+                            list(JsonText.read(body, VmRecord.class).get());
+                            StandInServer.json(e, 200, mVms.size());
+                        });
+    }
+
+    private void putFaults(HttpServerExchange exchange) {
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> {
+                            mFaults = JsonText.read(body, Faults.class).get();
+                            StandInServer.json(e, 200, mFaults);
+                        });
+    }
+
+    private static void record(HttpServerExchange exchange, List<Object> log) {
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> {
+                            synchronized (log) {
+                                log.add(JsonText.read(body, Object.class).get());
+                            }
+                            StandInServer.json(e, 200, "taken");
+                        });
+    }
+
+    private static void show(HttpServerExchange exchange, List<Object> log) {
+        List<Object> copy;
+        synchronized (log) {
+            copy = List.copyOf(log);
+        }
+        StandInServer.json(exchange, 200, copy);
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    // Accessors
+
+    /**
+     * Returns the bound port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return StandInServer.port(mServer);
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+        mTimer.shutdownNow();
+    }
+
+    /**
+     * Faults of the key-value service.
+     *
+     * @param down true if each call fails without effect
+     * @param losesReplies true if writes take effect and their replies are lost
+     * @param delayMs time that each read and write takes longer
+     */
+    public record Faults(boolean down, boolean losesReplies, long delayMs) {
+        /** No faults. */
+        public static final Faults NONE = new Faults(false, false, 0);
+
+        /** Each call fails without effect. */
+        public static final Faults DOWN = new Faults(true, false, 0);
+
+        /** Writes take effect and their replies are lost. */
+        public static final Faults LOSES_REPLIES = new Faults(false, true, 0);
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/ServiceStandIn.java
@@ -0,0 +1,145 @@
+package dev.cactusspan.standin;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.PathTemplateMatch;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A plain service with holds that must run at most once; it counts how often each key ran. */
+public final class ServiceStandIn implements AutoCloseable {
+    private static final String KEY = "Idempotency-Key";
+
+    private final Map<String, Integer> mRuns = new TreeMap<>();
+    private final AtomicLong mKeysSeen = new AtomicLong();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(ServiceStandIn::daemon);
+    private final Undertow mServer;
+    private volatile long mDelayMs;
+
+    private ServiceStandIn(String ip, int port) {
+        HttpHandler routes =
+                new RoutingHandler()
+                        .post("/holds", this::hold)
+                        .get("/holds/{key}", this::status)
+                        .get("/queries", e -> StandInServer.json(e, 200, "open"))
+                        .post("/queries", this::echo)
+                        .get("/runs", e -> StandInServer.json(e, 200, runs()))
+                        .get("/counters", e -> StandInServer.json(e, 200, mKeysSeen.get()));
+        mServer = StandInServer.start(ip, port, routes);
+    }
+
+    /**
+     * Starts a service.
+     *
+     * @param ip address to listen at
+     * @param port port to listen at, zero for a free one
+     * @return the running service
+     */
+    public static ServiceStandIn start(String ip, int port) {
+        return new ServiceStandIn(ip, port);
+    }
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "service-timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    // Operations
+
+    /**
+     * Makes each hold take some time after it has run.
+     *
+     * @param delayMs the time
+     */
+    public void delay(long delayMs) {
+        mDelayMs = delayMs;
+    }
+
+    private void hold(HttpServerExchange exchange) {
+        countKeys(exchange);
+        String key = exchange.getRequestHeaders().getFirst(KEY);
+        int runs;
+        synchronized (mRuns) {
+            runs = mRuns.merge(String.valueOf(key), 1, Integer::sum);
+        }
+        exchange.dispatch();
+        mTimer.schedule(
+                () ->
+                        exchange.getIoThread()
+                                .execute(
+                                        () ->
+                                                StandInServer.json(
+                                                        exchange, 200, new Hold(key, runs))),
+                mDelayMs,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void status(HttpServerExchange exchange) {
+        String key =
+                exchange.getAttachment(PathTemplateMatch.ATTACHMENT_KEY).getParameters().get("key");
+        Integer runs;
+        synchronized (mRuns) {
+            runs = mRuns.get(key);
+        }
+        if (runs == null) {
+            StandInServer.json(exchange, 404, "no such hold");
+            return;
+        }
+        StandInServer.json(exchange, 200, new Hold(key, runs));
+    }
+
+    private void echo(HttpServerExchange exchange) {
+        countKeys(exchange);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) ->
+                                e.getResponseSender()
+                                        .send(new String(body, StandardCharsets.UTF_8)));
+    }
+
+    private void countKeys(HttpServerExchange exchange) {
+        if (exchange.getRequestHeaders().contains(Headers.AUTHORIZATION)) {
+            mKeysSeen.incrementAndGet();
+        }
+    }
+
+    // Accessors
+
+    /**
+     * Returns how often each key ran.
+     *
+     * @return runs by idempotency key
+     */
+    public Map<String, Integer> runs() {
+        synchronized (mRuns) {
+            return new TreeMap<>(mRuns);
+        }
+    }
+
+    /**
+     * Returns the bound port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return StandInServer.port(mServer);
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+        mTimer.shutdownNow();
+    }
+
+    private record Hold(String key, int runs) {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/chart/StateChart.java
@@ -0,0 +1,120 @@
+package dev.cactusspan.chart;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import dev.cactusspan.text.JsonText;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A state chart over enumerated states and events, read from a resource and checked when loaded.
+ *
+ * @param <S> the states
+ * @param <E> the events
+ */
+public final class StateChart<S extends Enum<S>, E extends Enum<E>> {
+    private final S mInitial;
+    private final Map<S, Map<E, S>> mTransitions;
+
+    private StateChart(S initial, Map<S, Map<E, S>> transitions) {
+        mInitial = initial;
+        mTransitions = transitions;
+    }
+
+    /**
+     * Loads a chart and checks it: each name is known, each state but the initial one is reached,
+     * and each state has a row.
+     *
+     * @param path absolute resource path
+     * @param states the enumeration of states
+     * @param events the enumeration of events
+     * @param <S> the states
+     * @param <E> the events
+     * @return the chart
+     * @throws IllegalStateException if the chart is not consistent
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> load(
+            String path, Class<S> states, Class<E> events) {
+        Source source = JsonText.resource(path, new TypeReference<>() {});
+        List<String> problems = new ArrayList<>();
+        Map<S, Map<E, S>> transitions = new EnumMap<>(states);
+        source.states()
+                .forEach(
+                        (name, row) -> {
+                            Optional<S> from = parse(states, name, problems);
+                            Map<E, S> targets = new EnumMap<>(events);
+                            row.forEach(
+                                    (event, to) ->
+                                            parse(events, event, problems)
+                                                    .ifPresent(
+                                                            e ->
+                                                                    parse(states, to, problems)
+                                                                            .ifPresent(
+                                                                                    s ->
+                                                                                            targets
+                                                                                                    .put(
+                                                                                                            e,
+                                                                                                            s))));
+                            from.ifPresent(s -> transitions.put(s, targets));
+                        });
+        Optional<S> initial = parse(states, source.initial(), problems);
+        for (S state : states.getEnumConstants()) {
+            boolean reached = transitions.values().stream().anyMatch(t -> t.containsValue(state));
+            if (!transitions.containsKey(state)) {
+                problems.add("no row for state " + state);
+            }
+            if (!reached && !initial.equals(Optional.of(state))) {
+                problems.add("state " + state + " is never reached");
+            }
+        }
+        if (!problems.isEmpty()) {
+            throw new IllegalStateException(path + ": " + String.join("; ", problems));
+        }
+        return new StateChart<>(initial.orElseThrow(), transitions);
+    }
+
+    private static <T extends Enum<T>> Optional<T> parse(
+            Class<T> type, String name, List<String> problems) {
+        for (T constant : type.getEnumConstants()) {
+            if (constant.name().equalsIgnoreCase(name)) {
+                return Optional.of(constant);
+            }
+        }
+        problems.add("unknown name " + name);
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the initial state.
+     *
+     * @return the state
+     */
+    public S initial() {
+        return mInitial;
+    }
+
+    /**
+     * Returns the state that follows, or nothing if the event is not allowed in the state.
+     *
+     * @param state the present state
+     * @param event the event
+     * @return the next state
+     */
+    public Optional<S> next(S state, E event) {
+        return Optional.ofNullable(mTransitions.get(state).get(event));
+    }
+
+    /**
+     * Tells whether a state has no way out.
+     *
+     * @param state the state
+     * @return true for a final state
+     */
+    public boolean isFinal(S state) {
+        return mTransitions.get(state).isEmpty();
+    }
+
+    private record Source(String initial, Map<String, Map<String, String>> states) {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/chart/package-info.java
@@ -0,0 +1,2 @@
+/** State charts that are read from resource files and interpreted. */
+package dev.cactusspan.chart;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimOperation.java
@@ -0,0 +1,19 @@
+package dev.cactusspan.claim;
+
+import java.util.function.Consumer;
+
+/** A change to the claims of a partition. */
+sealed interface ClaimOperation {
+
+    /** Returns the key of the claim. */
+    ClaimKey key();
+
+    /** Asks for a claim. */
+    record Ask(ClaimKey key, Claim claim, Consumer<ClaimOutcome> reply) implements ClaimOperation {}
+
+    /** Stores the answer of a claimed request. */
+    record Answer(ClaimKey key, String token, StoredAnswer answer) implements ClaimOperation {}
+
+    /** Drops a claim whose request is proved not to have run. */
+    record Release(ClaimKey key, String token) implements ClaimOperation {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
@@ -0,0 +1,297 @@
+package dev.cactusspan.claim;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Claims of one partition. While one write is under way, further operations wait; the next write
+ * takes all of them. A granted claim was seen in the key-value service under this attempt's token;
+ * a write whose reply was lost is looked up before anything is answered.
+ *
+ * <p>The class does no I/O: the caller carries out {@link #next} and reports to {@link #onRead} or
+ * {@link #onWritten}.
+ */
+public final class ClaimPartition {
+    private static final int MAX_WAITING = 4_096;
+    private static final int MAX_RECORD_BYTES = 900_000;
+
+    private final Deque<ClaimOperation> mWaiting = new ArrayDeque<>();
+    private List<ClaimOperation> mBatch = List.of();
+    private Map<ClaimKey, Claim> mClaims = new TreeMap<>();
+    private Map<ClaimKey, Claim> mProposed = Map.of();
+    private long mVersion;
+    private boolean mIsLoaded;
+    private boolean mIsBusy;
+
+    // Operations
+
+    /**
+     * Asks for a claim.
+     *
+     * @param key key of the claim
+     * @param claim the claim, whose token names this attempt
+     * @param reply receives the outcome
+     */
+    public void ask(ClaimKey key, Claim claim, Consumer<ClaimOutcome> reply) {
+        if (mWaiting.size() >= MAX_WAITING) {
+            reply.accept(refused(ErrorKind.OVERLOADED, "too many claims wait"));
+            return;
+        }
+        Claim cached = mClaims.get(key);
+        if (cached != null && !cached.isAnswered() && !mIsBusy) {
+            // The answer may have been stored since: a cached claim without one proves nothing.
+            mIsLoaded = false;
+        }
+        mWaiting.add(new ClaimOperation.Ask(key, claim, reply));
+    }
+
+    /**
+     * Stores the answer of a claimed request.
+     *
+     * @param key key of the claim
+     * @param token names the attempt that was granted
+     * @param answer the answer
+     */
+    public void answer(ClaimKey key, String token, StoredAnswer answer) {
+        mWaiting.add(new ClaimOperation.Answer(key, token, answer));
+    }
+
+    /**
+     * Drops a claim whose request is proved not to have run.
+     *
+     * @param key key of the claim
+     * @param token names the attempt
+     */
+    public void release(ClaimKey key, String token) {
+        mWaiting.add(new ClaimOperation.Release(key, token));
+    }
+
+    /**
+     * Returns what to do at the key-value service next.
+     *
+     * @param nowMs wall-clock time
+     * @return a step, empty if one is under way or nothing is to be done
+     */
+    public Optional<Step> next(long nowMs) {
+        if (mIsBusy || (mWaiting.isEmpty() && mBatch.isEmpty())) {
+            return Optional.empty();
+        }
+        mBatch = batch();
+        if (!mIsLoaded) {
+            mIsBusy = true;
+            return Optional.of(new Step.Read());
+        }
+        Map<ClaimKey, Claim> claims = new TreeMap<>(mClaims);
+        claims.values().removeIf(c -> c.expiresMs() <= nowMs);
+        mBatch.forEach(operation -> apply(operation, claims));
+        if (claims.equals(mClaims)) {
+            settle(nowMs);
+            return next(nowMs);
+        }
+        byte[] value = JsonText.write(new Stored(claims));
+        if (value.length > MAX_RECORD_BYTES) {
+            fail(ErrorKind.OVERLOADED, "claims of the partition are over their bound");
+            return next(nowMs);
+        }
+        mProposed = claims;
+        mIsBusy = true;
+        return Optional.of(new Step.Write(mVersion, value));
+    }
+
+    private List<ClaimOperation> batch() {
+        List<ClaimOperation> batch = new ArrayList<>(mBatch);
+        batch.addAll(mWaiting);
+        mWaiting.clear();
+        return batch;
+    }
+
+    private static void apply(ClaimOperation operation, Map<ClaimKey, Claim> claims) {
+        Claim present = claims.get(operation.key());
+        if (operation instanceof ClaimOperation.Ask ask) {
+            claims.putIfAbsent(ask.key(), ask.claim());
+            return;
+        }
+        if (present == null || present.isAnswered()) {
+            return;
+        }
+        if (operation instanceof ClaimOperation.Answer answer
+                && present.token().equals(answer.token())) {
+            claims.put(answer.key(), present.answered(answer.answer()));
+        }
+        if (operation instanceof ClaimOperation.Release release
+                && present.token().equals(release.token())) {
+            claims.remove(release.key());
+        }
+    }
+
+    /**
+     * Takes the outcome of a read.
+     *
+     * @param result the entry as read
+     * @param nowMs wall-clock time
+     */
+    public void onRead(Result<Optional<KeyValueService.Entry>> result, long nowMs) {
+        mIsBusy = false;
+        Result<Loaded> loaded =
+                result.flatMap(entry -> entry.map(ClaimPartition::load).orElse(Loaded.none()));
+        loaded.fold(
+                failure -> {
+                    fail(ErrorKind.CLAIM_UNAVAILABLE, failure.detail());
+                    return null;
+                },
+                value -> {
+                    mIsLoaded = true;
+                    mVersion = value.version();
+                    mClaims = value.claims();
+                    settle(nowMs);
+                    return null;
+                });
+    }
+
+    private static Result<Loaded> load(KeyValueService.Entry entry) {
+        return JsonText.read(entry.value(), Stored.class)
+                .map(s -> new Loaded(entry.version(), new TreeMap<>(s.claims())));
+    }
+
+    /**
+     * Takes the outcome of a write.
+     *
+     * @param result the new version, {@code conflict}, or a failure that leaves it unknown
+     * @param nowMs wall-clock time
+     */
+    public void onWritten(Result<Long> result, long nowMs) {
+        mIsBusy = false;
+        result.fold(
+                failure -> {
+                    mIsLoaded = false;
+                    return null;
+                },
+                version -> {
+                    mVersion = version;
+                    mClaims = mProposed;
+                    settle(nowMs);
+                    return null;
+                });
+    }
+
+    /** Answers each operation of the batch that the stored claims decide; the others stay. */
+    private void settle(long nowMs) {
+        List<ClaimOperation> open = new ArrayList<>();
+        Set<ClaimKey> openKeys = new HashSet<>();
+        for (ClaimOperation operation : mBatch) {
+            boolean isAfterOpen = openKeys.contains(operation.key());
+            if (isAfterOpen || !isSettled(operation, nowMs)) {
+                open.add(operation);
+                openKeys.add(operation.key());
+            }
+        }
+        mBatch = open;
+    }
+
+    private boolean isSettled(ClaimOperation operation, long nowMs) {
+        Claim present = mClaims.get(operation.key());
+        if (operation instanceof ClaimOperation.Ask ask) {
+            if (present == null) {
+                return false;
+            }
+            ask.reply().accept(outcome(ask.claim(), present, nowMs));
+            return true;
+        }
+        if (operation instanceof ClaimOperation.Answer answer) {
+            boolean isOurs = present != null && present.token().equals(answer.token());
+            return !isOurs || present.isAnswered();
+        }
+        if (operation instanceof ClaimOperation.Release release) {
+            return present == null || !present.token().equals(release.token());
+        }
+        return true;
+    }
+
+    private static ClaimOutcome outcome(Claim asked, Claim present, long nowMs) {
+        if (present.token().equals(asked.token())) {
+            return new ClaimOutcome.Granted(asked.token());
+        }
+        if (!present.digest().equals(asked.digest())) {
+            return refused(
+                    ErrorKind.IDEMPOTENCY_KEY_REUSED, "the key came earlier with another request");
+        }
+        if (present.isAnswered()) {
+            return new ClaimOutcome.Repeated(present.answer());
+        }
+        if (present.runsUntilMs() > nowMs) {
+            return refused(ErrorKind.CLAIM_IN_PROGRESS, "a request with this key is in progress");
+        }
+        return new ClaimOutcome.Unknown(present.token());
+    }
+
+    /** Refuses all that asks; a claim that may have been written is released later. */
+    private void fail(ErrorKind kind, String detail) {
+        List<ClaimOperation> kept = new ArrayList<>();
+        for (ClaimOperation operation : mBatch) {
+            if (operation instanceof ClaimOperation.Ask ask) {
+                ask.reply().accept(refused(kind, detail));
+                kept.add(new ClaimOperation.Release(ask.key(), ask.claim().token()));
+                continue;
+            }
+            kept.add(operation);
+        }
+        mBatch = kept.size() > MAX_WAITING ? kept.subList(0, MAX_WAITING) : kept;
+    }
+
+    private static ClaimOutcome refused(ErrorKind kind, String detail) {
+        return new ClaimOutcome.Refused(Failure.of(kind, detail));
+    }
+
+    // Accessors
+
+    /**
+     * Tells whether operations wait for a step.
+     *
+     * @return true if there is something to do
+     */
+    public boolean isPending() {
+        return !mWaiting.isEmpty() || !mBatch.isEmpty();
+    }
+
+    /** What to do at the key-value service. */
+    public sealed interface Step {
+        /** Read the partition's key. */
+        record Read() implements Step {}
+
+        /**
+         * Write the partition's key.
+         *
+         * @param expectedVersion the version to replace
+         * @param value the new value
+         */
+        record Write(long expectedVersion, byte[] value) implements Step {}
+    }
+
+    private record Stored(Map<ClaimKey, Claim> claims) {
+        @JsonCreator
+        Stored(@JsonProperty("claims") Map<ClaimKey, Claim> claims) {
+            this.claims = claims == null ? Map.of() : claims;
+        }
+    }
+
+    private record Loaded(long version, Map<ClaimKey, Claim> claims) {
+        static Result<Loaded> none() {
+            return Result.of(new Loaded(0, new TreeMap<>()));
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
@@ -0,0 +1,29 @@
+package dev.cactusspan.command;
+
+import dev.cactusspan.entry.EntryProcess;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.settings.SettingsReader;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Option;
+
+/** Runs an entry process until it is told to stop. */
+public final class EntryCommand implements DaemonCommand {
+    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of the entry")
+    private Path mSettings;
+
+    @Override
+    public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        Result<EntrySettings> settings = SettingsReader.entry(mSettings);
+        if (!settings.isOk()) {
+            return settings.fold(f -> Reports.failed(err, f), s -> ExitCode.OK);
+        }
+        EntryProcess process = new EntryProcess(settings.get(), Telemetry.create());
+        process.start();
+        Shutdown.onSignal(process::drain, process);
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package dev.cactusspan.command;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/config/package-info.java
@@ -0,0 +1,2 @@
+/** Environment documents: reading, checking, comparing, storing and looking up. */
+package dev.cactusspan.config;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/CallerApi.java
@@ -0,0 +1,239 @@
+package dev.cactusspan.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hashing;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.config.EnvironmentDocument;
+import dev.cactusspan.config.KeyHash;
+import dev.cactusspan.http.ForwardedHeaders;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.RequestId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.link.DutyThread;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.HttpString;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** Handles requests of callers: completions of models and paths of plain services. */
+final class CallerApi {
+    private static final int PREFIX_CHARS = 256;
+    private static final int MAX_IDEMPOTENCY_KEY_CHARS = 256;
+    private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+    private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+    private static final AccountId OPEN_ACCOUNT = AccountId.of("open");
+
+    private final Gate mGate;
+    private final DutyThread mThread;
+    private final RequestDesk mDesk;
+
+    CallerApi(Gate gate, DutyThread thread, RequestDesk desk) {
+        mGate = gate;
+        mThread = thread;
+        mDesk = desk;
+    }
+
+    // Handlers
+
+    /** Completes a prompt or a chat; the path at the engine is the caller's. */
+    void completions(HttpServerExchange exchange) {
+        Result<Configuration> configuration = mGate.configuration();
+        if (!configuration.isOk()) {
+            mGate.refuse(exchange, configuration);
+            return;
+        }
+        String key = Gate.key(exchange);
+        Result<AccountId> account = configuration.get().authenticate(key);
+        if (!account.isOk()) {
+            mGate.refuse(exchange, account);
+            return;
+        }
+        mGate.receive(
+                exchange,
+                configuration.get(),
+                body -> {
+                    Caller caller = new Caller(exchange, configuration.get(), key);
+                    spec(caller, account.get(), body)
+                            .fold(f -> answer(exchange, f), s -> submit(caller, s));
+                });
+    }
+
+    private static Void answer(HttpServerExchange exchange, Failure failure) {
+        HttpAnswers.failure(exchange, failure);
+        return null;
+    }
+
+    private Result<RequestSpec> spec(Caller caller, AccountId account, byte[] body) {
+        Result<JsonNode> tree = JsonText.parse("$", new String(body, StandardCharsets.UTF_8));
+        if (!tree.isOk()) {
+            return tree.map(t -> null);
+        }
+        String model = tree.get().path("model").asText("");
+        if (model.isEmpty()) {
+            return Result.fail(ErrorKind.BAD_REQUEST, "$.model: expected the name of a model");
+        }
+        Optional<EnvironmentDocument.Route> route =
+                caller.configuration().completionsRoute(ServiceId.of(model));
+        if (route.isEmpty()) {
+            return Result.fail(ErrorKind.NOT_FOUND, "no route for model " + model);
+        }
+        if (!route.get().isAllowed(account)) {
+            return Result.fail(
+                    ErrorKind.FORBIDDEN, account + " may not use route " + route.get().name());
+        }
+        String path = caller.exchange().getRequestPath();
+        return checked(caller, account, route.get(), path, body, affinity(tree.get()));
+    }
+
+    /** Hashes the start of the prompt, on which engines cache. */
+    private static long affinity(JsonNode tree) {
+        String prompt =
+                tree.has("messages")
+                        ? tree.get("messages").toString()
+                        : tree.path("prompt").asText("");
+        String prefix = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
+        return prefix.isEmpty()
+                ? 0
+                : Hashing.murmur3_128().hashString(prefix, StandardCharsets.UTF_8).asLong();
+    }
+
+    /** Calls a path of a plain service. */
+    void service(HttpServerExchange exchange) {
+        Result<Configuration> configuration = mGate.configuration();
+        if (!configuration.isOk()) {
+            mGate.refuse(exchange, configuration);
+            return;
+        }
+        String service = Gate.parameter(exchange, "service");
+        String path = "/" + Gate.parameter(exchange, "*");
+        Optional<EnvironmentDocument.Route> route =
+                configuration
+                        .get()
+                        .serviceRoute(
+                                ServiceId.of(service),
+                                exchange.getRequestMethod().toString(),
+                                path);
+        if (route.isEmpty()) {
+            HttpAnswers.failure(
+                    exchange, Failure.of(ErrorKind.NOT_FOUND, "no route for " + service + path));
+            return;
+        }
+        String key = Gate.key(exchange);
+        Result<AccountId> account = account(configuration.get(), route.get(), key);
+        if (!account.isOk()) {
+            mGate.refuse(exchange, account);
+            return;
+        }
+        String query = exchange.getQueryString();
+        String full = query.isEmpty() ? path : path + "?" + query;
+        Caller caller = new Caller(exchange, configuration.get(), route.get().open() ? "" : key);
+        mGate.receive(
+                exchange,
+                configuration.get(),
+                body ->
+                        checked(caller, account.get(), route.get(), full, body, 0)
+                                .fold(f -> answer(exchange, f), s -> submit(caller, s)));
+    }
+
+    private static Result<AccountId> account(
+            Configuration configuration, EnvironmentDocument.Route route, String key) {
+        if (route.open()) {
+            return Result.of(OPEN_ACCOUNT);
+        }
+        return configuration
+                .authenticate(key)
+                .flatMap(
+                        account ->
+                                route.isAllowed(account)
+                                        ? Result.of(account)
+                                        : Result.fail(
+                                                ErrorKind.FORBIDDEN,
+                                                account + " may not use route " + route.name()));
+    }
+
+    private Result<RequestSpec> checked(
+            Caller caller,
+            AccountId account,
+            EnvironmentDocument.Route route,
+            String path,
+            byte[] body,
+            long affinity) {
+        HttpServerExchange exchange = caller.exchange();
+        String idempotencyKey = Gate.header(exchange, IDEMPOTENCY_KEY);
+        if (idempotencyKey.length() > MAX_IDEMPOTENCY_KEY_CHARS) {
+            return Result.fail(
+                    ErrorKind.BAD_REQUEST,
+                    "Idempotency-Key: expected at most " + MAX_IDEMPOTENCY_KEY_CHARS + " chars");
+        }
+        Map<String, String> headers = ForwardedHeaders.filter(headers(exchange));
+        if (Gate.isKeyIn(Gate.key(exchange), path, headers, body)) {
+            return Result.fail(ErrorKind.BAD_REQUEST, "the key may stand in Authorization only");
+        }
+        EnvironmentDocument.Bounds bounds = caller.configuration().document().bounds();
+        long deadlineMs = route.deadlineMs() > 0 ? route.deadlineMs() : bounds.requestDeadlineMs();
+        Optional<KeyHash> keyHash =
+                caller.key().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(KeyHash.ofKey(caller.key()));
+        return Result.of(
+                new RequestSpec(
+                        requestId(exchange),
+                        account,
+                        keyHash,
+                        route,
+                        route.requestClass(),
+                        exchange.getRequestMethod().toString(),
+                        path,
+                        headers,
+                        body,
+                        affinity,
+                        deadlineMs,
+                        false,
+                        WeightVersion.NONE,
+                        idempotencyKey));
+    }
+
+    private static Map<String, String> headers(HttpServerExchange exchange) {
+        Map<String, String> headers = new HashMap<>();
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            headers.put(values.getHeaderName().toString(), values.getFirst());
+        }
+        return headers;
+    }
+
+    private static RequestId requestId(HttpServerExchange exchange) {
+        RequestId id = RequestId.of(UUID.randomUUID().toString());
+        exchange.getResponseHeaders().put(REQUEST_ID, id.value());
+        return id;
+    }
+
+    private Void submit(Caller caller, RequestSpec spec) {
+        AtomicReference<PendingRequest> request = new AtomicReference<>();
+        Runnable onGone =
+                () ->
+                        mThread.execute(
+                                () ->
+                                        Optional.ofNullable(request.get())
+                                                .ifPresent(mDesk::abandoned));
+        int maxBytes = caller.configuration().document().bounds().answerBytes();
+        CallerExchange sink = new CallerExchange(caller.exchange(), maxBytes, onGone);
+        boolean isTaken = mThread.tryExecute(() -> mDesk.admit(spec, sink).ifPresent(request::set));
+        if (!isTaken) {
+            HttpAnswers.failure(
+                    caller.exchange(), Failure.of(ErrorKind.OVERLOADED, "the entry is overloaded"));
+        }
+        return null;
+    }
+
+    private record Caller(HttpServerExchange exchange, Configuration configuration, String key) {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/CallerExchange.java
@@ -0,0 +1,205 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.weight.VersionSpan;
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import org.xnio.IoUtils;
+
+/**
+ * Writes an answer to a caller. Answers of server-sent events are passed on as they come; others
+ * are kept until they are whole, so that a cut shows as an error and never as a short success.
+ */
+final class CallerExchange implements AnswerSink {
+    private static final String EVENT_STREAM = "text/event-stream";
+    private static final int MAX_UNSENT_BYTES = 4 << 20;
+
+    private final HttpServerExchange mExchange;
+    private final int mMaxBytes;
+    private final Runnable mOnSlow;
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private int mStatus;
+    private String mContentType = "";
+    private volatile boolean mIsStreaming;
+    private boolean mIsTooLarge;
+
+    // Used on the I/O thread of the exchange only.
+    private final Deque<byte[]> mUnsent = new ArrayDeque<>();
+    private int mUnsentBytes;
+    private boolean mIsSending;
+    private Last mLast = Last.NONE;
+
+    /**
+     * Creates the writer.
+     *
+     * @param exchange the exchange, which has been dispatched
+     * @param maxBytes size of an answer that is kept whole
+     * @param onSlow called when the caller takes a stream too slowly
+     */
+    CallerExchange(HttpServerExchange exchange, int maxBytes, Runnable onSlow) {
+        mExchange = exchange;
+        mMaxBytes = maxBytes;
+        mOnSlow = onSlow;
+    }
+
+    // On the thread of the entry
+
+    @Override
+    public void head(int status, String contentType) {
+        mStatus = status;
+        mContentType = contentType;
+        mBody.reset();
+        mIsStreaming = contentType.startsWith(EVENT_STREAM);
+        if (mIsStreaming) {
+            onIoThread(this::startStream);
+        }
+    }
+
+    @Override
+    public void data(byte[] data) {
+        if (mIsStreaming) {
+            onIoThread(() -> stream(data));
+            return;
+        }
+        mIsTooLarge |= mBody.size() + data.length > mMaxBytes;
+        if (!mIsTooLarge) {
+            mBody.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void end(List<VersionSpan> labels) {
+        if (mIsStreaming) {
+            onIoThread(() -> endStream(Last.END));
+            return;
+        }
+        if (mIsTooLarge) {
+            fail(Failure.of(ErrorKind.ANSWER_CUT, "the answer is over $.bounds.answer_bytes"));
+            return;
+        }
+        byte[] body = mBody.toByteArray();
+        int status = mStatus;
+        String contentType = mContentType;
+        onIoThread(() -> HttpAnswers.whole(mExchange, status, contentType, body));
+    }
+
+    @Override
+    public void fail(Failure failure) {
+        if (!mIsStreaming) {
+            onIoThread(() -> HttpAnswers.failure(mExchange, failure));
+            return;
+        }
+        String event =
+                "event: error\ndata: "
+                        + new String(HttpAnswers.body(failure), StandardCharsets.UTF_8)
+                        + "\n\n";
+        onIoThread(
+                () -> {
+                    stream(event.getBytes(StandardCharsets.UTF_8));
+                    endStream(Last.CUT);
+                });
+    }
+
+    @Override
+    public boolean isStreaming() {
+        return mIsStreaming;
+    }
+
+    private void onIoThread(Runnable task) {
+        mExchange.getIoThread().execute(task);
+    }
+
+    // On the I/O thread of the exchange
+
+    private void startStream() {
+        mExchange.setStatusCode(mStatus);
+        mExchange.getResponseHeaders().put(Headers.CONTENT_TYPE, mContentType);
+        mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+    }
+
+    private void stream(byte[] data) {
+        if (mLast == Last.CLOSED) {
+            return;
+        }
+        mUnsent.addLast(data);
+        mUnsentBytes += data.length;
+        if (mUnsentBytes > MAX_UNSENT_BYTES) {
+            close();
+            mOnSlow.run();
+            return;
+        }
+        sendNext();
+    }
+
+    private void endStream(Last last) {
+        if (mLast == Last.NONE) {
+            mLast = last;
+            sendNext();
+        }
+    }
+
+    private void sendNext() {
+        if (mIsSending) {
+            return;
+        }
+        byte[] next = mUnsent.pollFirst();
+        if (next == null) {
+            finish();
+            return;
+        }
+        mIsSending = true;
+        mUnsentBytes -= next.length;
+        mExchange
+                .getResponseSender()
+                .send(
+                        ByteBuffer.wrap(next),
+                        new IoCallback() {
+                            @Override
+                            public void onComplete(HttpServerExchange exchange, Sender sender) {
+                                mIsSending = false;
+                                sendNext();
+                            }
+
+                            @Override
+                            public void onException(
+                                    HttpServerExchange exchange, Sender sender, IOException e) {
+                                close();
+                                mOnSlow.run();
+                            }
+                        });
+    }
+
+    private void finish() {
+        if (mLast == Last.END) {
+            mLast = Last.CLOSED;
+            mExchange.endExchange();
+        }
+        if (mLast == Last.CUT) {
+            close();
+        }
+    }
+
+    /** Closes the connection without the last chunk, so that the caller sees a cut. */
+    private void close() {
+        mLast = Last.CLOSED;
+        mUnsent.clear();
+        IoUtils.safeClose(mExchange.getConnection());
+    }
+
+    private enum Last {
+        NONE,
+        END,
+        CUT,
+        CLOSED
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/ClaimRecorder.java
@@ -0,0 +1,54 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.claim.ClaimKey;
+import dev.cactusspan.claim.ClaimService;
+import dev.cactusspan.claim.StoredAnswer;
+import java.io.ByteArrayOutputStream;
+
+/** Keeps the answer of a claimed request until it is whole, then stores it. */
+final class ClaimRecorder {
+    private static final int MAX_BYTES = 1 << 20;
+
+    private final ClaimService mClaims;
+    private final ClaimKey mKey;
+    private final String mToken;
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private int mStatus;
+    private String mContentType = "";
+    private boolean mIsTooLarge;
+
+    ClaimRecorder(ClaimService claims, ClaimKey key, String token) {
+        mClaims = claims;
+        mKey = key;
+        mToken = token;
+    }
+
+    void head(int status, String contentType) {
+        mStatus = status;
+        mContentType = contentType;
+    }
+
+    void data(byte[] data) {
+        mIsTooLarge |= mBody.size() + data.length > MAX_BYTES;
+        if (!mIsTooLarge) {
+            mBody.writeBytes(data);
+        }
+    }
+
+    /** Stores the answer that was taken; one over the bound stays "outcome unknown" to a retry. */
+    void keep() {
+        if (!mIsTooLarge) {
+            keep(mStatus, mContentType, mBody.toByteArray());
+        }
+    }
+
+    /** Stores the given answer. */
+    void keep(int status, String contentType, byte[] body) {
+        mClaims.answer(mKey, mToken, new StoredAnswer(status, contentType, body, false));
+    }
+
+    /** Drops the claim, as the request is proved not to have run. */
+    void release() {
+        mClaims.release(mKey, mToken);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -0,0 +1,379 @@
+package dev.cactusspan.entry;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.claim.ClaimService;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.config.EnvironmentDocument;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.RegionId;
+import dev.cactusspan.limit.AccountLimiter;
+import dev.cactusspan.link.DutyThread;
+import dev.cactusspan.link.Link;
+import dev.cactusspan.link.LinkListener;
+import dev.cactusspan.link.LinkReactor;
+import dev.cactusspan.link.LinkSettings;
+import dev.cactusspan.membership.SubsetChooser;
+import dev.cactusspan.membership.VmRecord;
+import dev.cactusspan.observe.AdminServer;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.HttpKeyValueService;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.platform.VmListClient;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.routing.CostRouter;
+import dev.cactusspan.routing.RoutingCosts;
+import dev.cactusspan.routing.ZoneDistance;
+import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.weight.WeightBook;
+import dev.cactusspan.wire.Frame;
+import dev.cactusspan.wire.Message;
+import io.undertow.Undertow;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** The entry process: wires its parts and carries events to their thread. */
+public final class EntryProcess implements AutoCloseable {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final int RING_TASKS = 16_384;
+    private static final long TICK_MS = 20;
+    private static final long VM_LIST_MS = 2_000;
+    private static final long BACKOFF_BASE_MS = 20;
+    private static final long BACKOFF_MAX_MS = 1_000;
+    private static final long DIAL_BASE_MS = 100;
+    private static final long DIAL_MAX_MS = 2_000;
+
+    private final EntrySettings mSettings;
+    private final HttpCaller mHttp;
+    private final DutyThread mThread;
+    private final LinkReactor mLinks;
+    private final VmListClient mVmList;
+    private final Follower mFollower;
+    private final TargetDirectory mTargets;
+    private final ClaimService mClaims;
+    private final RequestDesk mDesk;
+    private final StepDesk mSteps;
+    private final Undertow mServer;
+    private final AdminServer mAdmin;
+    private final long mIncarnation = System.nanoTime();
+    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private volatile boolean mIsFresh;
+    private volatile boolean mIsDraining;
+    private volatile int mTargetCount;
+    private long mNextVmListMs;
+    private boolean mIsListing;
+
+    /**
+     * Creates an entry; {@link #start} starts it.
+     *
+     * @param settings its settings
+     * @param telemetry its metrics
+     * @throws IOException if its threads cannot be started
+     */
+    public EntryProcess(EntrySettings settings, Telemetry telemetry) throws IOException {
+        mSettings = settings;
+        mHttp = HttpCaller.create();
+        KeyValueService keyValues = new HttpKeyValueService(mHttp, settings.platformUrl());
+        mVmList = new VmListClient(mHttp, settings.platformUrl());
+        mThread = new DutyThread("entry", RING_TASKS, TICK_MS, this::tick);
+        SplittableRandom random = new SplittableRandom(mIncarnation);
+        mFollower =
+                new Follower(
+                        settings,
+                        keyValues,
+                        mThread,
+                        EntryProcess::nowMs,
+                        random.split(),
+                        this::configured,
+                        this::wanted);
+        mLinks =
+                new LinkReactor(
+                        LinkSettings.STANDARD,
+                        new EntryListener(),
+                        mFollower::revision,
+                        () -> new Message.Heartbeat(0));
+        mTargets =
+                new TargetDirectory(
+                        settings,
+                        mLinks,
+                        new SubsetChooser(settings.linksPerTarget()),
+                        new Backoff(DIAL_BASE_MS, DIAL_MAX_MS, random.split()));
+        String owner = settings.vm() + "-" + Long.toHexString(mIncarnation);
+        mClaims =
+                new ClaimService(
+                        settings.environment(),
+                        keyValues,
+                        mThread,
+                        System::currentTimeMillis,
+                        telemetry,
+                        owner);
+        mDesk =
+                new RequestDesk(
+                        mTargets,
+                        mClaims,
+                        new AccountLimiter(),
+                        new CostRouter(RoutingCosts.STANDARD, this::distance, random.split()),
+                        new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random.split()),
+                        telemetry,
+                        this::current,
+                        EntryProcess::nowMs);
+        mSteps =
+                new StepDesk(
+                        settings.environment(),
+                        owner,
+                        keyValues,
+                        mThread,
+                        mDesk,
+                        mTargets,
+                        this::current,
+                        mFollower,
+                        telemetry,
+                        EntryProcess::nowMs);
+        Gate gate = new Gate(mFollower::configuration, () -> mIsFresh);
+        mServer =
+                ApiServer.create(
+                        settings,
+                        new CallerApi(gate, mThread, mDesk),
+                        new TrainerApi(
+                                gate,
+                                mThread,
+                                mSteps,
+                                new WeightStore(keyValues, settings.environment()),
+                                mFollower,
+                                EntryProcess::nowMs));
+        mAdmin =
+                new AdminServer(
+                        settings.ip(),
+                        settings.adminPort(),
+                        telemetry,
+                        this::isReady,
+                        this::status);
+        telemetry.gauge("entry_pending_requests", mDesk::size);
+        telemetry.gauge("entry_revision", () -> mFollower.revision().number());
+        telemetry.gauge("entry_targets", () -> mTargetCount);
+        telemetry.gauge("entry_ring_tasks", mThread::size);
+    }
+
+    // Operations
+
+    /**
+     * Starts the entry.
+     *
+     * @throws IOException if an address cannot be bound
+     */
+    public void start() throws IOException {
+        mThread.start();
+        mLinks.start();
+        mAdmin.start();
+        mServer.start();
+        sLog.atInfo().log("entry %s listens for callers on port %d", mSettings.vm(), port());
+    }
+
+    /** Stops gracefully: refuses new requests, and waits for those in progress. */
+    public void drain() {
+        mIsDraining = true;
+        mThread.execute(mDesk::drain);
+        try {
+            if (!mDrained.await(mSettings.drainMs(), TimeUnit.MILLISECONDS)) {
+                sLog.atWarning().log("drain took longer than %d ms", mSettings.drainMs());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void tick() {
+        long nowMs = nowMs();
+        mFollower.tick();
+        mClaims.tick();
+        listVms(nowMs);
+        mTargets.dial(nowMs);
+        mTargetCount = mTargets.targets().size();
+        Optional<Configuration> configuration = mFollower.configuration();
+        if (configuration.isEmpty()) {
+            return;
+        }
+        long boundMs = configuration.get().document().bounds().configAgeMs();
+        mIsFresh = mFollower.ageMs() <= boundMs;
+        mDesk.tick();
+        mSteps.tick();
+        if (mIsDraining && mDesk.isIdle()) {
+            mDrained.countDown();
+        }
+    }
+
+    private void listVms(long nowMs) {
+        if (mIsListing || nowMs < mNextVmListMs) {
+            return;
+        }
+        mIsListing = true;
+        mNextVmListMs = nowMs + VM_LIST_MS;
+        mVmList.list(mSettings.environment()).thenAccept(r -> mThread.execute(() -> listed(r)));
+    }
+
+    private void listed(Result<List<VmRecord>> result) {
+        mIsListing = false;
+        result.fold(
+                failure -> {
+                    sLog.atWarning().log("VM list: %s", failure);
+                    return null;
+                },
+                vms -> {
+                    mTargets.vms(vms, nowMs());
+                    mDesk.limitShare(1.0 / Math.max(1, mTargets.entries().size()));
+                    return null;
+                });
+    }
+
+    private void configured(Configuration configuration) {
+        mDesk.configured(configuration);
+    }
+
+    private void wanted(WeightBook book) {
+        mTargets.targets().forEach(target -> sendWanted(target, book));
+    }
+
+    private static void sendWanted(TargetLink target, WeightBook book) {
+        WeightBook.Wanted wanted = book.wanted(target.service());
+        if (!wanted.equals(WeightBook.Wanted.NONE)) {
+            target.link()
+                    .send(
+                            new Message.WantedWeights(
+                                    target.service(), wanted.staged(), wanted.active()));
+        }
+    }
+
+    private ZoneDistance distance(AvailabilityZoneId zone) {
+        if (zone.equals(mSettings.zone())) {
+            return ZoneDistance.SAME_ZONE;
+        }
+        Optional<RegionId> own = region(mSettings.zone());
+        return own.isPresent() && own.equals(region(zone))
+                ? ZoneDistance.SAME_REGION
+                : ZoneDistance.OTHER_REGION;
+    }
+
+    private Optional<RegionId> region(AvailabilityZoneId zone) {
+        return current().document().availabilityZones().stream()
+                .filter(z -> z.name().equals(zone))
+                .map(EnvironmentDocument.Zone::region)
+                .findFirst();
+    }
+
+    private Configuration current() {
+        return mFollower.configuration().orElseThrow();
+    }
+
+    // Links
+
+    private void handle(Link link, Frame frame) {
+        Message message = frame.message();
+        if (message instanceof Message.SideHello hello) {
+            greeted(link, hello);
+            return;
+        }
+        Optional<TargetLink> target = mTargets.target(link);
+        if (target.isEmpty()) {
+            link.close("expected a greeting first");
+            return;
+        }
+        if (message instanceof Message.Load load) {
+            target.get().load(load);
+        } else if (message instanceof Message.Head head) {
+            mDesk.head(target.get(), head);
+        } else if (message instanceof Message.Chunk chunk) {
+            mDesk.chunk(target.get(), chunk);
+        } else if (message instanceof Message.End end) {
+            mDesk.end(target.get(), end);
+        } else if (message instanceof Message.Refused refused) {
+            mDesk.refused(target.get(), refused);
+        } else if (!(message instanceof Message.Heartbeat)) {
+            link.close("unexpected " + message.getClass().getSimpleName());
+        }
+    }
+
+    private void greeted(Link link, Message.SideHello hello) {
+        if (!mTargets.greeted(link, hello)) {
+            link.close("not a target of environment " + mSettings.environment());
+            return;
+        }
+        mTargets.target(link).ifPresent(t -> sendWanted(t, mFollower.book()));
+    }
+
+    // Accessors
+
+    /**
+     * Returns the bound port towards callers.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) mServer.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    private boolean isReady() {
+        return mIsFresh && !mIsDraining && mTargetCount > 0;
+    }
+
+    private Object status() {
+        return new Status(
+                mSettings.vm().value(),
+                mFollower.revision().number(),
+                mIsFresh,
+                mIsDraining,
+                mTargetCount,
+                mDesk.size(),
+                mFollower.book());
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+        mAdmin.close();
+        mLinks.close();
+        mThread.close();
+        mHttp.close();
+    }
+
+    private record Status(
+            String vm,
+            long revision,
+            boolean fresh,
+            boolean draining,
+            int targets,
+            int pendingRequests,
+            WeightBook weights) {}
+
+    /** Carries events of links to the thread of the entry. */
+    private final class EntryListener implements LinkListener {
+        @Override
+        public void onUp(Link link) {
+            link.send(
+                    new Message.EntryHello(
+                            mSettings.environment(),
+                            mSettings.vm(),
+                            mSettings.zone(),
+                            mIncarnation));
+        }
+
+        @Override
+        public void onFrame(Link link, Frame frame) {
+            mThread.execute(() -> handle(link, frame));
+        }
+
+        @Override
+        public void onDown(Link link, String reason) {
+            mThread.execute(() -> mTargets.down(link, reason, nowMs()).ifPresent(mDesk::linkDown));
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/Follower.java
@@ -0,0 +1,129 @@
+package dev.cactusspan.entry;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.config.DocumentStore;
+import dev.cactusspan.config.KeyWatcher;
+import dev.cactusspan.config.StoredDocument;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.weight.WeightBook;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** Follows the environment document and the wanted weights in the key-value service. */
+final class Follower {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final long BACKOFF_BASE_MS = 100;
+    private static final long BACKOFF_MAX_MS = 2_000;
+
+    private final KeyWatcher mDocument;
+    private final KeyWatcher mWeights;
+    private final AtomicReference<Optional<Configuration>> mConfiguration =
+            new AtomicReference<>(Optional.empty());
+    private final AtomicReference<WeightBook> mBook = new AtomicReference<>(WeightBook.EMPTY);
+    private final Consumer<Configuration> mOnConfiguration;
+    private final Consumer<WeightBook> mOnWeights;
+
+    Follower(
+            EntrySettings settings,
+            KeyValueService keyValues,
+            Executor thread,
+            LongSupplier nowMs,
+            SplittableRandom random,
+            Consumer<Configuration> onConfiguration,
+            Consumer<WeightBook> onWeights) {
+        mOnConfiguration = onConfiguration;
+        mOnWeights = onWeights;
+        Backoff backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random);
+        mDocument =
+                new KeyWatcher(
+                        keyValues,
+                        DocumentStore.key(settings.environment(), settings.stage()),
+                        thread,
+                        backoff,
+                        nowMs,
+                        this::document);
+        mWeights =
+                new KeyWatcher(
+                        keyValues,
+                        WeightStore.key(settings.environment()),
+                        thread,
+                        backoff,
+                        nowMs,
+                        this::weights);
+    }
+
+    // Operations
+
+    void tick() {
+        mDocument.tick();
+        mWeights.tick();
+    }
+
+    private void document(KeyValueService.Entry entry) {
+        Result<StoredDocument> stored = DocumentStore.decode(entry);
+        stored.flatMap(Configuration::of)
+                .fold(
+                        failure -> {
+                            sLog.atSevere().log(
+                                    "document of revision %d is refused: %s",
+                                    entry.version(), failure);
+                            return null;
+                        },
+                        configuration -> {
+                            mConfiguration.set(Optional.of(configuration));
+                            sLog.atInfo().log("revision %s is in force", configuration.revision());
+                            mOnConfiguration.accept(configuration);
+                            return null;
+                        });
+    }
+
+    private void weights(KeyValueService.Entry entry) {
+        JsonText.read(entry.value(), WeightBook.class)
+                .fold(
+                        failure -> {
+                            sLog.atSevere().log("wanted weights are refused: %s", failure);
+                            return null;
+                        },
+                        book -> {
+                            mBook.set(book);
+                            mOnWeights.accept(book);
+                            return null;
+                        });
+    }
+
+    /** Asks for the wanted weights at once, after this process raised them. */
+    void took(KeyValueService.Entry weights) {
+        mWeights.take(weights);
+    }
+
+    // Accessors
+
+    /** Returns the configuration in force, on any thread. */
+    Optional<Configuration> configuration() {
+        return mConfiguration.get();
+    }
+
+    Revision revision() {
+        return mConfiguration.get().map(Configuration::revision).orElse(Revision.NONE);
+    }
+
+    /** Returns the wanted weights, on any thread. */
+    WeightBook book() {
+        return mBook.get();
+    }
+
+    /** Returns the age of the document, on the thread of the entry. */
+    long ageMs() {
+        return mDocument.ageMs();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/Gate.java
@@ -0,0 +1,125 @@
+package dev.cactusspan.entry;
+
+import com.google.common.primitives.Bytes;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.PathTemplateMatch;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** What each request passes first: configuration, key and bounded body. */
+final class Gate {
+    private static final String BEARER = "Bearer ";
+
+    private final Supplier<Optional<Configuration>> mConfiguration;
+    private final BooleanSupplier mIsFresh;
+
+    Gate(Supplier<Optional<Configuration>> configuration, BooleanSupplier isFresh) {
+        mConfiguration = configuration;
+        mIsFresh = isFresh;
+    }
+
+    /** Returns the configuration, or why this entry can serve nothing. */
+    Result<Configuration> configuration() {
+        Optional<Configuration> configuration = mConfiguration.get();
+        if (configuration.isEmpty()) {
+            return Result.fail(ErrorKind.CONFIGURATION_STALE, "no document is known yet");
+        }
+        if (!mIsFresh.getAsBoolean()) {
+            return Result.fail(
+                    ErrorKind.CONFIGURATION_STALE,
+                    "the document may be out of date: the platform does not answer");
+        }
+        return Result.of(configuration.get());
+    }
+
+    void refuse(HttpServerExchange exchange, Result<?> failed) {
+        failed.fold(
+                failure -> {
+                    HttpAnswers.failure(exchange, failure);
+                    return null;
+                },
+                value -> null);
+    }
+
+    /** Reads the body within the bound of the document. */
+    void receive(
+            HttpServerExchange exchange, Configuration configuration, Consumer<byte[]> onBody) {
+        int maxBytes = configuration.document().bounds().bodyBytes();
+        if (exchange.getRequestContentLength() > maxBytes) {
+            HttpAnswers.failure(exchange, tooLarge(maxBytes));
+            return;
+        }
+        exchange.setMaxEntitySize(maxBytes);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> {
+                            e.dispatch();
+                            onBody.accept(body);
+                        },
+                        (e, error) -> {
+                            boolean isTooLarge = error instanceof RequestTooBigException;
+                            HttpAnswers.failure(
+                                    e,
+                                    isTooLarge
+                                            ? tooLarge(maxBytes)
+                                            : Failure.of(
+                                                    ErrorKind.BAD_REQUEST, "the body was cut"));
+                        });
+    }
+
+    private static Failure tooLarge(int maxBytes) {
+        return Failure.of(
+                ErrorKind.PAYLOAD_TOO_LARGE, "body: expected at most " + maxBytes + " bytes");
+    }
+
+    /** Returns the bearer key of a request, empty if none came. */
+    static String key(HttpServerExchange exchange) {
+        String value = header(exchange, Headers.AUTHORIZATION);
+        return value.regionMatches(true, 0, BEARER, 0, BEARER.length())
+                ? value.substring(BEARER.length()).strip()
+                : "";
+    }
+
+    static String header(HttpServerExchange exchange, HttpString name) {
+        String value = exchange.getRequestHeaders().getFirst(name);
+        return value == null ? "" : value;
+    }
+
+    static String parameter(HttpServerExchange exchange, String name) {
+        PathTemplateMatch match = exchange.getAttachment(PathTemplateMatch.ATTACHMENT_KEY);
+        return match == null ? "" : match.getParameters().getOrDefault(name, "");
+    }
+
+    static long number(HttpServerExchange exchange, String name, long other) {
+        var values = exchange.getQueryParameters().get(name);
+        if (values == null || values.isEmpty()) {
+            return other;
+        }
+        try {
+            return Long.parseLong(values.getFirst());
+        } catch (NumberFormatException e) {
+            return other;
+        }
+    }
+
+    /** Tells whether a key stands in a part of a request that a target would see. */
+    static boolean isKeyIn(String key, String path, Map<String, String> headers, byte[] body) {
+        if (key.isEmpty()) {
+            return false;
+        }
+        boolean isInBody = Bytes.indexOf(body, key.getBytes(StandardCharsets.UTF_8)) >= 0;
+        boolean isInHeader = headers.values().stream().anyMatch(v -> v.contains(key));
+        return isInBody || isInHeader || path.contains(key);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/HttpAnswers.java
@@ -0,0 +1,77 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.result.ErrorTable;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.text.JsonText;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+
+/** Writes whole answers and failures. */
+final class HttpAnswers {
+    /** Header that names the error kind, whether the request ran, and when it may be repeated. */
+    static final HttpString OUTCOME = new HttpString("Cactusspan-Outcome");
+
+    private static final String JSON = "application/json";
+
+    private HttpAnswers() {}
+
+    static void whole(HttpServerExchange exchange, int status, String contentType, byte[] body) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(OUTCOME, "kind=ok; ran=yes; retry=never");
+        if (!contentType.isEmpty()) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, contentType);
+        }
+        send(exchange, body);
+    }
+
+    static void json(HttpServerExchange exchange, int status, Object value) {
+        whole(exchange, status, JSON, JsonText.write(value));
+    }
+
+    static void failure(HttpServerExchange exchange, Failure failure) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(failure.answer().status());
+        exchange.getResponseHeaders().put(OUTCOME, outcome(failure));
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
+        send(exchange, body(failure));
+    }
+
+    private static void send(HttpServerExchange exchange, byte[] body) {
+        if (body.length == 0) {
+            exchange.endExchange();
+            return;
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
+    private static String outcome(Failure failure) {
+        ErrorTable.Row row = failure.answer();
+        return "kind="
+                + failure.kind().word()
+                + "; ran="
+                + row.ran().word()
+                + "; retry="
+                + row.retry().name().toLowerCase(Locale.ROOT);
+    }
+
+    static byte[] body(Failure failure) {
+        ErrorTable.Row row = failure.answer();
+        return JsonText.write(
+                new ErrorBody(
+                        new ErrorDetail(
+                                failure.kind().word(), row.ran(), row.retry(), failure.detail())));
+    }
+
+    private record ErrorBody(ErrorDetail error) {}
+
+    private record ErrorDetail(
+            String kind, dev.cactusspan.result.Ran ran, ErrorTable.Retry retry, String message) {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
@@ -0,0 +1,529 @@
+package dev.cactusspan.entry;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.hash.Hashing;
+import dev.cactusspan.claim.ClaimKey;
+import dev.cactusspan.claim.ClaimOutcome;
+import dev.cactusspan.claim.ClaimService;
+import dev.cactusspan.claim.StoredAnswer;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.config.EnvironmentDocument;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.limit.AccountLimiter;
+import dev.cactusspan.observe.LogFields;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Ran;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.routing.Candidate;
+import dev.cactusspan.routing.RetryBudget;
+import dev.cactusspan.routing.Router;
+import dev.cactusspan.wire.Message;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+
+/** Takes requests through claim, choice of target, dispatch, retry and answer. */
+final class RequestDesk {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final long CLAIM_MARGIN_MS = 5_000;
+    private static final long MS_PER_S = 1_000;
+    private static final long NO_TARGET_WAIT_MS = 2_000;
+    private static final int DEFAULT_WEIGHT = 1;
+
+    private final TargetDirectory mTargets;
+    private final ClaimService mClaims;
+    private final AccountLimiter mLimiter;
+    private final Router mRouter;
+    private final Backoff mBackoff;
+    private final Telemetry mTelemetry;
+    private final Supplier<Configuration> mConfiguration;
+    private final LongSupplier mNowMs;
+    private final Set<PendingRequest> mPending = new LinkedHashSet<>();
+    private final Map<PendingRequest, ClaimRecorder> mRecorders = new HashMap<>();
+    private RetryBudget mBudget = new RetryBudget(0);
+    private double mLimitShare = 1.0;
+    private boolean mIsDraining;
+
+    RequestDesk(
+            TargetDirectory targets,
+            ClaimService claims,
+            AccountLimiter limiter,
+            Router router,
+            Backoff backoff,
+            Telemetry telemetry,
+            Supplier<Configuration> configuration,
+            LongSupplier nowMs) {
+        mTargets = targets;
+        mClaims = claims;
+        mLimiter = limiter;
+        mRouter = router;
+        mBackoff = backoff;
+        mTelemetry = telemetry;
+        mConfiguration = configuration;
+        mNowMs = nowMs;
+    }
+
+    // Admission
+
+    /** Admits a request, or fails it through its sink; returns its handle. */
+    Optional<PendingRequest> admit(RequestSpec spec, AnswerSink sink) {
+        Optional<Failure> refusal = refusal(spec);
+        if (refusal.isPresent()) {
+            mTelemetry.count("refusals_total", "kind", refusal.get().kind().word());
+            sink.fail(refusal.get());
+            return Optional.empty();
+        }
+        PendingRequest request = new PendingRequest(spec, sink, mNowMs.getAsLong(), true);
+        mPending.add(request);
+        mBudget.onFirstTry();
+        if (spec.isAtMostOnce()) {
+            claim(request);
+        } else {
+            dispatch(request);
+        }
+        return Optional.of(request);
+    }
+
+    private Optional<Failure> refusal(RequestSpec spec) {
+        if (mIsDraining) {
+            return Optional.of(Failure.of(ErrorKind.SHUTTING_DOWN, "the entry is stopping"));
+        }
+        if (isWithdrawn(spec)) {
+            return Optional.of(Failure.of(ErrorKind.UNAUTHENTICATED, "the key is not valid"));
+        }
+        if (spec.isAtMostOnce() && spec.idempotencyKey().isEmpty()) {
+            return Optional.of(
+                    Failure.of(
+                            ErrorKind.IDEMPOTENCY_KEY_REQUIRED,
+                            "route " + spec.route().name() + " needs Idempotency-Key"));
+        }
+        return account(spec.account())
+                .flatMap(a -> mLimiter.admit(a, mLimitShare, mNowMs.getAsLong()));
+    }
+
+    private Optional<EnvironmentDocument.Account> account(AccountId id) {
+        return mConfiguration.get().document().account(id);
+    }
+
+    private boolean isWithdrawn(RequestSpec spec) {
+        return spec.keyHash().isPresent()
+                && !mConfiguration.get().isKeyInForce(spec.keyHash().get(), spec.account());
+    }
+
+    // Claims
+
+    private void claim(PendingRequest request) {
+        request.apply(RequestEvent.CLAIM);
+        RequestSpec spec = request.spec();
+        long ttlMs = mConfiguration.get().document().bounds().claimTtlS() * MS_PER_S;
+        mClaims.ask(
+                claimKey(spec),
+                digest(spec),
+                spec.deadlineMs() + CLAIM_MARGIN_MS,
+                ttlMs,
+                outcome -> claimed(request, outcome));
+    }
+
+    private static ClaimKey claimKey(RequestSpec spec) {
+        return ClaimKey.of(spec.account(), spec.route().name(), spec.idempotencyKey());
+    }
+
+    private static String digest(RequestSpec spec) {
+        return Hashing.sha256()
+                .newHasher()
+                .putUnencodedChars(spec.method())
+                .putUnencodedChars(spec.path())
+                .putBytes(spec.body())
+                .hash()
+                .toString();
+    }
+
+    private void claimed(PendingRequest request, ClaimOutcome outcome) {
+        if (outcome instanceof ClaimOutcome.Granted granted) {
+            granted(request, granted.token());
+            return;
+        }
+        if (request.isOver()) {
+            return;
+        }
+        if (outcome instanceof ClaimOutcome.Repeated repeated) {
+            repeat(request, repeated.answer());
+        } else if (outcome instanceof ClaimOutcome.Unknown unknown) {
+            askTarget(request, unknown.token());
+        } else if (outcome instanceof ClaimOutcome.Refused refused) {
+            fail(request, refused.failure());
+        }
+    }
+
+    private void granted(PendingRequest request, String token) {
+        if (request.isOver()) {
+            mClaims.release(claimKey(request.spec()), token);
+            return;
+        }
+        request.claimed();
+        request.apply(RequestEvent.GRANT);
+        mRecorders.put(request, new ClaimRecorder(mClaims, claimKey(request.spec()), token));
+        dispatch(request);
+    }
+
+    private void repeat(PendingRequest request, StoredAnswer answer) {
+        if (!answer.detached()) {
+            replay(request, answer, answer.body());
+            return;
+        }
+        mClaims.body(
+                claimKey(request.spec()),
+                result ->
+                        result.fold(
+                                failure -> {
+                                    fail(request, failure);
+                                    return null;
+                                },
+                                body -> {
+                                    replay(request, answer, body);
+                                    return null;
+                                }));
+    }
+
+    private void replay(PendingRequest request, StoredAnswer answer, byte[] body) {
+        request.apply(RequestEvent.FAIL);
+        request.sink().head(answer.status(), answer.contentType());
+        request.sink().data(body);
+        request.sink().end(List.of());
+        over(request, "repeated");
+    }
+
+    /** Asks the target whether a request with an unknown outcome has run; never runs it again. */
+    private void askTarget(PendingRequest request, String token) {
+        String path = request.spec().route().statusCheckPath();
+        if (path.isEmpty()) {
+            fail(request, unknownOutcome("an earlier request with this key has no answer"));
+            return;
+        }
+        RequestSpec check = StatusCheck.spec(request.spec(), path);
+        ClaimRecorder recorder = new ClaimRecorder(mClaims, claimKey(request.spec()), token);
+        StatusCheck sink =
+                new StatusCheck(
+                        (status, type, body) -> {
+                            recorder.keep(status, type, body);
+                            replay(request, new StoredAnswer(status, type, body, false), body);
+                        },
+                        reason -> fail(request, unknownOutcome(reason)));
+        PendingRequest query = new PendingRequest(check, sink, mNowMs.getAsLong(), false);
+        mPending.add(query);
+        dispatch(query);
+    }
+
+    private static Failure unknownOutcome(String detail) {
+        return Failure.of(ErrorKind.OUTCOME_UNKNOWN, detail);
+    }
+
+    // Dispatch
+
+    private void dispatch(PendingRequest request) {
+        RequestSpec spec = request.spec();
+        long nowMs = mNowMs.getAsLong();
+        long leftMs = request.deadlineMs() - nowMs;
+        if (leftMs <= 0) {
+            fail(request, expired(request));
+            return;
+        }
+        Optional<TargetLink> target = choose(request);
+        if (target.isEmpty()) {
+            retryOrFail(request, Failure.of(ErrorKind.NO_TARGET, "no target of " + service(spec)));
+            return;
+        }
+        long stream = target.get().newStream(request);
+        Message.Submit submit =
+                new Message.Submit(
+                        stream,
+                        spec.id(),
+                        spec.account(),
+                        account(spec.account()).map(a -> a.weight()).orElse(DEFAULT_WEIGHT),
+                        spec.requestClass(),
+                        spec.method(),
+                        spec.path(),
+                        spec.headers(),
+                        spec.body(),
+                        leftMs,
+                        spec.labelled());
+        request.dispatchedTo(target.get(), stream, nowMs);
+        request.apply(RequestEvent.DISPATCH);
+        if (!target.get().link().send(submit)) {
+            target.get().forget(stream);
+            retryOrFail(request, Failure.of(ErrorKind.NO_TARGET, "the link is down"));
+        }
+    }
+
+    private static String service(RequestSpec spec) {
+        return spec.route().service().value();
+    }
+
+    private Optional<TargetLink> choose(PendingRequest request) {
+        RequestSpec spec = request.spec();
+        Map<Candidate, TargetLink> byCandidate = new HashMap<>();
+        List<Candidate> fresh = new ArrayList<>();
+        List<Candidate> all = new ArrayList<>();
+        for (TargetLink target : mTargets.usable(spec.route().service())) {
+            Candidate candidate = target.candidate();
+            if (spec.minVersion().isAfter(candidate.version())) {
+                continue;
+            }
+            byCandidate.put(candidate, target);
+            all.add(candidate);
+            if (!request.tried().contains(candidate.target())) {
+                fresh.add(candidate);
+            }
+        }
+        List<Candidate> candidates = fresh.isEmpty() ? all : fresh;
+        return mRouter.choose(candidates, spec.affinity()).map(byCandidate::get);
+    }
+
+    private static Failure expired(PendingRequest request) {
+        return request.isMayHaveRun()
+                ? Failure.of(ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
+                : Failure.of(ErrorKind.DEADLINE_BEFORE_DISPATCH, "no target took it in time");
+    }
+
+    // Answers
+
+    void head(TargetLink target, Message.Head head) {
+        PendingRequest request = target.request(head.stream());
+        if (request == null || !request.apply(RequestEvent.HEAD)) {
+            return;
+        }
+        recorder(request).ifPresent(r -> r.head(head.status(), head.contentType()));
+        request.sink().head(head.status(), head.contentType());
+    }
+
+    void chunk(TargetLink target, Message.Chunk chunk) {
+        PendingRequest request = target.request(chunk.stream());
+        if (request == null) {
+            return;
+        }
+        long nowMs = mNowMs.getAsLong();
+        boolean isNext = request.takeChunk(chunk.sequence(), chunk.data().length, nowMs);
+        if (!isNext) {
+            brokenOff(request, "parts of the answer are out of order");
+            return;
+        }
+        recorder(request).ifPresent(r -> r.data(chunk.data()));
+        request.sink().data(chunk.data());
+    }
+
+    void end(TargetLink target, Message.End end) {
+        PendingRequest request = target.request(end.stream());
+        if (request == null) {
+            return;
+        }
+        if (!request.isWhole(end.chunks(), end.answerBytes())) {
+            brokenOff(request, "parts of the answer are missing");
+            return;
+        }
+        if (!request.apply(RequestEvent.END)) {
+            return;
+        }
+        recorder(request).ifPresent(ClaimRecorder::keep);
+        request.sink().end(end.labels());
+        over(request, "answered");
+    }
+
+    /** Handles an answer that cannot become whole: the target is told, and the request fails. */
+    private void brokenOff(PendingRequest request, String detail) {
+        request.target().ifPresent(t -> t.link().send(new Message.Cancel(request.stream())));
+        lost(request, Failure.of(ErrorKind.ANSWER_CUT, detail));
+    }
+
+    void refused(TargetLink target, Message.Refused refused) {
+        PendingRequest request = target.request(refused.stream());
+        if (request == null) {
+            return;
+        }
+        Failure failure = Failure.of(refused.kind(), refused.detail());
+        if (failure.isNotRun()) {
+            detach(request);
+            retryOrFail(request, failure);
+            return;
+        }
+        lost(request, failure);
+    }
+
+    void linkDown(TargetLink target) {
+        for (PendingRequest request : new ArrayList<>(target.streams().values())) {
+            lost(request, Failure.of(ErrorKind.TARGET_FAILED, "the link to the target is down"));
+        }
+    }
+
+    /** Handles a request that was sent and may have run. */
+    private void lost(PendingRequest request, Failure failure) {
+        request.mayHaveRun();
+        detach(request);
+        if (request.spec().isAtMostOnce()) {
+            fail(request, unknownOutcome(failure.detail()));
+            return;
+        }
+        boolean isShown = request.state() == RequestState.ANSWERING && request.sink().isStreaming();
+        if (isShown) {
+            fail(request, Failure.of(ErrorKind.ANSWER_CUT, failure.detail()));
+            return;
+        }
+        retryOrFail(request, failure);
+    }
+
+    private void detach(PendingRequest request) {
+        request.target().ifPresent(t -> t.forget(request.stream()));
+        request.detached();
+    }
+
+    private void retryOrFail(PendingRequest request, Failure failure) {
+        EnvironmentDocument.Bounds bounds = mConfiguration.get().document().bounds();
+        boolean isRetried = request.attempts() > 0;
+        boolean isAllowed =
+                isRetried
+                        ? request.attempts() <= bounds.retries() && mBudget.tryRetry()
+                        : mNowMs.getAsLong() - request.arrivedMs() < NO_TARGET_WAIT_MS;
+        boolean isRepeatable =
+                request.state() == RequestState.WAITING || request.apply(RequestEvent.RETRY);
+        if (!isAllowed || !isRepeatable) {
+            fail(request, request.isMayHaveRun() ? mayHaveRun(failure) : failure);
+            return;
+        }
+        if (isRetried) {
+            mTelemetry.count("retries_total");
+        }
+        request.retryAt(mNowMs.getAsLong() + mBackoff.delayMs(request.attempts()));
+    }
+
+    /** An earlier try may have run, whatever the last try says. */
+    private static Failure mayHaveRun(Failure failure) {
+        return failure.answer().ran() == Ran.NO
+                ? Failure.of(ErrorKind.TARGET_FAILED, "an earlier try failed; " + failure)
+                : failure;
+    }
+
+    // Time, revisions and cancellation
+
+    void tick() {
+        long nowMs = mNowMs.getAsLong();
+        for (PendingRequest request : new ArrayList<>(mPending)) {
+            if (nowMs >= request.deadlineMs()) {
+                deadline(request);
+            } else if (request.state() == RequestState.WAITING && nowMs >= request.retryAtMs()) {
+                dispatch(request);
+            }
+        }
+    }
+
+    private void deadline(PendingRequest request) {
+        if (request.target().isPresent()) {
+            request.mayHaveRun();
+            request.target().get().link().send(new Message.Cancel(request.stream()));
+        }
+        boolean isUnknown = request.isMayHaveRun() && request.spec().isAtMostOnce();
+        fail(request, isUnknown ? unknownOutcome("no answer in time") : expired(request));
+    }
+
+    /** Applies a new configuration: requests under a withdrawn key end. */
+    void configured(Configuration configuration) {
+        mBudget = new RetryBudget(configuration.document().bounds().retryBudgetPercent());
+        for (PendingRequest request : new ArrayList<>(mPending)) {
+            if (isWithdrawn(request.spec())) {
+                withdraw(request);
+            }
+        }
+    }
+
+    private void withdraw(PendingRequest request) {
+        boolean isSent = request.target().isPresent() || request.isMayHaveRun();
+        request.target().ifPresent(t -> t.link().send(new Message.Cancel(request.stream())));
+        ErrorKind kind = isSent ? ErrorKind.KEY_WITHDRAWN : ErrorKind.UNAUTHENTICATED;
+        fail(request, Failure.of(kind, "the key was withdrawn"));
+    }
+
+    /** The caller is gone: an idempotent request is cancelled, another goes on to its answer. */
+    void abandoned(PendingRequest request) {
+        if (request.isOver() || request.spec().isAtMostOnce()) {
+            return;
+        }
+        request.target().ifPresent(t -> t.link().send(new Message.Cancel(request.stream())));
+        fail(request, Failure.of(ErrorKind.ANSWER_CUT, "the caller is gone"));
+    }
+
+    private void fail(PendingRequest request, Failure failure) {
+        if (request.isOver()) {
+            return;
+        }
+        request.apply(RequestEvent.FAIL);
+        if (request.isClaimed() && !request.isMayHaveRun() && request.target().isEmpty()) {
+            recorder(request).ifPresent(ClaimRecorder::release);
+        }
+        request.sink().fail(failure);
+        over(request, failure.kind().word());
+    }
+
+    private void over(PendingRequest request, String outcome) {
+        Optional<TargetId> target = request.target().map(TargetLink::target);
+        detach(request);
+        mPending.remove(request);
+        mRecorders.remove(request);
+        RequestSpec spec = request.spec();
+        if (request.isLimited()) {
+            mLimiter.release(spec.account());
+        }
+        long tookMs = mNowMs.getAsLong() - request.arrivedMs();
+        mTelemetry.record("request_ms", spec.account(), spec.requestClass(), tookMs);
+        mTelemetry.count("requests_total", "account", spec.account().value(), "outcome", outcome);
+        log(request, target, outcome, tookMs);
+    }
+
+    private void log(
+            PendingRequest request, Optional<TargetId> target, String outcome, long tookMs) {
+        RequestSpec spec = request.spec();
+        boolean isRollout = spec.requestClass() == EnvironmentDocument.RequestClass.ROLLOUT;
+        sLog.at(isRollout ? Level.FINE : Level.INFO)
+                .with(LogFields.REQUEST, spec.id())
+                .with(LogFields.TARGET, target.orElse(null))
+                .with(LogFields.ACCOUNT, spec.account())
+                .with(LogFields.REVISION, mConfiguration.get().revision())
+                .with(LogFields.OUTCOME, outcome)
+                .with(LogFields.TOOK_MS, tookMs)
+                .log("request on route %s after %d tries", spec.route().name(), request.attempts());
+    }
+
+    private Optional<ClaimRecorder> recorder(PendingRequest request) {
+        return Optional.ofNullable(mRecorders.get(request));
+    }
+
+    // Accessors
+
+    void drain() {
+        mIsDraining = true;
+    }
+
+    boolean isIdle() {
+        return mPending.isEmpty();
+    }
+
+    int size() {
+        return mPending.size();
+    }
+
+    void limitShare(double share) {
+        mLimitShare = share;
+    }
+
+    Collection<PendingRequest> pending() {
+        return mPending;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StatusCheck.java
@@ -0,0 +1,87 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.config.EnvironmentDocument.RequestClass;
+import dev.cactusspan.id.RequestId;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.weight.VersionSpan;
+import java.io.ByteArrayOutputStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Asks a target whether a request with a given idempotency key has run. */
+final class StatusCheck implements AnswerSink {
+    private static final int OK = 200;
+    private static final int MAX_BYTES = 1 << 20;
+
+    private final OnAnswer mOnAnswer;
+    private final Consumer<String> mOnUnknown;
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private int mStatus;
+    private String mContentType = "";
+
+    StatusCheck(OnAnswer onAnswer, Consumer<String> onUnknown) {
+        mOnAnswer = onAnswer;
+        mOnUnknown = onUnknown;
+    }
+
+    /** Returns the request that asks for the outcome of another. */
+    static RequestSpec spec(RequestSpec asked, String pathTemplate) {
+        String key = URLEncoder.encode(asked.idempotencyKey(), StandardCharsets.UTF_8);
+        return new RequestSpec(
+                RequestId.of(asked.id() + "-status"),
+                asked.account(),
+                asked.keyHash(),
+                asked.route(),
+                RequestClass.INTERACTIVE,
+                "GET",
+                pathTemplate.replace("{key}", key),
+                java.util.Map.of(),
+                new byte[0],
+                0,
+                asked.deadlineMs(),
+                false,
+                asked.minVersion(),
+                "");
+    }
+
+    @Override
+    public void head(int status, String contentType) {
+        mStatus = status;
+        mContentType = contentType;
+        mBody.reset();
+    }
+
+    @Override
+    public void data(byte[] data) {
+        if (mBody.size() + data.length <= MAX_BYTES) {
+            mBody.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void end(List<VersionSpan> labels) {
+        if (mStatus == OK) {
+            mOnAnswer.take(mStatus, mContentType, mBody.toByteArray());
+            return;
+        }
+        mOnUnknown.accept("the target's status check answered " + mStatus);
+    }
+
+    @Override
+    public void fail(Failure failure) {
+        mOnUnknown.accept("the status check failed: " + failure.detail());
+    }
+
+    @Override
+    public boolean isStreaming() {
+        return false;
+    }
+
+    /** Receives the answer that the target has for the key. */
+    interface OnAnswer {
+        /** Takes status, content type and body. */
+        void take(int status, String contentType, byte[] body);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
@@ -0,0 +1,150 @@
+package dev.cactusspan.entry;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.link.Link;
+import dev.cactusspan.link.LinkReactor;
+import dev.cactusspan.membership.SubsetChooser;
+import dev.cactusspan.membership.VmRecord;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.wire.Message;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** The targets that this entry connects to, by the VM list and the greetings of side processes. */
+final class TargetDirectory {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+
+    private final EntrySettings mSettings;
+    private final LinkReactor mLinks;
+    private final SubsetChooser mSubset;
+    private final Backoff mBackoff;
+    private final Map<VmId, Dial> mDials = new HashMap<>();
+    private final Map<Link, TargetLink> mTargets = new HashMap<>();
+    private List<VmRecord> mVms = List.of();
+    private Set<VmId> mLeaving = Set.of();
+
+    TargetDirectory(
+            EntrySettings settings, LinkReactor links, SubsetChooser subset, Backoff backoff) {
+        mSettings = settings;
+        mLinks = links;
+        mSubset = subset;
+        mBackoff = backoff;
+    }
+
+    // Operations
+
+    /** Takes a new VM list; links to VMs that are no longer chosen are kept while they work. */
+    void vms(List<VmRecord> vms, long nowMs) {
+        mVms = vms;
+        mLeaving =
+                vms.stream().filter(v -> !v.isLive()).map(VmRecord::vm).collect(Collectors.toSet());
+        List<VmRecord> entries = entries();
+        Optional<VmRecord> self =
+                entries.stream().filter(v -> v.vm().equals(mSettings.vm())).findFirst();
+        Set<VmId> wanted = new HashSet<>();
+        for (VmRecord vm : vms) {
+            boolean isTarget = vm.role() == VmRecord.Role.TARGET && vm.isLive();
+            boolean isChosen = self.isEmpty() || mSubset.isChosen(self.get(), vm, entries);
+            if (isTarget && isChosen) {
+                wanted.add(vm.vm());
+                mDials.computeIfAbsent(vm.vm(), v -> new Dial()).mVm = vm;
+            }
+        }
+        mDials.keySet().removeIf(vm -> !wanted.contains(vm) && mDials.get(vm).mLink == null);
+        dial(nowMs);
+    }
+
+    /** Connects to what is wanted and not connected. */
+    void dial(long nowMs) {
+        for (Dial dial : mDials.values()) {
+            if (dial.mLink == null && nowMs >= dial.mNextMs) {
+                dial.mLink = mLinks.connect(new InetSocketAddress(dial.mVm.ip(), dial.mVm.port()));
+            }
+        }
+    }
+
+    /** Takes the greeting of a side process; tells whether the link is one of this directory. */
+    boolean greeted(Link link, Message.SideHello hello) {
+        Optional<Dial> dial = dial(link);
+        if (dial.isEmpty() || !hello.environment().equals(mSettings.environment())) {
+            return false;
+        }
+        dial.get().mFailures = 0;
+        Message.Load unknown = new Message.Load(0, 0, 1, WeightVersion.NONE, false);
+        mTargets.put(link, new TargetLink(link, hello, unknown));
+        sLog.atInfo().log("target %s (%s) is connected", hello.target(), hello.service());
+        return true;
+    }
+
+    boolean isDialled(Link link) {
+        return dial(link).isPresent();
+    }
+
+    /** Removes a link and returns its target, if it had greeted. */
+    Optional<TargetLink> down(Link link, String reason, long nowMs) {
+        dial(link)
+                .ifPresent(
+                        dial -> {
+                            dial.mLink = null;
+                            dial.mFailures++;
+                            dial.mNextMs = nowMs + mBackoff.delayMs(dial.mFailures);
+                        });
+        Optional<TargetLink> target = Optional.ofNullable(mTargets.remove(link));
+        target.ifPresent(t -> sLog.atInfo().log("target %s is down: %s", t.target(), reason));
+        return target;
+    }
+
+    private Optional<Dial> dial(Link link) {
+        return mDials.values().stream().filter(d -> d.mLink == link).findFirst();
+    }
+
+    // Accessors
+
+    Optional<TargetLink> target(Link link) {
+        return Optional.ofNullable(mTargets.get(link));
+    }
+
+    Collection<TargetLink> targets() {
+        return mTargets.values();
+    }
+
+    /** Returns the targets of a service that take new work and are not listed as leaving. */
+    List<TargetLink> usable(ServiceId service) {
+        List<TargetLink> usable = new ArrayList<>();
+        for (TargetLink target : mTargets.values()) {
+            boolean isOfService = target.service().equals(service);
+            if (isOfService && target.isUsable() && !isListedLeaving(target)) {
+                usable.add(target);
+            }
+        }
+        return usable;
+    }
+
+    private boolean isListedLeaving(TargetLink target) {
+        return mLeaving.contains(target.hello().vm());
+    }
+
+    /** Returns the live entries of the VM list. */
+    List<VmRecord> entries() {
+        return mVms.stream().filter(v -> v.role() == VmRecord.Role.ENTRY && v.isLive()).toList();
+    }
+
+    private static final class Dial {
+        private VmRecord mVm;
+        private Link mLink;
+        private int mFailures;
+        private long mNextMs;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetLink.java
@@ -0,0 +1,85 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.link.Link;
+import dev.cactusspan.routing.Candidate;
+import dev.cactusspan.wire.Message;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A link from an entry to the side process of a target. */
+final class TargetLink {
+    private final Link mLink;
+    private final Message.SideHello mHello;
+    private final Map<Long, PendingRequest> mStreams = new HashMap<>();
+    private Message.Load mLoad;
+    private long mNextStream = 1;
+
+    TargetLink(Link link, Message.SideHello hello, Message.Load load) {
+        mLink = link;
+        mHello = hello;
+        mLoad = load;
+    }
+
+    // Operations
+
+    /** Returns a number that was never used on this link. */
+    long newStream(PendingRequest request) {
+        long stream = mNextStream++;
+        mStreams.put(stream, request);
+        return stream;
+    }
+
+    void forget(long stream) {
+        mStreams.remove(stream);
+    }
+
+    void load(Message.Load load) {
+        mLoad = load;
+    }
+
+    boolean isUsable() {
+        return !mLoad.leaving();
+    }
+
+    Candidate candidate() {
+        return new Candidate(
+                mHello.target(),
+                mHello.zone(),
+                mStreams.size(),
+                mLoad.inFlight() + mLoad.queued(),
+                mLoad.slots(),
+                mLoad.version());
+    }
+
+    // Accessors
+
+    PendingRequest request(long stream) {
+        return mStreams.get(stream);
+    }
+
+    Map<Long, PendingRequest> streams() {
+        return mStreams;
+    }
+
+    Link link() {
+        return mLink;
+    }
+
+    TargetId target() {
+        return mHello.target();
+    }
+
+    ServiceId service() {
+        return mHello.service();
+    }
+
+    Message.Load load() {
+        return mLoad;
+    }
+
+    Message.SideHello hello() {
+        return mHello;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/WeightStore.java
@@ -0,0 +1,84 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.weight.WeightBook;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Raises wanted weight versions in the key-value service. */
+final class WeightStore {
+    private static final int MAX_TRIES = 5;
+
+    private final KeyValueService mKeyValues;
+    private final EnvironmentId mEnvironment;
+
+    WeightStore(KeyValueService keyValues, EnvironmentId environment) {
+        mKeyValues = keyValues;
+        mEnvironment = environment;
+    }
+
+    static String key(EnvironmentId environment) {
+        return "weights/" + environment;
+    }
+
+    /** Raises the wanted versions of a model; the outcome is the stored entry. */
+    CompletableFuture<Result<KeyValueService.Entry>> raise(
+            ServiceId model, WeightVersion staged, WeightVersion active) {
+        return raise(model, staged, active, 1);
+    }
+
+    private CompletableFuture<Result<KeyValueService.Entry>> raise(
+            ServiceId model, WeightVersion staged, WeightVersion active, int attempt) {
+        return mKeyValues
+                .get(key(mEnvironment))
+                .thenCompose(
+                        r ->
+                                r.fold(
+                                        f -> done(Result.fail(f)),
+                                        e -> write(e, model, staged, active, attempt)));
+    }
+
+    private CompletableFuture<Result<KeyValueService.Entry>> write(
+            Optional<KeyValueService.Entry> found,
+            ServiceId model,
+            WeightVersion staged,
+            WeightVersion active,
+            int attempt) {
+        WeightBook book =
+                found.map(
+                                e ->
+                                        JsonText.read(e.value(), WeightBook.class)
+                                                .getOrElse(WeightBook.EMPTY))
+                        .orElse(WeightBook.EMPTY);
+        WeightBook raised = book.raise(model, staged, active);
+        if (found.isPresent() && raised.equals(book)) {
+            return done(Result.of(found.get()));
+        }
+        long expected = found.map(KeyValueService.Entry::version).orElse(0L);
+        byte[] value = JsonText.write(raised);
+        return mKeyValues
+                .compareAndSwap(key(mEnvironment), expected, value)
+                .thenCompose(
+                        r ->
+                                r.fold(
+                                        f ->
+                                                isRepeatable(f.kind(), attempt)
+                                                        ? raise(model, staged, active, attempt + 1)
+                                                        : done(Result.fail(f)),
+                                        v -> done(Result.of(new KeyValueService.Entry(v, value)))));
+    }
+
+    private static boolean isRepeatable(ErrorKind kind, int attempt) {
+        return kind == ErrorKind.CONFLICT && attempt < MAX_TRIES;
+    }
+
+    private static <T> CompletableFuture<Result<T>> done(Result<T> result) {
+        return CompletableFuture.completedFuture(result);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry process: HTTP towards callers, trainers and operators. */
+package dev.cactusspan.entry;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/http/package-info.java
@@ -0,0 +1,2 @@
+/** An HTTP client on Undertow's client. */
+package dev.cactusspan.http;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers and versions. */
+package dev.cactusspan.id;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/FairQueue.java
@@ -0,0 +1,139 @@
+package dev.cactusspan.limit;
+
+import dev.cactusspan.config.EnvironmentDocument.RequestClass;
+import dev.cactusspan.id.AccountId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Weighted fair queueing by start time over flows of (client account, class). A flow that was idle
+ * starts at the present virtual time, so that it gains no credit while idle. Classes differ by a
+ * factor on the weight: rollouts take what the others leave, yet are never starved. When the queue
+ * is full, the flow with the longest queue for its weight gives way.
+ *
+ * @param <T> type of what waits
+ */
+public final class FairQueue<T> implements RequestQueue<T> {
+    private static final double COST = 1.0;
+    private static final int INTERACTIVE_FACTOR = 16;
+    private static final int NON_IDEMPOTENT_FACTOR = 16;
+    private static final int ROLLOUT_FACTOR = 1;
+
+    private final int mCapacityItems;
+    private final Map<FlowId, Flow<T>> mFlows = new LinkedHashMap<>();
+    private double mVirtualTime;
+    private int mSize;
+
+    /**
+     * Creates a queue.
+     *
+     * @param capacityItems requests that wait at most
+     */
+    public FairQueue(int capacityItems) {
+        mCapacityItems = capacityItems;
+    }
+
+    // Operations
+
+    @Override
+    public Optional<QueuedItem<T>> add(QueuedItem<T> item) {
+        FlowId id = new FlowId(item.account(), item.requestClass());
+        Flow<T> flow = mFlows.computeIfAbsent(id, f -> new Flow<>());
+        flow.mWeight = item.weight() * factor(item.requestClass());
+        if (flow.mItems.isEmpty()) {
+            flow.mStart = Math.max(flow.mStart, mVirtualTime);
+        }
+        flow.mItems.addLast(item);
+        mSize++;
+        return mSize > mCapacityItems ? Optional.of(evict()) : Optional.empty();
+    }
+
+    private QueuedItem<T> evict() {
+        Flow<T> longest = null;
+        for (Flow<T> flow : mFlows.values()) {
+            if (longest == null || flow.backlog() > longest.backlog()) {
+                longest = flow;
+            }
+        }
+        mSize--;
+        return longest.mItems.pollLast();
+    }
+
+    @Override
+    public Optional<QueuedItem<T>> poll(Predicate<QueuedItem<T>> admitted) {
+        Flow<T> first = null;
+        for (Flow<T> flow : mFlows.values()) {
+            QueuedItem<T> head = flow.mItems.peekFirst();
+            if (head == null || !admitted.test(head)) {
+                continue;
+            }
+            if (first == null || flow.mStart < first.mStart) {
+                first = flow;
+            }
+        }
+        if (first == null) {
+            return Optional.empty();
+        }
+        mVirtualTime = Math.max(mVirtualTime, first.mStart);
+        first.mStart += COST / first.mWeight;
+        mSize--;
+        QueuedItem<T> item = first.mItems.pollFirst();
+        forgetIdle();
+        return Optional.of(item);
+    }
+
+    /** Drops flows that are idle and hold no claim on the future, to bound memory. */
+    private void forgetIdle() {
+        mFlows.values().removeIf(f -> f.mItems.isEmpty() && f.mStart <= mVirtualTime);
+    }
+
+    @Override
+    public List<QueuedItem<T>> removeIf(Predicate<QueuedItem<T>> which) {
+        List<QueuedItem<T>> removed = new ArrayList<>();
+        for (Flow<T> flow : mFlows.values()) {
+            for (Iterator<QueuedItem<T>> it = flow.mItems.iterator(); it.hasNext(); ) {
+                QueuedItem<T> item = it.next();
+                if (which.test(item)) {
+                    it.remove();
+                    removed.add(item);
+                }
+            }
+        }
+        mSize -= removed.size();
+        return removed;
+    }
+
+    private static int factor(RequestClass requestClass) {
+        return switch (requestClass) {
+            case INTERACTIVE -> INTERACTIVE_FACTOR;
+            case NON_IDEMPOTENT -> NON_IDEMPOTENT_FACTOR;
+            case ROLLOUT -> ROLLOUT_FACTOR;
+        };
+    }
+
+    // Accessors
+
+    @Override
+    public int size() {
+        return mSize;
+    }
+
+    private record FlowId(AccountId account, RequestClass requestClass) {}
+
+    private static final class Flow<T> {
+        private final Deque<QueuedItem<T>> mItems = new ArrayDeque<>();
+        private double mStart;
+        private int mWeight = 1;
+
+        double backlog() {
+            return (double) mItems.size() / mWeight;
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/FifoQueue.java
@@ -0,0 +1,61 @@
+package dev.cactusspan.limit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * One queue in order of arrival: the baseline that {@link FairQueue} is measured against.
+ *
+ * @param <T> type of what waits
+ */
+public final class FifoQueue<T> implements RequestQueue<T> {
+    private final int mCapacityItems;
+    private final Deque<QueuedItem<T>> mItems = new ArrayDeque<>();
+
+    /**
+     * Creates a queue.
+     *
+     * @param capacityItems requests that wait at most
+     */
+    public FifoQueue(int capacityItems) {
+        mCapacityItems = capacityItems;
+    }
+
+    @Override
+    public Optional<QueuedItem<T>> add(QueuedItem<T> item) {
+        if (mItems.size() >= mCapacityItems) {
+            return Optional.of(item);
+        }
+        mItems.addLast(item);
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<QueuedItem<T>> poll(Predicate<QueuedItem<T>> admitted) {
+        for (Iterator<QueuedItem<T>> it = mItems.iterator(); it.hasNext(); ) {
+            QueuedItem<T> item = it.next();
+            if (admitted.test(item)) {
+                it.remove();
+                return Optional.of(item);
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public List<QueuedItem<T>> removeIf(Predicate<QueuedItem<T>> which) {
+        List<QueuedItem<T>> removed = new ArrayList<>(mItems.stream().filter(which).toList());
+        mItems.removeAll(removed);
+        return removed;
+    }
+
+    @Override
+    public int size() {
+        return mItems.size();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/link/DutyThread.java
@@ -0,0 +1,118 @@
+package dev.cactusspan.link;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.jctools.queues.MpscBlockingConsumerArrayQueue;
+
+/** A thread for one duty with the bounded ring of tasks that leads to it, and a regular tick. */
+public final class DutyThread implements Executor, AutoCloseable {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final long JOIN_MS = 2_000;
+
+    private final MpscBlockingConsumerArrayQueue<Runnable> mRing;
+    private final Deque<Runnable> mOwnTasks = new ArrayDeque<>();
+    private final Runnable mTick;
+    private final long mTickMs;
+    private final Thread mThread;
+    private volatile boolean mClosed;
+
+    /**
+     * Creates a thread; {@link #start} starts it.
+     *
+     * @param name name of the thread
+     * @param capacityTasks tasks that the ring holds at most
+     * @param tickMs interval of the tick
+     * @param tick called on the thread at each interval
+     */
+    public DutyThread(String name, int capacityTasks, long tickMs, Runnable tick) {
+        mRing = new MpscBlockingConsumerArrayQueue<>(capacityTasks);
+        mTick = tick;
+        mTickMs = tickMs;
+        mThread = new Thread(this::run, name);
+        mThread.setDaemon(true);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        mThread.start();
+    }
+
+    /**
+     * Offers a task.
+     *
+     * @param task the task
+     * @return false if the ring is full
+     */
+    public boolean tryExecute(Runnable task) {
+        return !mClosed && mRing.offer(task);
+    }
+
+    /**
+     * Puts a task, and waits while the ring is full. Waiting slows the producer, which bounds what
+     * it reads from its sockets. The thread itself never waits for its own ring.
+     *
+     * @param task the task
+     */
+    @Override
+    public void execute(Runnable task) {
+        if (Thread.currentThread() == mThread) {
+            mOwnTasks.add(task);
+            return;
+        }
+        try {
+            mRing.put(task);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Returns how many tasks wait.
+     *
+     * @return tasks in the ring
+     */
+    public int size() {
+        return mRing.size();
+    }
+
+    private void run() {
+        long nextTickNs = System.nanoTime();
+        while (!mClosed) {
+            try {
+                Runnable task = next(nextTickNs - System.nanoTime());
+                if (task != null) {
+                    task.run();
+                }
+                if (System.nanoTime() >= nextTickNs) {
+                    nextTickNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mTickMs);
+                    mTick.run();
+                }
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                sLog.atSevere().withCause(e).log("task failed on %s", mThread.getName());
+            }
+        }
+    }
+
+    private Runnable next(long waitNs) throws InterruptedException {
+        if (!mOwnTasks.isEmpty()) {
+            return mOwnTasks.poll();
+        }
+        return waitNs <= 0 ? mRing.poll() : mRing.poll(waitNs, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mThread.interrupt();
+        try {
+            mThread.join(JOIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/link/Link.java
@@ -0,0 +1,29 @@
+package dev.cactusspan.link;
+
+import dev.cactusspan.wire.Message;
+
+/** A connection to another process of the system. */
+public interface Link {
+
+    /**
+     * Sends a message. A link whose send queue is full is closed.
+     *
+     * @param message the message
+     * @return true if the message was queued; false is proof that it never will be sent
+     */
+    boolean send(Message message);
+
+    /**
+     * Closes the link.
+     *
+     * @param reason one line for the log
+     */
+    void close(String reason);
+
+    /**
+     * Returns the address of the other end for logs.
+     *
+     * @return IP and port
+     */
+    String remote();
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
@@ -0,0 +1,267 @@
+package dev.cactusspan.link;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.wire.Frame;
+import dev.cactusspan.wire.Message;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Iterator;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Supplier;
+
+/** The one thread that reads and writes all links of a process. */
+public final class LinkReactor implements AutoCloseable {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final int READ_BUFFER_BYTES = 64 << 10;
+    private static final long TICK_MS = 100;
+    private static final long JOIN_MS = 2_000;
+
+    private final LinkSettings mSettings;
+    private final LinkListener mListener;
+    private final Supplier<Revision> mRevision;
+    private final Supplier<Message> mHeartbeat;
+    private final Selector mSelector;
+    private final Queue<Runnable> mTasks = new ConcurrentLinkedQueue<>();
+    private final ByteBuffer mReadBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+    private final Thread mThread;
+    private volatile boolean mClosed;
+
+    /**
+     * Creates a reactor; {@link #start} starts its thread.
+     *
+     * @param settings times and bounds
+     * @param listener receives events
+     * @param revision revision that is put on each frame
+     * @param heartbeat makes the message of a heartbeat
+     * @throws IOException if no selector can be opened
+     */
+    public LinkReactor(
+            LinkSettings settings,
+            LinkListener listener,
+            Supplier<Revision> revision,
+            Supplier<Message> heartbeat)
+            throws IOException {
+        mSettings = settings;
+        mListener = listener;
+        mRevision = revision;
+        mHeartbeat = heartbeat;
+        mSelector = Selector.open();
+        mThread = new Thread(this::run, "links");
+        mThread.setDaemon(true);
+    }
+
+    // Operations
+
+    /** Starts the thread. */
+    public void start() {
+        mThread.start();
+    }
+
+    /**
+     * Accepts links at an address.
+     *
+     * @param address IP and port; port zero takes a free one
+     * @return the bound port
+     * @throws IOException if the address cannot be bound
+     */
+    public int listen(InetSocketAddress address) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        server.configureBlocking(false);
+        server.bind(address);
+        execute(() -> register(server));
+        return server.socket().getLocalPort();
+    }
+
+    private void register(ServerSocketChannel server) {
+        try {
+            server.register(mSelector, SelectionKey.OP_ACCEPT);
+        } catch (IOException e) {
+            sLog.atSevere().withCause(e).log("cannot register listener");
+        }
+    }
+
+    /**
+     * Connects to an address. The outcome comes to the listener.
+     *
+     * @param address IP and port
+     * @return the link
+     */
+    public Link connect(InetSocketAddress address) {
+        ReactorLink link = new ReactorLink(this, address);
+        execute(() -> open(link, address));
+        return link;
+    }
+
+    private void open(ReactorLink link, InetSocketAddress address) {
+        try {
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            link.attach(channel, channel.register(mSelector, SelectionKey.OP_CONNECT, link));
+            channel.connect(address);
+        } catch (IOException e) {
+            drop(link, "cannot connect: " + e.getMessage());
+        }
+    }
+
+    void execute(Runnable task) {
+        mTasks.add(task);
+        mSelector.wakeup();
+    }
+
+    Frame frame(Message message) {
+        return new Frame(mRevision.get(), message);
+    }
+
+    LinkSettings settings() {
+        return mSettings;
+    }
+
+    private void run() {
+        long nextTickMs = nowMs() + TICK_MS;
+        while (!mClosed) {
+            try {
+                mSelector.select(Math.max(1, nextTickMs - nowMs()));
+                runTasks();
+                handleKeys();
+                if (nowMs() >= nextTickMs) {
+                    nextTickMs = nowMs() + TICK_MS;
+                    tick();
+                }
+            } catch (IOException | RuntimeException e) {
+                sLog.atSevere().withCause(e).log("link reactor");
+            }
+        }
+        closeAll();
+    }
+
+    private void runTasks() {
+        for (Runnable task = mTasks.poll(); task != null; task = mTasks.poll()) {
+            task.run();
+        }
+    }
+
+    private void handleKeys() throws IOException {
+        for (Iterator<SelectionKey> it = mSelector.selectedKeys().iterator(); it.hasNext(); ) {
+            SelectionKey key = it.next();
+            it.remove();
+            if (!key.isValid()) {
+                continue;
+            }
+            if (key.isAcceptable()) {
+                accept((ServerSocketChannel) key.channel());
+                continue;
+            }
+            ReactorLink link = (ReactorLink) key.attachment();
+            try {
+                handle(key, link);
+            } catch (IOException e) {
+                drop(link, String.valueOf(e.getMessage()));
+            }
+        }
+    }
+
+    private void accept(ServerSocketChannel server) throws IOException {
+        SocketChannel channel = server.accept();
+        if (channel == null) {
+            return;
+        }
+        channel.configureBlocking(false);
+        ReactorLink link = new ReactorLink(this, (InetSocketAddress) channel.getRemoteAddress());
+        link.attach(channel, channel.register(mSelector, SelectionKey.OP_READ, link));
+        link.connected(nowMs());
+        mListener.onUp(link);
+    }
+
+    private void handle(SelectionKey key, ReactorLink link) throws IOException {
+        if (key.isConnectable() && link.finishConnect(nowMs())) {
+            mListener.onUp(link);
+        }
+        if (key.isValid() && key.isWritable()) {
+            link.flush(nowMs());
+        }
+        if (key.isValid() && key.isReadable()) {
+            read(link);
+        }
+    }
+
+    private void read(ReactorLink link) throws IOException {
+        mReadBuffer.clear();
+        int count = link.read(mReadBuffer, nowMs());
+        if (count < 0) {
+            drop(link, "closed by the other end");
+            return;
+        }
+        mReadBuffer.flip();
+        link.decoder()
+                .feed(mReadBuffer)
+                .fold(
+                        failure -> {
+                            sLog.atWarning().log("link %s closed: %s", link.remote(), failure);
+                            drop(link, failure.detail());
+                            return null;
+                        },
+                        frames -> {
+                            frames.forEach(frame -> mListener.onFrame(link, frame));
+                            return null;
+                        });
+    }
+
+    private void tick() {
+        long nowMs = nowMs();
+        for (SelectionKey key : mSelector.keys()) {
+            if (!(key.attachment() instanceof ReactorLink link)) {
+                continue;
+            }
+            if (link.silentMs(nowMs) > mSettings.silenceMs()) {
+                drop(link, "silent for " + link.silentMs(nowMs) + " ms");
+                continue;
+            }
+            if (link.isUp() && link.idleMs(nowMs) >= mSettings.heartbeatMs()) {
+                link.send(mHeartbeat.get());
+            }
+        }
+    }
+
+    void drop(ReactorLink link, String reason) {
+        if (link.release()) {
+            mListener.onDown(link, reason);
+        }
+    }
+
+    static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void closeAll() {
+        for (SelectionKey key : mSelector.keys()) {
+            try {
+                key.channel().close();
+            } catch (IOException e) {
+                sLog.atFine().withCause(e).log("close");
+            }
+        }
+        try {
+            mSelector.close();
+        } catch (IOException e) {
+            sLog.atFine().withCause(e).log("close");
+        }
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mSelector.wakeup();
+        try {
+            mThread.join(JOIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
@@ -0,0 +1,161 @@
+package dev.cactusspan.link;
+
+import dev.cactusspan.wire.FrameCodec;
+import dev.cactusspan.wire.FrameDecoder;
+import dev.cactusspan.wire.Message;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A link of a {@link LinkReactor}; only {@link #send} and {@link #close} are for any thread. */
+final class ReactorLink implements Link {
+    private final LinkReactor mReactor;
+    private final String mRemote;
+    private final FrameDecoder mDecoder = new FrameDecoder(FrameCodec.MAX_FRAME_BYTES);
+    private final Queue<ByteBuffer> mSendQueue = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger mSendQueueBytes = new AtomicInteger();
+    private final AtomicBoolean mFlushScheduled = new AtomicBoolean();
+    private volatile boolean mReleased;
+    private SocketChannel mChannel;
+    private SelectionKey mKey;
+    private boolean mUp;
+    private long mLastReceivedMs = LinkReactor.nowMs();
+    private long mLastSentMs = LinkReactor.nowMs();
+
+    ReactorLink(LinkReactor reactor, InetSocketAddress remote) {
+        mReactor = reactor;
+        mRemote = remote.getAddress().getHostAddress() + ":" + remote.getPort();
+    }
+
+    // For any thread
+
+    @Override
+    public boolean send(Message message) {
+        if (mReleased) {
+            return false;
+        }
+        ByteBuffer bytes = FrameCodec.encode(mReactor.frame(message));
+        int queuedBytes = mSendQueueBytes.addAndGet(bytes.remaining());
+        if (queuedBytes > mReactor.settings().sendQueueBytes()) {
+            mSendQueueBytes.addAndGet(-bytes.remaining());
+            close("send queue is full");
+            return false;
+        }
+        mSendQueue.add(bytes);
+        if (mFlushScheduled.compareAndSet(false, true)) {
+            mReactor.execute(this::scheduledFlush);
+        }
+        return true;
+    }
+
+    @Override
+    public void close(String reason) {
+        mReactor.execute(() -> mReactor.drop(this, reason));
+    }
+
+    @Override
+    public String remote() {
+        return mRemote;
+    }
+
+    // For the thread of the reactor
+
+    void attach(SocketChannel channel, SelectionKey key) throws IOException {
+        mChannel = channel;
+        mKey = key;
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    void connected(long nowMs) {
+        mUp = true;
+        mLastReceivedMs = nowMs;
+        mLastSentMs = nowMs;
+    }
+
+    boolean finishConnect(long nowMs) throws IOException {
+        if (!mChannel.finishConnect()) {
+            return false;
+        }
+        mKey.interestOps(SelectionKey.OP_READ);
+        connected(nowMs);
+        return true;
+    }
+
+    int read(ByteBuffer buffer, long nowMs) throws IOException {
+        int count = mChannel.read(buffer);
+        if (count > 0) {
+            mLastReceivedMs = nowMs;
+        }
+        return count;
+    }
+
+    private void scheduledFlush() {
+        mFlushScheduled.set(false);
+        if (mReleased || !mUp) {
+            return;
+        }
+        try {
+            flush(LinkReactor.nowMs());
+        } catch (IOException e) {
+            mReactor.drop(this, String.valueOf(e.getMessage()));
+        }
+    }
+
+    void flush(long nowMs) throws IOException {
+        for (ByteBuffer head = mSendQueue.peek(); head != null; head = mSendQueue.peek()) {
+            int count = mChannel.write(head);
+            mSendQueueBytes.addAndGet(-count);
+            mLastSentMs = nowMs;
+            if (head.hasRemaining()) {
+                mKey.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+                return;
+            }
+            mSendQueue.poll();
+        }
+        mKey.interestOps(SelectionKey.OP_READ);
+    }
+
+    boolean release() {
+        if (mReleased) {
+            return false;
+        }
+        mReleased = true;
+        mUp = false;
+        mSendQueue.clear();
+        if (mKey != null) {
+            mKey.cancel();
+        }
+        if (mChannel != null) {
+            try {
+                mChannel.close();
+            } catch (IOException e) {
+                // The channel is of no further use, whether or not it closed cleanly.
+                return true;
+            }
+        }
+        return true;
+    }
+
+    FrameDecoder decoder() {
+        return mDecoder;
+    }
+
+    boolean isUp() {
+        return mUp;
+    }
+
+    long silentMs(long nowMs) {
+        return nowMs - mLastReceivedMs;
+    }
+
+    long idleMs(long nowMs) {
+        return nowMs - mLastSentMs;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics and structured logs. */
+package dev.cactusspan.observe;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/HttpKeyValueService.java
@@ -0,0 +1,102 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.http.HttpAnswer;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** The key-value service over HTTP. A key's version travels in the header {@code kv-version}. */
+public final class HttpKeyValueService implements KeyValueService {
+    private static final int MAX_VALUE_BYTES = 1 << 20;
+    private static final long TIMEOUT_MS = 3_000;
+    private static final String VERSION_HEADER = "kv-version";
+
+    private final HttpCaller mHttp;
+    private final URI mServer;
+
+    /**
+     * Creates a client.
+     *
+     * @param http sends the requests
+     * @param server scheme, IP and port of the platform
+     */
+    public HttpKeyValueService(HttpCaller http, URI server) {
+        mHttp = http;
+        mServer = server;
+    }
+
+    @Override
+    public CompletableFuture<Result<Optional<Entry>>> get(String key) {
+        return read(HttpCall.get(mServer, path(key), TIMEOUT_MS));
+    }
+
+    @Override
+    public CompletableFuture<Result<Optional<Entry>>> watch(
+            String key, long afterVersion, long waitMs) {
+        String path = path(key) + "&after=" + afterVersion + "&wait_ms=" + waitMs;
+        return read(HttpCall.get(mServer, path, waitMs + TIMEOUT_MS));
+    }
+
+    private CompletableFuture<Result<Optional<Entry>>> read(HttpCall call) {
+        return mHttp.collect(call, MAX_VALUE_BYTES)
+                .thenApply(r -> r.flatMap(HttpKeyValueService::entry));
+    }
+
+    private static Result<Optional<Entry>> entry(HttpAnswer answer) {
+        Optional<String> version = answer.header(VERSION_HEADER);
+        if (answer.status() == 404 || answer.status() == 304) {
+            return Result.of(Optional.empty());
+        }
+        if (!answer.isSuccess() || version.isEmpty()) {
+            return unavailable(answer);
+        }
+        return Result.of(Optional.of(new Entry(Long.parseLong(version.get()), answer.body())));
+    }
+
+    @Override
+    public CompletableFuture<Result<Long>> compareAndSwap(
+            String key, long expectedVersion, byte[] value) {
+        if (value.length > MAX_VALUE_BYTES) {
+            return CompletableFuture.completedFuture(
+                    Result.fail(ErrorKind.PAYLOAD_TOO_LARGE, key + " is over 1 MB"));
+        }
+        HttpCall call =
+                new HttpCall(
+                        "PUT",
+                        mServer,
+                        path(key) + "&expect=" + expectedVersion,
+                        Map.of("Content-Type", "application/octet-stream"),
+                        value,
+                        TIMEOUT_MS,
+                        false);
+        return mHttp.collect(call, MAX_VALUE_BYTES)
+                .thenApply(r -> r.flatMap(HttpKeyValueService::written));
+    }
+
+    private static Result<Long> written(HttpAnswer answer) {
+        if (answer.status() == 409) {
+            return Result.fail(ErrorKind.CONFLICT, "the key's version is another");
+        }
+        Optional<String> version = answer.header(VERSION_HEADER);
+        if (!answer.isSuccess() || version.isEmpty()) {
+            return unavailable(answer);
+        }
+        return Result.of(Long.parseLong(version.get()));
+    }
+
+    private static <T> Result<T> unavailable(HttpAnswer answer) {
+        return Result.fail(
+                ErrorKind.PLATFORM_UNAVAILABLE, "key-value service answered " + answer.status());
+    }
+
+    private static String path(String key) {
+        return "/kv?key=" + URLEncoder.encode(key, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the platform: key-value service, VM list and usage interface. */
+package dev.cactusspan.platform;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/result/Failure.java
@@ -0,0 +1,52 @@
+package dev.cactusspan.result;
+
+import java.util.Objects;
+
+/**
+ * An expected failure.
+ *
+ * @param kind the error kind
+ * @param detail one line for a person, without secrets
+ */
+public record Failure(ErrorKind kind, String detail) {
+
+    /** Checks the parts. */
+    public Failure {
+        Objects.requireNonNull(kind, "kind is null");
+        Objects.requireNonNull(detail, "detail is null");
+    }
+
+    /**
+     * Returns a failure.
+     *
+     * @param kind the error kind
+     * @param detail one line for a person, without secrets
+     * @return the failure
+     */
+    public static Failure of(ErrorKind kind, String detail) {
+        return new Failure(kind, detail);
+    }
+
+    /**
+     * Returns the answer for this failure.
+     *
+     * @return the row of the standard table
+     */
+    public ErrorTable.Row answer() {
+        return ErrorTable.standard().row(kind);
+    }
+
+    /**
+     * Tells whether it is proved that the request has not run.
+     *
+     * @return true if the request has not run
+     */
+    public boolean isNotRun() {
+        return answer().ran() == Ran.NO;
+    }
+
+    @Override
+    public String toString() {
+        return kind.word() + ": " + detail;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/result/Ran.java
@@ -0,0 +1,25 @@
+package dev.cactusspan.result;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** Whether a failed request has run at its target. */
+public enum Ran {
+    /** It is proved that the request has not run. */
+    @JsonProperty("no")
+    NO,
+    /** The request may have run. */
+    @JsonProperty("maybe")
+    MAYBE,
+    /** The request has run. */
+    @JsonProperty("yes")
+    YES;
+
+    /**
+     * Returns the word that callers see.
+     *
+     * @return {@code no}, {@code maybe} or {@code yes}
+     */
+    public String word() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/routing/CostRouter.java
@@ -0,0 +1,100 @@
+package dev.cactusspan.routing;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Takes the cheapest of a few targets: two drawn at random from the nearest zone that has any, two
+ * drawn from all, and the one that the prompt's prefix belongs to. The cost is load, plus the price
+ * of distance, less the gain of a cached prefix while that target is not too loaded. Random draws
+ * keep entries with the same lagging reports from all choosing the same target.
+ */
+public final class CostRouter implements Router {
+    private static final int DRAWS = 2;
+
+    private final RoutingCosts mCosts;
+    private final ZoneDistance.Map mDistances;
+    private final SplittableRandom mRandom;
+
+    /**
+     * Creates a router.
+     *
+     * @param costs prices of distance and prefix
+     * @param distances distances from this process
+     * @param random the source of randomness
+     */
+    public CostRouter(RoutingCosts costs, ZoneDistance.Map distances, SplittableRandom random) {
+        mCosts = costs;
+        mDistances = distances;
+        mRandom = random;
+    }
+
+    @Override
+    public Optional<Candidate> choose(List<Candidate> candidates, long affinity) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<Candidate> owner = affinity == 0 ? Optional.empty() : owner(candidates, affinity);
+        List<Candidate> drawn = new ArrayList<>();
+        draw(nearest(candidates), drawn);
+        draw(candidates, drawn);
+        owner.ifPresent(drawn::add);
+        Candidate best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (Candidate candidate : drawn) {
+            double cost = cost(candidate, owner);
+            if (cost < bestCost) {
+                best = candidate;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private void draw(List<Candidate> from, List<Candidate> drawn) {
+        for (int i = 0; i < DRAWS; i++) {
+            drawn.add(from.get(mRandom.nextInt(from.size())));
+        }
+    }
+
+    private List<Candidate> nearest(List<Candidate> candidates) {
+        for (ZoneDistance distance : ZoneDistance.values()) {
+            List<Candidate> near =
+                    candidates.stream().filter(c -> mDistances.to(c.zone()) == distance).toList();
+            if (!near.isEmpty()) {
+                return near;
+            }
+        }
+        return candidates;
+    }
+
+    private double cost(Candidate candidate, Optional<Candidate> owner) {
+        double price =
+                switch (mDistances.to(candidate.zone())) {
+                    case SAME_ZONE -> 0;
+                    case SAME_REGION -> mCosts.zoneCost();
+                    case OTHER_REGION -> mCosts.regionCost();
+                };
+        boolean isOwner = owner.isPresent() && owner.get().target().equals(candidate.target());
+        boolean isCached = isOwner && candidate.load() < mCosts.affinityLoadCap();
+        return candidate.load() + price - (isCached ? mCosts.affinityGain() : 0);
+    }
+
+    /** Finds the target that a prefix belongs to by rendezvous hashing. */
+    private static Optional<Candidate> owner(List<Candidate> candidates, long affinity) {
+        return candidates.stream().max(java.util.Comparator.comparingLong(c -> score(c, affinity)));
+    }
+
+    private static long score(Candidate candidate, long affinity) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putLong(affinity)
+                .putString(candidate.target().value(), StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/sample/StepSpec.java
@@ -0,0 +1,100 @@
+package dev.cactusspan.sample;
+
+import com.google.common.hash.Hashing;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A step as its trainer submits it: a fixed set of slots.
+ *
+ * @param step number of the step, rising
+ * @param groups groups of samples
+ */
+public record StepSpec(long step, List<Group> groups) {
+    private static final int MAX_SAMPLES = 65_536;
+    private static final int MAX_TOKENS = 131_072;
+
+    /** Fills in an absent list. */
+    public StepSpec {
+        groups = groups == null ? List.of() : List.copyOf(groups);
+    }
+
+    /**
+     * Reads a step.
+     *
+     * @param body JSON in UTF-8
+     * @return the step, or {@code bad_request}
+     */
+    public static Result<StepSpec> read(byte[] body) {
+        return JsonText.read(body, StepSpec.class).flatMap(StepSpec::checked);
+    }
+
+    private static Result<StepSpec> checked(StepSpec spec) {
+        if (spec.step < 1 || spec.groups.isEmpty()) {
+            return bad("expected step >= 1 and at least one group");
+        }
+        long total = 0;
+        for (Group group : spec.groups) {
+            boolean isValid =
+                    group.prompt() != null
+                            && group.samples() > 0
+                            && group.maxTokens() > 0
+                            && group.maxTokens() <= MAX_TOKENS;
+            if (!isValid) {
+                return bad("each group needs prompt, samples > 0 and max_tokens > 0");
+            }
+            total += group.samples();
+        }
+        return total > MAX_SAMPLES ? bad("over " + MAX_SAMPLES + " samples") : Result.of(spec);
+    }
+
+    private static Result<StepSpec> bad(String detail) {
+        return Result.fail(ErrorKind.BAD_REQUEST, "$: " + detail);
+    }
+
+    // Operations
+
+    /**
+     * Lists the slots in order of group and index.
+     *
+     * @return the slots
+     */
+    public List<Slot> slots() {
+        List<Slot> slots = new ArrayList<>();
+        for (int group = 0; group < groups.size(); group++) {
+            for (int index = 0; index < groups.get(group).samples(); index++) {
+                slots.add(new Slot(group, index));
+            }
+        }
+        return slots;
+    }
+
+    /**
+     * Returns a digest that tells whether a step is submitted again or is another one.
+     *
+     * @return hexadecimal digits
+     */
+    public String digest() {
+        return Hashing.sha256().hashBytes(JsonText.write(this)).toString();
+    }
+
+    /**
+     * A group of samples of one prompt.
+     *
+     * @param prompt the prompt
+     * @param samples how many samples
+     * @param maxTokens tokens of a sample at most
+     */
+    public record Group(String prompt, int samples, int maxTokens) {}
+
+    /**
+     * Place of a sample in its step.
+     *
+     * @param group the group from zero
+     * @param index the sample in its group from zero
+     */
+    public record Slot(int group, int index) {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/sample/package-info.java
@@ -0,0 +1,2 @@
+/** Steps of samples, their ledger and their deliveries. */
+package dev.cactusspan.sample;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/EntrySettings.java
@@ -0,0 +1,44 @@
+package dev.cactusspan.settings;
+
+import dev.cactusspan.config.Stage;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.VmId;
+import java.net.URI;
+
+/**
+ * Settings of an entry.
+ *
+ * @param environment the environment that it serves
+ * @param stage the stage of the document that it follows
+ * @param vm its VM
+ * @param zone its availability zone
+ * @param ip address that it listens at
+ * @param httpPort port towards callers and trainers
+ * @param adminPort port for health, metrics and status
+ * @param linkPort port for links from other entries
+ * @param platformUrl where the platform answers
+ * @param linksPerTarget entries that connect to one target
+ * @param drainMs how long a planned stop waits for requests in progress
+ */
+public record EntrySettings(
+        EnvironmentId environment,
+        Stage stage,
+        VmId vm,
+        AvailabilityZoneId zone,
+        String ip,
+        int httpPort,
+        int adminPort,
+        int linkPort,
+        URI platformUrl,
+        int linksPerTarget,
+        long drainMs) {
+    private static final int DEFAULT_LINKS_PER_TARGET = 8;
+    private static final long DEFAULT_DRAIN_MS = 600_000;
+
+    /** Fills in the values of absent fields. */
+    public EntrySettings {
+        linksPerTarget = linksPerTarget == 0 ? DEFAULT_LINKS_PER_TARGET : linksPerTarget;
+        drainMs = drainMs == 0 ? DEFAULT_DRAIN_MS : drainMs;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a process. */
+package dev.cactusspan.settings;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
@@ -0,0 +1,224 @@
+package dev.cactusspan.side;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.limit.FairQueue;
+import dev.cactusspan.link.DutyThread;
+import dev.cactusspan.link.Link;
+import dev.cactusspan.link.LinkListener;
+import dev.cactusspan.link.LinkReactor;
+import dev.cactusspan.link.LinkSettings;
+import dev.cactusspan.observe.AdminServer;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.settings.SideSettings;
+import dev.cactusspan.wire.Frame;
+import dev.cactusspan.wire.Message;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** The process beside a target: the only way to it. */
+public final class SideProcess implements AutoCloseable {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final int RING_TASKS = 16_384;
+    private static final long TICK_MS = 50;
+    private static final long LOAD_MS = 500;
+
+    private final SideSettings mSettings;
+    private final HttpCaller mHttp;
+    private final LinkReactor mLinks;
+    private final DutyThread mThread;
+    private final EngineWeights mWeights;
+    private final TargetDesk mDesk;
+    private final AdminServer mAdmin;
+    private final long mIncarnation = System.nanoTime();
+    private final Set<Link> mEntries = new HashSet<>();
+    private final AtomicReference<Revision> mRevision = new AtomicReference<>(Revision.NONE);
+    private final AtomicReference<Message.Load> mLastLoad;
+    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private long mNextLoadMs;
+    private boolean mIsLeaving;
+
+    /**
+     * Creates a side process; {@link #start} starts it.
+     *
+     * @param settings its settings
+     * @param telemetry its metrics
+     * @throws IOException if its threads cannot be started
+     */
+    public SideProcess(SideSettings settings, Telemetry telemetry) throws IOException {
+        mSettings = settings;
+        mHttp = HttpCaller.create();
+        mThread = new DutyThread("side", RING_TASKS, TICK_MS, this::tick);
+        mWeights = new EngineWeights(mHttp, settings.targetUrl(), mThread);
+        mDesk =
+                new TargetDesk(
+                        settings,
+                        mHttp,
+                        new FairQueue<>(settings.queueRequests()),
+                        mThread,
+                        telemetry,
+                        mWeights,
+                        SideProcess::nowMs);
+        mLastLoad = new AtomicReference<>(mDesk.load());
+        mLinks =
+                new LinkReactor(
+                        LinkSettings.STANDARD,
+                        new SideListener(),
+                        mRevision::get,
+                        () -> new Message.Heartbeat(0));
+        mAdmin =
+                new AdminServer(
+                        settings.ip(),
+                        settings.adminPort(),
+                        telemetry,
+                        () -> !mLastLoad.get().leaving(),
+                        mLastLoad::get);
+        telemetry.gauge("side_in_flight_requests", () -> mLastLoad.get().inFlight());
+        telemetry.gauge("side_queued_requests", () -> mLastLoad.get().queued());
+        telemetry.gauge("side_weight_version", () -> mLastLoad.get().version().number());
+    }
+
+    // Operations
+
+    /**
+     * Starts the process.
+     *
+     * @return the port for links
+     * @throws IOException if an address cannot be bound
+     */
+    public int start() throws IOException {
+        mThread.start();
+        mLinks.start();
+        int port = mLinks.listen(new InetSocketAddress(mSettings.ip(), mSettings.linkPort()));
+        mAdmin.start();
+        sLog.atInfo().log(
+                "side process of target %s (%s) listens for links on port %d",
+                mSettings.target(), mSettings.service(), port);
+        return port;
+    }
+
+    /** Stops gracefully: refuses new work, and waits for the requests in progress. */
+    public void drain() {
+        mThread.execute(
+                () -> {
+                    mIsLeaving = true;
+                    mDesk.leave();
+                    report(true);
+                });
+        try {
+            if (!mDrained.await(mSettings.drainMs(), TimeUnit.MILLISECONDS)) {
+                sLog.atWarning().log("drain took longer than %d ms", mSettings.drainMs());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void tick() {
+        mDesk.tick();
+        if (mSettings.kind() == SideSettings.Kind.ENGINE) {
+            mWeights.tick(nowMs());
+        }
+        report(false);
+        if (mIsLeaving && mDesk.isIdle()) {
+            mDrained.countDown();
+        }
+    }
+
+    private void report(boolean isUrgent) {
+        Message.Load load = mDesk.load();
+        boolean isSwap = !load.version().equals(mLastLoad.get().version());
+        boolean isDue = nowMs() >= mNextLoadMs && !load.equals(mLastLoad.get());
+        if (!isUrgent && !isSwap && !isDue) {
+            return;
+        }
+        mNextLoadMs = nowMs() + LOAD_MS;
+        mLastLoad.set(load);
+        mEntries.forEach(link -> link.send(load));
+    }
+
+    private void handle(Link link, Frame frame) {
+        mRevision.accumulateAndGet(frame.revision(), (a, b) -> b.isAfter(a) ? b : a);
+        Message message = frame.message();
+        if (message instanceof Message.EntryHello hello) {
+            greet(link, hello);
+            return;
+        }
+        if (!mEntries.contains(link)) {
+            link.close("expected a greeting first");
+            return;
+        }
+        if (message instanceof Message.Submit submit) {
+            mDesk.submit(link, submit);
+        } else if (message instanceof Message.Cancel cancel) {
+            mDesk.cancel(link, cancel.stream());
+        } else if (message instanceof Message.WantedWeights wanted) {
+            want(wanted);
+        } else if (!(message instanceof Message.Heartbeat)) {
+            link.close("unexpected " + message.getClass().getSimpleName());
+        }
+    }
+
+    private void greet(Link link, Message.EntryHello hello) {
+        if (!hello.environment().equals(mSettings.environment())) {
+            link.close("entry serves environment " + hello.environment());
+            return;
+        }
+        mEntries.add(link);
+        link.send(
+                new Message.SideHello(
+                        mSettings.environment(),
+                        mSettings.service(),
+                        mSettings.target(),
+                        mSettings.vm(),
+                        mSettings.zone(),
+                        mIncarnation));
+        link.send(mDesk.load());
+    }
+
+    private void want(Message.WantedWeights wanted) {
+        if (wanted.service().equals(mSettings.service())) {
+            mWeights.want(wanted.staged(), wanted.active(), nowMs());
+        }
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public void close() {
+        mAdmin.close();
+        mLinks.close();
+        mThread.close();
+        mHttp.close();
+    }
+
+    /** Carries events of links to the thread of the process. */
+    private final class SideListener implements LinkListener {
+        @Override
+        public void onUp(Link link) {
+            sLog.atFine().log("link from %s", link.remote());
+        }
+
+        @Override
+        public void onFrame(Link link, Frame frame) {
+            mThread.execute(() -> handle(link, frame));
+        }
+
+        @Override
+        public void onDown(Link link, String reason) {
+            mThread.execute(
+                    () -> {
+                        mEntries.remove(link);
+                        mDesk.linkDown(link);
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/side/TargetRequest.java
@@ -0,0 +1,77 @@
+package dev.cactusspan.side;
+
+import dev.cactusspan.chart.StateChart;
+import dev.cactusspan.link.Link;
+import dev.cactusspan.wire.Message;
+import java.util.Optional;
+
+/** A request at a side process. */
+final class TargetRequest {
+    private static final StateChart<TargetRequestState, TargetRequestEvent> CHART =
+            StateChart.load(
+                    "/dev/cactusspan/chart/target-request.json",
+                    TargetRequestState.class,
+                    TargetRequestEvent.class);
+
+    private final Link mLink;
+    private final Message.Submit mSubmit;
+    private final Optional<EngineEvents> mEvents;
+    private TargetRequestState mState = CHART.initial();
+    private Runnable mCancel = () -> {};
+    private int mChunks;
+    private long mAnswerBytes;
+
+    TargetRequest(Link link, Message.Submit submit, Optional<EngineEvents> events) {
+        mLink = link;
+        mSubmit = submit;
+        mEvents = events;
+    }
+
+    /** Applies an event and tells whether the chart allows it. */
+    boolean apply(TargetRequestEvent event) {
+        Optional<TargetRequestState> next = CHART.next(mState, event);
+        next.ifPresent(state -> mState = state);
+        return next.isPresent();
+    }
+
+    Message.Chunk chunk(byte[] data) {
+        mAnswerBytes += data.length;
+        return new Message.Chunk(mSubmit.stream(), mChunks++, data);
+    }
+
+    void onCancel(Runnable cancel) {
+        mCancel = cancel;
+    }
+
+    void cancelCall() {
+        mCancel.run();
+    }
+
+    boolean isOver() {
+        return CHART.isFinal(mState);
+    }
+
+    boolean isAnswering() {
+        return mState == TargetRequestState.ANSWERING;
+    }
+
+    Link link() {
+        return mLink;
+    }
+
+    Message.Submit submit() {
+        return mSubmit;
+    }
+
+    Optional<EngineEvents> events() {
+        return mEvents;
+    }
+
+    int chunks() {
+        return mChunks;
+    }
+
+    long answerBytes() {
+        return mAnswerBytes;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/side/package-info.java
@@ -0,0 +1,2 @@
+/** The side process beside a target. */
+package dev.cactusspan.side;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/text/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of JSON with comments, checked against a schema. */
+package dev.cactusspan.text;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
@@ -0,0 +1,168 @@
+package dev.cactusspan.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import dev.cactusspan.config.EnvironmentDocument.RequestClass;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.RequestId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.weight.VersionSpan;
+import java.util.List;
+import java.util.Map;
+
+/** A message between two processes of the system. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Message.EntryHello.class, name = "eh"),
+    @JsonSubTypes.Type(value = Message.SideHello.class, name = "sh"),
+    @JsonSubTypes.Type(value = Message.Heartbeat.class, name = "hb"),
+    @JsonSubTypes.Type(value = Message.Load.class, name = "ld"),
+    @JsonSubTypes.Type(value = Message.WantedWeights.class, name = "ww"),
+    @JsonSubTypes.Type(value = Message.Submit.class, name = "su"),
+    @JsonSubTypes.Type(value = Message.Cancel.class, name = "ca"),
+    @JsonSubTypes.Type(value = Message.Head.class, name = "he"),
+    @JsonSubTypes.Type(value = Message.Chunk.class, name = "ch"),
+    @JsonSubTypes.Type(value = Message.End.class, name = "en"),
+    @JsonSubTypes.Type(value = Message.Refused.class, name = "re"),
+})
+public sealed interface Message {
+
+    /**
+     * First frame from an entry.
+     *
+     * @param environment the environment it serves
+     * @param vm its VM
+     * @param zone its availability zone
+     * @param incarnation differs after each start of the process
+     */
+    record EntryHello(EnvironmentId environment, VmId vm, AvailabilityZoneId zone, long incarnation)
+            implements Message {}
+
+    /**
+     * First frame from a side process.
+     *
+     * @param environment the environment it serves
+     * @param service the service that its target belongs to
+     * @param target its target
+     * @param vm its VM
+     * @param zone its availability zone
+     * @param incarnation differs after each start of the process
+     */
+    record SideHello(
+            EnvironmentId environment,
+            ServiceId service,
+            TargetId target,
+            VmId vm,
+            AvailabilityZoneId zone,
+            long incarnation)
+            implements Message {}
+
+    /**
+     * Sent when nothing else was sent for an interval.
+     *
+     * @param configAgeMs age of the sender's configuration
+     */
+    record Heartbeat(long configAgeMs) implements Message {}
+
+    /**
+     * Load of a target.
+     *
+     * @param inFlight requests at the target
+     * @param queued requests in the queue before it
+     * @param slots requests that the target takes at a time
+     * @param version weight version in force, zero for a plain service or if unknown
+     * @param leaving true if it takes no new work
+     */
+    record Load(int inFlight, int queued, int slots, WeightVersion version, boolean leaving)
+            implements Message {}
+
+    /**
+     * Weight versions that a target should hold.
+     *
+     * @param service the model
+     * @param staged version to load ahead
+     * @param active version to serve
+     */
+    record WantedWeights(ServiceId service, WeightVersion staged, WeightVersion active)
+            implements Message {}
+
+    /**
+     * A request for the target.
+     *
+     * @param stream number of the request on this connection, never reused on it
+     * @param request id of the request for logs
+     * @param account the client account
+     * @param weight share of the account
+     * @param requestClass class of the request
+     * @param method HTTP method
+     * @param path path and query at the target
+     * @param headers headers for the target
+     * @param body body for the target
+     * @param deadlineMs time left
+     * @param labelled true if weight versions are to be reported
+     */
+    record Submit(
+            long stream,
+            RequestId request,
+            AccountId account,
+            int weight,
+            RequestClass requestClass,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long deadlineMs,
+            boolean labelled)
+            implements Message {}
+
+    /**
+     * The caller no longer wants the answer.
+     *
+     * @param stream number of the request
+     */
+    record Cancel(long stream) implements Message {}
+
+    /**
+     * Start of an answer.
+     *
+     * @param stream number of the request
+     * @param status HTTP status
+     * @param contentType content type, empty if none
+     */
+    record Head(long stream, int status, String contentType) implements Message {}
+
+    /**
+     * A part of an answer.
+     *
+     * @param stream number of the request
+     * @param sequence number of the part from zero
+     * @param data bytes of the answer
+     */
+    record Chunk(long stream, int sequence, byte[] data) implements Message {}
+
+    /**
+     * End of an answer that is whole.
+     *
+     * @param stream number of the request
+     * @param chunks how many parts there were
+     * @param answerBytes how many bytes there were
+     * @param labels weight versions that produced the answer, empty if not known
+     */
+    record End(long stream, int chunks, long answerBytes, List<VersionSpan> labels)
+            implements Message {}
+
+    /**
+     * A request that failed.
+     *
+     * @param stream number of the request
+     * @param kind the error kind, which says whether the request has run
+     * @param detail one line for a person
+     */
+    record Refused(long stream, ErrorKind kind, String detail) implements Message {}
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between processes of the system and their frames. */
+package dev.cactusspan.wire;
