--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/EngineStandIn.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/EngineStandIn.java
@@ -10,9 +10,6 @@
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.xnio.IoUtils;
 
@@ -24,8 +21,7 @@
     private static final int DEFAULT_TOKENS = 16;
 
     private final EngineOptions mOptions;
-    private final ScheduledExecutorService mTimer =
-            Executors.newSingleThreadScheduledExecutor(EngineStandIn::daemon);
+    private final StandInTimer mTimer = new StandInTimer("engine-timer");
     private final Undertow mServer;
     private final AtomicLong mActive = new AtomicLong(1);
     private final AtomicLong mStaged = new AtomicLong(1);
@@ -57,12 +53,6 @@
         return new EngineStandIn(options);
     }
 
-    private static Thread daemon(Runnable task) {
-        Thread thread = new Thread(task, "engine-timer");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /**
      * Returns the text that the engine gives for a prompt.
      *
@@ -127,10 +117,9 @@
                         : request.path("prompt").asText("");
         int tokens = request.path("max_tokens").asInt(DEFAULT_TOKENS);
         if (!request.path("stream").asBoolean(false)) {
-            mTimer.schedule(
-                    () -> exchange.getIoThread().execute(() -> whole(exchange, prompt, tokens)),
+            mTimer.after(
                     tokens * mOptions.tokenMicros(),
-                    TimeUnit.MICROSECONDS);
+                    () -> exchange.getIoThread().execute(() -> whole(exchange, prompt, tokens)));
             return;
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
@@ -170,10 +159,9 @@
     }
 
     private void scheduleNext(HttpServerExchange exchange, String prompt, int tokens, int index) {
-        mTimer.schedule(
-                () -> exchange.getIoThread().execute(() -> stream(exchange, prompt, tokens, index)),
-                mOptions.tokenMicros(),
-                TimeUnit.MICROSECONDS);
+        Runnable next =
+                () -> exchange.getIoThread().execute(() -> stream(exchange, prompt, tokens, index));
+        mTimer.after(mOptions.tokenMicros(), next);
     }
 
     private void order(HttpServerExchange exchange, AtomicLong version) {
@@ -227,7 +215,7 @@
     @Override
     public void close() {
         mServer.stop();
-        mTimer.shutdownNow();
+        mTimer.close();
     }
 
     /**
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/PlatformStandIn.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/PlatformStandIn.java
@@ -15,9 +15,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The platform: key-value service, VM list, target interface and usage interface, with faults that
@@ -26,13 +23,13 @@
 public final class PlatformStandIn implements AutoCloseable {
     private static final HttpString VERSION = new HttpString("kv-version");
     private static final long EXPIRE_MS = 20;
+    private static final long MICROS_PER_MS = 1_000;
 
     private final FakeKeyValueService mKeyValues = new FakeKeyValueService();
     private final Map<VmId, VmRecord> mVms = new ConcurrentHashMap<>();
     private final List<Object> mOrders = new ArrayList<>();
     private final List<Object> mUsageReports = new ArrayList<>();
-    private final ScheduledExecutorService mTimer =
-            Executors.newSingleThreadScheduledExecutor(PlatformStandIn::daemon);
+    private final StandInTimer mTimer = new StandInTimer("platform-timer");
     private final Undertow mServer;
     private volatile Faults mFaults = Faults.NONE;
 
@@ -50,8 +47,7 @@
                         .put("/faults", this::putFaults)
                         .get("/counters", e -> StandInServer.json(e, 200, mKeyValues.counters()));
         mServer = StandInServer.start(ip, port, routes);
-        mTimer.scheduleWithFixedDelay(
-                () -> mKeyValues.expire(nowMs()), EXPIRE_MS, EXPIRE_MS, TimeUnit.MILLISECONDS);
+        mTimer.every(EXPIRE_MS * MICROS_PER_MS, () -> mKeyValues.expire(nowMs()));
     }
 
     /**
@@ -65,12 +61,6 @@
         return new PlatformStandIn(ip, port);
     }
 
-    private static Thread daemon(Runnable task) {
-        Thread thread = new Thread(task, "platform-timer");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     // Operations
 
     /**
@@ -166,7 +156,7 @@
             return;
         }
         exchange.dispatch();
-        mTimer.schedule(() -> exchange.getIoThread().execute(task), delayMs, TimeUnit.MILLISECONDS);
+        mTimer.after(delayMs * MICROS_PER_MS, () -> exchange.getIoThread().execute(task));
     }
 
     private void listVms(HttpServerExchange exchange) {
@@ -233,7 +223,7 @@
     @Override
     public void close() {
         mServer.stop();
-        mTimer.shutdownNow();
+        mTimer.close();
     }
 
     /**
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/ServiceStandIn.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/ServiceStandIn.java
@@ -9,19 +9,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A plain service with holds that must run at most once; it counts how often each key ran. */
 public final class ServiceStandIn implements AutoCloseable {
     private static final String KEY = "Idempotency-Key";
+    private static final long MICROS_PER_MS = 1_000;
 
     private final Map<String, Integer> mRuns = new TreeMap<>();
     private final AtomicLong mKeysSeen = new AtomicLong();
-    private final ScheduledExecutorService mTimer =
-            Executors.newSingleThreadScheduledExecutor(ServiceStandIn::daemon);
+    private final StandInTimer mTimer = new StandInTimer("service-timer");
     private final Undertow mServer;
     private volatile long mDelayMs;
 
@@ -48,12 +45,6 @@
         return new ServiceStandIn(ip, port);
     }
 
-    private static Thread daemon(Runnable task) {
-        Thread thread = new Thread(task, "service-timer");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     // Operations
 
     /**
@@ -73,15 +64,12 @@
             runs = mRuns.merge(String.valueOf(key), 1, Integer::sum);
         }
         exchange.dispatch();
-        mTimer.schedule(
+        Hold answer = new Hold(key, runs);
+        mTimer.after(
+                mDelayMs * MICROS_PER_MS,
                 () ->
                         exchange.getIoThread()
-                                .execute(
-                                        () ->
-                                                StandInServer.json(
-                                                        exchange, 200, new Hold(key, runs))),
-                mDelayMs,
-                TimeUnit.MILLISECONDS);
+                                .execute(() -> StandInServer.json(exchange, 200, answer)));
     }
 
     private void status(HttpServerExchange exchange) {
@@ -138,7 +126,7 @@
     @Override
     public void close() {
         mServer.stop();
-        mTimer.shutdownNow();
+        mTimer.close();
     }
 
     private record Hold(String key, int runs) {}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/StandInTimer.java
@@ -0,0 +1,46 @@
+package dev.cactusspan.standin;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** Runs tasks later on one daemon thread. */
+final class StandInTimer implements AutoCloseable {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+
+    private final ScheduledThreadPoolExecutor mExecutor;
+
+    StandInTimer(String name) {
+        mExecutor =
+                new ScheduledThreadPoolExecutor(
+                        1,
+                        task -> {
+                            Thread thread = new Thread(task, name);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+    }
+
+    void after(long micros, Runnable task) {
+        var unused = mExecutor.schedule(() -> run(task), micros, TimeUnit.MICROSECONDS);
+    }
+
+    void every(long micros, Runnable task) {
+        var unused =
+                mExecutor.scheduleWithFixedDelay(
+                        () -> run(task), micros, micros, TimeUnit.MICROSECONDS);
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            sLog.atSevere().withCause(e).log("stand-in task");
+        }
+    }
+
+    @Override
+    public void close() {
+        mExecutor.shutdownNow();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/chart/StateChart.java
+++ b/cactusspan/src/main/java/dev/cactusspan/chart/StateChart.java
@@ -40,25 +40,10 @@
         Source source = JsonText.resource(path, new TypeReference<>() {});
         List<String> problems = new ArrayList<>();
         Map<S, Map<E, S>> transitions = new EnumMap<>(states);
-        source.states()
-                .forEach(
-                        (name, row) -> {
-                            Optional<S> from = parse(states, name, problems);
-                            Map<E, S> targets = new EnumMap<>(events);
-                            row.forEach(
-                                    (event, to) ->
-                                            parse(events, event, problems)
-                                                    .ifPresent(
-                                                            e ->
-                                                                    parse(states, to, problems)
-                                                                            .ifPresent(
-                                                                                    s ->
-                                                                                            targets
-                                                                                                    .put(
-                                                                                                            e,
-                                                                                                            s))));
-                            from.ifPresent(s -> transitions.put(s, targets));
-                        });
+        for (Map.Entry<String, Map<String, String>> row : source.states().entrySet()) {
+            Map<E, S> targets = row(row.getValue(), states, events, problems);
+            parse(states, row.getKey(), problems).ifPresent(s -> transitions.put(s, targets));
+        }
         Optional<S> initial = parse(states, source.initial(), problems);
         for (S state : states.getEnumConstants()) {
             boolean reached = transitions.values().stream().anyMatch(t -> t.containsValue(state));
@@ -75,6 +60,19 @@
         return new StateChart<>(initial.orElseThrow(), transitions);
     }
 
+    private static <S extends Enum<S>, E extends Enum<E>> Map<E, S> row(
+            Map<String, String> row, Class<S> states, Class<E> events, List<String> problems) {
+        Map<E, S> targets = new EnumMap<>(events);
+        for (Map.Entry<String, String> transition : row.entrySet()) {
+            Optional<E> event = parse(events, transition.getKey(), problems);
+            Optional<S> state = parse(states, transition.getValue(), problems);
+            if (event.isPresent() && state.isPresent()) {
+                targets.put(event.get(), state.get());
+            }
+        }
+        return targets;
+    }
+
     private static <T extends Enum<T>> Optional<T> parse(
             Class<T> type, String name, List<String> problems) {
         for (T constant : type.getEnumConstants()) {
--- a/cactusspan/src/main/java/dev/cactusspan/claim/ClaimService.java
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimService.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.platform.KeyValueService;
 import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -96,18 +97,19 @@
         }
         StoredAnswer pointer =
                 new StoredAnswer(answer.status(), answer.contentType(), new byte[0], true);
-        mKeyValues
-                .compareAndSwap(bodyKey(key), 0, answer.body())
-                .thenAccept(
-                        r ->
-                                mThread.execute(
-                                        () -> {
-                                            if (r.isOk()) {
-                                                finish(key, token, pointer);
-                                            } else {
-                                                sLog.atWarning().log("answer not kept: %s", r);
-                                            }
-                                        }));
+        Replies.on(
+                mKeyValues.compareAndSwap(bodyKey(key), 0, answer.body()),
+                mThread,
+                r -> bodyWritten(r, key, token, pointer));
+    }
+
+    private void bodyWritten(
+            Result<Long> result, ClaimKey key, String token, StoredAnswer pointer) {
+        if (result.isOk()) {
+            finish(key, token, pointer);
+            return;
+        }
+        sLog.atWarning().log("an answer is not kept for repeats: %s", result);
     }
 
     private void finish(ClaimKey key, String token, StoredAnswer answer) {
@@ -135,10 +137,10 @@
      * @param reply receives the body or {@code platform_unavailable}, on the thread
      */
     public void body(ClaimKey key, Consumer<Result<byte[]>> reply) {
-        mKeyValues
-                .get(bodyKey(key))
-                .thenAccept(
-                        r -> mThread.execute(() -> reply.accept(r.flatMap(ClaimService::present))));
+        Replies.on(
+                mKeyValues.get(bodyKey(key)),
+                mThread,
+                r -> reply.accept(r.flatMap(ClaimService::present)));
     }
 
     private static Result<byte[]> present(Optional<KeyValueService.Entry> entry) {
@@ -164,15 +166,14 @@
     private void carryOut(int index, ClaimPartition partition, ClaimPartition.Step step) {
         if (step instanceof ClaimPartition.Step.Write write) {
             mTelemetry.count("claim_writes_total");
-            mKeyValues
-                    .compareAndSwap(key(index), write.expectedVersion(), write.value())
-                    .thenAccept(r -> mThread.execute(() -> written(index, partition, r)));
+            Replies.on(
+                    mKeyValues.compareAndSwap(key(index), write.expectedVersion(), write.value()),
+                    mThread,
+                    r -> written(index, partition, r));
             return;
         }
         mTelemetry.count("claim_reads_total");
-        mKeyValues
-                .get(key(index))
-                .thenAccept(r -> mThread.execute(() -> read(index, partition, r)));
+        Replies.on(mKeyValues.get(key(index)), mThread, r -> read(index, partition, r));
     }
 
     private void written(int index, ClaimPartition partition, Result<Long> result) {
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/ClaimDesk.java
@@ -0,0 +1,184 @@
+package dev.cactusspan.entry;
+
+import com.google.common.hash.Hashing;
+import dev.cactusspan.claim.ClaimKey;
+import dev.cactusspan.claim.ClaimOutcome;
+import dev.cactusspan.claim.ClaimService;
+import dev.cactusspan.claim.StoredAnswer;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/** Asks for the claims of requests that run at most once, and repeats stored answers. */
+final class ClaimDesk {
+    private static final long MARGIN_MS = 5_000;
+    private static final long WAIT_MS = 2_000;
+    private static final long POLL_MS = 200;
+    private static final long MS_PER_S = 1_000;
+
+    private final ClaimService mClaims;
+    private final Listener mListener;
+    private final Supplier<Configuration> mConfiguration;
+    private final LongSupplier mNowMs;
+    private final Map<PendingRequest, ClaimRecorder> mRecorders = new HashMap<>();
+
+    ClaimDesk(
+            ClaimService claims,
+            Listener listener,
+            Supplier<Configuration> configuration,
+            LongSupplier nowMs) {
+        mClaims = claims;
+        mListener = listener;
+        mConfiguration = configuration;
+        mNowMs = nowMs;
+    }
+
+    // Operations
+
+    void ask(PendingRequest request) {
+        request.apply(RequestEvent.CLAIM);
+        RequestSpec spec = request.spec();
+        long ttlMs = mConfiguration.get().document().bounds().claimTtlS() * MS_PER_S;
+        mClaims.ask(
+                key(spec),
+                digest(spec),
+                spec.deadlineMs() + MARGIN_MS,
+                ttlMs,
+                outcome -> answered(request, outcome));
+    }
+
+    private static ClaimKey key(RequestSpec spec) {
+        return ClaimKey.of(spec.account(), spec.route().name(), spec.idempotencyKey());
+    }
+
+    private static String digest(RequestSpec spec) {
+        return Hashing.sha256()
+                .newHasher()
+                .putUnencodedChars(spec.method())
+                .putUnencodedChars(spec.path())
+                .putBytes(spec.body())
+                .hash()
+                .toString();
+    }
+
+    private void answered(PendingRequest request, ClaimOutcome outcome) {
+        if (outcome instanceof ClaimOutcome.Granted granted) {
+            granted(request, granted.token());
+            return;
+        }
+        if (request.isOver()) {
+            return;
+        }
+        if (outcome instanceof ClaimOutcome.Repeated repeated) {
+            repeat(request, repeated.answer());
+        } else if (outcome instanceof ClaimOutcome.Unknown unknown) {
+            askTarget(request, unknown.token());
+        } else if (outcome instanceof ClaimOutcome.Refused refused) {
+            refused(request, refused.failure());
+        }
+    }
+
+    private void granted(PendingRequest request, String token) {
+        if (request.isOver()) {
+            mClaims.release(key(request.spec()), token);
+            return;
+        }
+        request.claimed();
+        request.apply(RequestEvent.GRANT);
+        mRecorders.put(request, new ClaimRecorder(mClaims, key(request.spec()), token));
+        mListener.granted(request);
+    }
+
+    /** The first request with this key may be about to end: its answer is worth a short wait. */
+    private void refused(PendingRequest request, Failure failure) {
+        boolean isInProgress = failure.kind() == ErrorKind.CLAIM_IN_PROGRESS;
+        if (!isInProgress || mNowMs.getAsLong() - request.arrivedMs() >= WAIT_MS) {
+            mListener.refused(request, failure);
+            return;
+        }
+        request.askAgainAt(mNowMs.getAsLong() + POLL_MS);
+    }
+
+    private void repeat(PendingRequest request, StoredAnswer answer) {
+        if (!answer.detached()) {
+            mListener.repeated(request, answer);
+            return;
+        }
+        mClaims.body(key(request.spec()), body -> repeat(request, answer, body));
+    }
+
+    private void repeat(PendingRequest request, StoredAnswer answer, Result<byte[]> body) {
+        if (request.isOver()) {
+            return;
+        }
+        body.fold(
+                failure -> {
+                    mListener.refused(request, unknownOutcome(failure.detail()));
+                    return null;
+                },
+                bytes -> {
+                    mListener.repeated(request, answer.attached(bytes));
+                    return null;
+                });
+    }
+
+    /** Asks the target whether a request with an unknown outcome has run; never runs it again. */
+    private void askTarget(PendingRequest request, String token) {
+        String path = request.spec().route().statusCheckPath();
+        if (path.isEmpty()) {
+            mListener.refused(
+                    request, unknownOutcome("an earlier request with this key has no answer"));
+            return;
+        }
+        ClaimRecorder recorder = new ClaimRecorder(mClaims, key(request.spec()), token);
+        StatusCheck sink =
+                new StatusCheck(
+                        answer -> {
+                            recorder.keep(answer);
+                            checked(request, answer);
+                        },
+                        reason -> mListener.refused(request, unknownOutcome(reason)));
+        mListener.ask(StatusCheck.spec(request.spec(), path), sink);
+    }
+
+    private void checked(PendingRequest request, StoredAnswer answer) {
+        if (!request.isOver()) {
+            mListener.repeated(request, answer);
+        }
+    }
+
+    static Failure unknownOutcome(String detail) {
+        return Failure.of(ErrorKind.OUTCOME_UNKNOWN, detail);
+    }
+
+    void forget(PendingRequest request) {
+        mRecorders.remove(request);
+    }
+
+    // Accessors
+
+    Optional<ClaimRecorder> recorder(PendingRequest request) {
+        return Optional.ofNullable(mRecorders.get(request));
+    }
+
+    /** Receives what becomes of requests. */
+    interface Listener {
+        /** The claim is durable: the request may be dispatched. */
+        void granted(PendingRequest request);
+
+        /** The request has run before; this is its first answer. */
+        void repeated(PendingRequest request, StoredAnswer answer);
+
+        /** The request cannot go on. */
+        void refused(PendingRequest request, Failure failure);
+
+        /** Sends a request of the system's own to a target. */
+        void ask(RequestSpec spec, AnswerSink sink);
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/entry/ClaimRecorder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/ClaimRecorder.java
@@ -38,13 +38,13 @@
     /** Stores the answer that was taken; one over the bound stays "outcome unknown" to a retry. */
     void keep() {
         if (!mIsTooLarge) {
-            keep(mStatus, mContentType, mBody.toByteArray());
+            keep(new StoredAnswer(mStatus, mContentType, mBody.toByteArray(), false));
         }
     }
 
     /** Stores the given answer. */
-    void keep(int status, String contentType, byte[] body) {
-        mClaims.answer(mKey, mToken, new StoredAnswer(status, contentType, body, false));
+    void keep(StoredAnswer answer) {
+        mClaims.answer(mKey, mToken, answer);
     }
 
     /** Drops the claim, as the request is proved not to have run. */
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -7,10 +7,9 @@
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.RegionId;
+import dev.cactusspan.id.Revision;
 import dev.cactusspan.limit.AccountLimiter;
 import dev.cactusspan.link.DutyThread;
-import dev.cactusspan.link.Link;
-import dev.cactusspan.link.LinkListener;
 import dev.cactusspan.link.LinkReactor;
 import dev.cactusspan.link.LinkSettings;
 import dev.cactusspan.membership.SubsetChooser;
@@ -20,6 +19,7 @@
 import dev.cactusspan.platform.HttpKeyValueService;
 import dev.cactusspan.platform.KeyValueService;
 import dev.cactusspan.platform.VmListClient;
+import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.routing.CostRouter;
@@ -27,7 +27,6 @@
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.settings.EntrySettings;
 import dev.cactusspan.weight.WeightBook;
-import dev.cactusspan.wire.Frame;
 import dev.cactusspan.wire.Message;
 import io.undertow.Undertow;
 import java.io.IOException;
@@ -59,6 +58,7 @@
     private final ClaimService mClaims;
     private final RequestDesk mDesk;
     private final StepDesk mSteps;
+    private final EntryLinks mFrames;
     private final Undertow mServer;
     private final AdminServer mAdmin;
     private final long mIncarnation = System.nanoTime();
@@ -68,6 +68,8 @@
     private volatile int mTargetCount;
     private long mNextVmListMs;
     private boolean mIsListing;
+    private Revision mApplied = Revision.NONE;
+    private WeightBook mAppliedBook = WeightBook.EMPTY;
 
     /**
      * Creates an entry; {@link #start} starts it.
@@ -79,74 +81,30 @@
     public EntryProcess(EntrySettings settings, Telemetry telemetry) throws IOException {
         mSettings = settings;
         mHttp = HttpCaller.create();
-        KeyValueService keyValues = new HttpKeyValueService(mHttp, settings.platformUrl());
         mVmList = new VmListClient(mHttp, settings.platformUrl());
-        mThread = new DutyThread("entry", RING_TASKS, TICK_MS, this::tick);
+        mThread = new DutyThread("entry", RING_TASKS, TICK_MS);
         SplittableRandom random = new SplittableRandom(mIncarnation);
-        mFollower =
-                new Follower(
-                        settings,
-                        keyValues,
-                        mThread,
-                        EntryProcess::nowMs,
-                        random.split(),
-                        this::configured,
-                        this::wanted);
+        KeyValueService keyValues = new HttpKeyValueService(mHttp, settings.platformUrl());
+        mFollower = new Follower(settings, keyValues, mThread, EntryProcess::nowMs, random.split());
         mLinks =
                 new LinkReactor(
-                        LinkSettings.STANDARD,
-                        new EntryListener(),
-                        mFollower::revision,
-                        () -> new Message.Heartbeat(0));
-        mTargets =
-                new TargetDirectory(
+                        LinkSettings.STANDARD, mFollower::revision, () -> new Message.Heartbeat(0));
+        Backoff dialBackoff = new Backoff(DIAL_BASE_MS, DIAL_MAX_MS, random.split());
+        SubsetChooser subset = new SubsetChooser(settings.linksPerTarget());
+        mTargets = new TargetDirectory(settings, mLinks, subset, dialBackoff);
+        mClaims = newClaims(keyValues, telemetry);
+        mDesk = newDesk(telemetry, random);
+        mSteps = newSteps(keyValues, telemetry);
+        mFrames =
+                new EntryLinks(
                         settings,
-                        mLinks,
-                        new SubsetChooser(settings.linksPerTarget()),
-                        new Backoff(DIAL_BASE_MS, DIAL_MAX_MS, random.split()));
-        String owner = settings.vm() + "-" + Long.toHexString(mIncarnation);
-        mClaims =
-                new ClaimService(
-                        settings.environment(),
-                        keyValues,
+                        mIncarnation,
                         mThread,
-                        System::currentTimeMillis,
-                        telemetry,
-                        owner);
-        mDesk =
-                new RequestDesk(
                         mTargets,
-                        mClaims,
-                        new AccountLimiter(),
-                        new CostRouter(RoutingCosts.STANDARD, this::distance, random.split()),
-                        new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random.split()),
-                        telemetry,
-                        this::current,
-                        EntryProcess::nowMs);
-        mSteps =
-                new StepDesk(
-                        settings.environment(),
-                        owner,
-                        keyValues,
-                        mThread,
                         mDesk,
-                        mTargets,
-                        this::current,
                         mFollower,
-                        telemetry,
                         EntryProcess::nowMs);
-        Gate gate = new Gate(mFollower::configuration, () -> mIsFresh);
-        mServer =
-                ApiServer.create(
-                        settings,
-                        new CallerApi(gate, mThread, mDesk),
-                        new TrainerApi(
-                                gate,
-                                mThread,
-                                mSteps,
-                                new WeightStore(keyValues, settings.environment()),
-                                mFollower,
-                                EntryProcess::nowMs));
+        mServer = newServer(keyValues);
         mAdmin =
                 new AdminServer(
                         settings.ip(),
@@ -160,6 +118,55 @@
         telemetry.gauge("entry_ring_tasks", mThread::size);
     }
 
+    /** Names this start of this process in what it stores. */
+    private String owner() {
+        return mSettings.vm() + "-" + Long.toHexString(mIncarnation);
+    }
+
+    private ClaimService newClaims(KeyValueService keyValues, Telemetry telemetry) {
+        return new ClaimService(
+                mSettings.environment(),
+                keyValues,
+                mThread,
+                System::currentTimeMillis,
+                telemetry,
+                owner());
+    }
+
+    private RequestDesk newDesk(Telemetry telemetry, SplittableRandom random) {
+        return new RequestDesk(
+                mTargets,
+                mClaims,
+                new AccountLimiter(),
+                new CostRouter(RoutingCosts.STANDARD, this::distance, random.split()),
+                new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random.split()),
+                telemetry,
+                this::current,
+                EntryProcess::nowMs);
+    }
+
+    private StepDesk newSteps(KeyValueService keyValues, Telemetry telemetry) {
+        return new StepDesk(
+                mSettings.environment(),
+                owner(),
+                keyValues,
+                mThread,
+                mDesk,
+                mTargets,
+                this::current,
+                mFollower,
+                telemetry,
+                EntryProcess::nowMs);
+    }
+
+    private Undertow newServer(KeyValueService keyValues) {
+        Gate gate = new Gate(mFollower::configuration, () -> mIsFresh);
+        WeightStore weights = new WeightStore(keyValues, mSettings.environment());
+        TrainerApi trainers =
+                new TrainerApi(gate, mThread, mSteps, weights, mFollower, EntryProcess::nowMs);
+        return ApiServer.create(mSettings, new CallerApi(gate, mThread, mDesk), trainers);
+    }
+
     // Operations
 
     /**
@@ -168,8 +175,8 @@
      * @throws IOException if an address cannot be bound
      */
     public void start() throws IOException {
-        mThread.start();
-        mLinks.start();
+        mThread.start(this::tick);
+        mLinks.start(mFrames);
         mAdmin.start();
         mServer.start();
         sLog.atInfo().log("entry %s listens for callers on port %d", mSettings.vm(), port());
@@ -199,6 +206,7 @@
         if (configuration.isEmpty()) {
             return;
         }
+        apply(configuration.get());
         long boundMs = configuration.get().document().bounds().configAgeMs();
         mIsFresh = mFollower.ageMs() <= boundMs;
         mDesk.tick();
@@ -214,7 +222,7 @@
         }
         mIsListing = true;
         mNextVmListMs = nowMs + VM_LIST_MS;
-        mVmList.list(mSettings.environment()).thenAccept(r -> mThread.execute(() -> listed(r)));
+        Replies.on(mVmList.list(mSettings.environment()), mThread, this::listed);
     }
 
     private void listed(Result<List<VmRecord>> result) {
@@ -231,21 +239,16 @@
                 });
     }
 
-    private void configured(Configuration configuration) {
-        mDesk.configured(configuration);
-    }
-
-    private void wanted(WeightBook book) {
-        mTargets.targets().forEach(target -> sendWanted(target, book));
-    }
-
-    private static void sendWanted(TargetLink target, WeightBook book) {
-        WeightBook.Wanted wanted = book.wanted(target.service());
-        if (!wanted.equals(WeightBook.Wanted.NONE)) {
-            target.link()
-                    .send(
-                            new Message.WantedWeights(
-                                    target.service(), wanted.staged(), wanted.active()));
+    /** Applies what the follower learned since the last tick. */
+    private void apply(Configuration configuration) {
+        if (configuration.revision().isAfter(mApplied)) {
+            mApplied = configuration.revision();
+            mDesk.configured(configuration);
+        }
+        WeightBook book = mFollower.book();
+        if (!book.equals(mAppliedBook)) {
+            mAppliedBook = book;
+            mFrames.wanted(book);
         }
     }
 
@@ -270,42 +273,6 @@
         return mFollower.configuration().orElseThrow();
     }
 
-    // Links
-
-    private void handle(Link link, Frame frame) {
-        Message message = frame.message();
-        if (message instanceof Message.SideHello hello) {
-            greeted(link, hello);
-            return;
-        }
-        Optional<TargetLink> target = mTargets.target(link);
-        if (target.isEmpty()) {
-            link.close("expected a greeting first");
-            return;
-        }
-        if (message instanceof Message.Load load) {
-            target.get().load(load);
-        } else if (message instanceof Message.Head head) {
-            mDesk.head(target.get(), head);
-        } else if (message instanceof Message.Chunk chunk) {
-            mDesk.chunk(target.get(), chunk);
-        } else if (message instanceof Message.End end) {
-            mDesk.end(target.get(), end);
-        } else if (message instanceof Message.Refused refused) {
-            mDesk.refused(target.get(), refused);
-        } else if (!(message instanceof Message.Heartbeat)) {
-            link.close("unexpected " + message.getClass().getSimpleName());
-        }
-    }
-
-    private void greeted(Link link, Message.SideHello hello) {
-        if (!mTargets.greeted(link, hello)) {
-            link.close("not a target of environment " + mSettings.environment());
-            return;
-        }
-        mTargets.target(link).ifPresent(t -> sendWanted(t, mFollower.book()));
-    }
-
     // Accessors
 
     /**
@@ -353,27 +320,4 @@
             int targets,
             int pendingRequests,
             WeightBook weights) {}
-
-    /** Carries events of links to the thread of the entry. */
-    private final class EntryListener implements LinkListener {
-        @Override
-        public void onUp(Link link) {
-            link.send(
-                    new Message.EntryHello(
-                            mSettings.environment(),
-                            mSettings.vm(),
-                            mSettings.zone(),
-                            mIncarnation));
-        }
-
-        @Override
-        public void onFrame(Link link, Frame frame) {
-            mThread.execute(() -> handle(link, frame));
-        }
-
-        @Override
-        public void onDown(Link link, String reason) {
-            mThread.execute(() -> mTargets.down(link, reason, nowMs()).ifPresent(mDesk::linkDown));
-        }
-    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/Follower.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/Follower.java
@@ -16,7 +16,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** Follows the environment document and the wanted weights in the key-value service. */
@@ -30,19 +29,13 @@
     private final AtomicReference<Optional<Configuration>> mConfiguration =
             new AtomicReference<>(Optional.empty());
     private final AtomicReference<WeightBook> mBook = new AtomicReference<>(WeightBook.EMPTY);
-    private final Consumer<Configuration> mOnConfiguration;
-    private final Consumer<WeightBook> mOnWeights;
 
     Follower(
             EntrySettings settings,
             KeyValueService keyValues,
             Executor thread,
             LongSupplier nowMs,
-            SplittableRandom random,
-            Consumer<Configuration> onConfiguration,
-            Consumer<WeightBook> onWeights) {
-        mOnConfiguration = onConfiguration;
-        mOnWeights = onWeights;
+            SplittableRandom random) {
         Backoff backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random);
         mDocument =
                 new KeyWatcher(
@@ -82,7 +75,6 @@
                         configuration -> {
                             mConfiguration.set(Optional.of(configuration));
                             sLog.atInfo().log("revision %s is in force", configuration.revision());
-                            mOnConfiguration.accept(configuration);
                             return null;
                         });
     }
@@ -96,7 +88,6 @@
                         },
                         book -> {
                             mBook.set(book);
-                            mOnWeights.accept(book);
                             return null;
                         });
     }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
@@ -1,9 +1,6 @@
 package dev.cactusspan.entry;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.hash.Hashing;
-import dev.cactusspan.claim.ClaimKey;
-import dev.cactusspan.claim.ClaimOutcome;
 import dev.cactusspan.claim.ClaimService;
 import dev.cactusspan.claim.StoredAnswer;
 import dev.cactusspan.config.Configuration;
@@ -22,7 +19,6 @@
 import dev.cactusspan.routing.Router;
 import dev.cactusspan.wire.Message;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,15 +32,11 @@
 /** Takes requests through claim, choice of target, dispatch, retry and answer. */
 final class RequestDesk {
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
-    private static final long CLAIM_MARGIN_MS = 5_000;
-    private static final long CLAIM_WAIT_MS = 2_000;
-    private static final long CLAIM_POLL_MS = 200;
-    private static final long MS_PER_S = 1_000;
     private static final long NO_TARGET_WAIT_MS = 2_000;
     private static final int DEFAULT_WEIGHT = 1;
 
     private final TargetDirectory mTargets;
-    private final ClaimService mClaims;
+    private final ClaimDesk mClaims;
     private final AccountLimiter mLimiter;
     private final Router mRouter;
     private final Backoff mBackoff;
@@ -52,7 +44,6 @@
     private final Supplier<Configuration> mConfiguration;
     private final LongSupplier mNowMs;
     private final Set<PendingRequest> mPending = new LinkedHashSet<>();
-    private final Map<PendingRequest, ClaimRecorder> mRecorders = new HashMap<>();
     private RetryBudget mBudget = new RetryBudget(0);
     private double mLimitShare = 1.0;
     private boolean mIsDraining;
@@ -67,7 +58,7 @@
             Supplier<Configuration> configuration,
             LongSupplier nowMs) {
         mTargets = targets;
-        mClaims = claims;
+        mClaims = new ClaimDesk(claims, new ClaimedRequests(), configuration, nowMs);
         mLimiter = limiter;
         mRouter = router;
         mBackoff = backoff;
@@ -90,7 +81,7 @@
         mPending.add(request);
         mBudget.onFirstTry();
         if (spec.isAtMostOnce()) {
-            claim(request);
+            mClaims.ask(request);
         } else {
             dispatch(request);
         }
@@ -123,124 +114,6 @@
                 && !mConfiguration.get().isKeyInForce(spec.keyHash().get(), spec.account());
     }
 
-    // Claims
-
-    private void claim(PendingRequest request) {
-        request.apply(RequestEvent.CLAIM);
-        RequestSpec spec = request.spec();
-        long ttlMs = mConfiguration.get().document().bounds().claimTtlS() * MS_PER_S;
-        mClaims.ask(
-                claimKey(spec),
-                digest(spec),
-                spec.deadlineMs() + CLAIM_MARGIN_MS,
-                ttlMs,
-                outcome -> claimed(request, outcome));
-    }
-
-    private static ClaimKey claimKey(RequestSpec spec) {
-        return ClaimKey.of(spec.account(), spec.route().name(), spec.idempotencyKey());
-    }
-
-    private static String digest(RequestSpec spec) {
-        return Hashing.sha256()
-                .newHasher()
-                .putUnencodedChars(spec.method())
-                .putUnencodedChars(spec.path())
-                .putBytes(spec.body())
-                .hash()
-                .toString();
-    }
-
-    private void claimed(PendingRequest request, ClaimOutcome outcome) {
-        if (outcome instanceof ClaimOutcome.Granted granted) {
-            granted(request, granted.token());
-            return;
-        }
-        if (request.isOver()) {
-            return;
-        }
-        if (outcome instanceof ClaimOutcome.Repeated repeated) {
-            repeat(request, repeated.answer());
-        } else if (outcome instanceof ClaimOutcome.Unknown unknown) {
-            askTarget(request, unknown.token());
-        } else if (outcome instanceof ClaimOutcome.Refused refused) {
-            refusedClaim(request, refused.failure());
-        }
-    }
-
-    /** The first request with this key may be about to end: its answer is worth a short wait. */
-    private void refusedClaim(PendingRequest request, Failure failure) {
-        boolean isInProgress = failure.kind() == ErrorKind.CLAIM_IN_PROGRESS;
-        if (!isInProgress || mNowMs.getAsLong() - request.arrivedMs() >= CLAIM_WAIT_MS) {
-            fail(request, failure);
-            return;
-        }
-        request.askAgainAt(mNowMs.getAsLong() + CLAIM_POLL_MS);
-    }
-
-    private void granted(PendingRequest request, String token) {
-        if (request.isOver()) {
-            mClaims.release(claimKey(request.spec()), token);
-            return;
-        }
-        request.claimed();
-        request.apply(RequestEvent.GRANT);
-        mRecorders.put(request, new ClaimRecorder(mClaims, claimKey(request.spec()), token));
-        dispatch(request);
-    }
-
-    private void repeat(PendingRequest request, StoredAnswer answer) {
-        if (!answer.detached()) {
-            replay(request, answer, answer.body());
-            return;
-        }
-        mClaims.body(
-                claimKey(request.spec()),
-                result ->
-                        result.fold(
-                                failure -> {
-                                    fail(request, failure);
-                                    return null;
-                                },
-                                body -> {
-                                    replay(request, answer, body);
-                                    return null;
-                                }));
-    }
-
-    private void replay(PendingRequest request, StoredAnswer answer, byte[] body) {
-        request.apply(RequestEvent.FAIL);
-        request.sink().head(answer.status(), answer.contentType());
-        request.sink().data(body);
-        request.sink().end(List.of());
-        over(request, "repeated");
-    }
-
-    /** Asks the target whether a request with an unknown outcome has run; never runs it again. */
-    private void askTarget(PendingRequest request, String token) {
-        String path = request.spec().route().statusCheckPath();
-        if (path.isEmpty()) {
-            fail(request, unknownOutcome("an earlier request with this key has no answer"));
-            return;
-        }
-        RequestSpec check = StatusCheck.spec(request.spec(), path);
-        ClaimRecorder recorder = new ClaimRecorder(mClaims, claimKey(request.spec()), token);
-        StatusCheck sink =
-                new StatusCheck(
-                        (status, type, body) -> {
-                            recorder.keep(status, type, body);
-                            replay(request, new StoredAnswer(status, type, body, false), body);
-                        },
-                        reason -> fail(request, unknownOutcome(reason)));
-        PendingRequest query = new PendingRequest(check, sink, mNowMs.getAsLong(), false);
-        mPending.add(query);
-        dispatch(query);
-    }
-
-    private static Failure unknownOutcome(String detail) {
-        return Failure.of(ErrorKind.OUTCOME_UNKNOWN, detail);
-    }
-
     // Dispatch
 
     private void dispatch(PendingRequest request) {
@@ -315,7 +188,7 @@
         if (request == null || !request.apply(RequestEvent.HEAD)) {
             return;
         }
-        recorder(request).ifPresent(r -> r.head(head.status(), head.contentType()));
+        mClaims.recorder(request).ifPresent(r -> r.head(head.status(), head.contentType()));
         request.sink().head(head.status(), head.contentType());
     }
 
@@ -330,7 +203,7 @@
             brokenOff(request, "parts of the answer are out of order");
             return;
         }
-        recorder(request).ifPresent(r -> r.data(chunk.data()));
+        mClaims.recorder(request).ifPresent(r -> r.data(chunk.data()));
         request.sink().data(chunk.data());
     }
 
@@ -346,7 +219,7 @@
         if (!request.apply(RequestEvent.END)) {
             return;
         }
-        recorder(request).ifPresent(ClaimRecorder::keep);
+        mClaims.recorder(request).ifPresent(ClaimRecorder::keep);
         request.sink().end(end.labels());
         over(request, "answered");
     }
@@ -382,7 +255,7 @@
         request.mayHaveRun();
         detach(request);
         if (request.spec().isAtMostOnce()) {
-            fail(request, unknownOutcome(failure.detail()));
+            fail(request, ClaimDesk.unknownOutcome(failure.detail()));
             return;
         }
         boolean isShown = request.state() == RequestState.ANSWERING && request.sink().isStreaming();
@@ -432,7 +305,7 @@
             if (nowMs >= request.deadlineMs()) {
                 deadline(request);
             } else if (request.isAskAgainDue(nowMs)) {
-                claim(request);
+                mClaims.ask(request);
             } else if (request.state() == RequestState.WAITING && nowMs >= request.retryAtMs()) {
                 dispatch(request);
             }
@@ -445,7 +318,7 @@
             request.target().get().link().send(new Message.Cancel(request.stream()));
         }
         boolean isUnknown = request.isMayHaveRun() && request.spec().isAtMostOnce();
-        fail(request, isUnknown ? unknownOutcome("no answer in time") : expired(request));
+        fail(request, isUnknown ? ClaimDesk.unknownOutcome("no answer in time") : expired(request));
     }
 
     /** Applies a new configuration: requests under a withdrawn key end. */
@@ -480,7 +353,7 @@
         }
         request.apply(RequestEvent.FAIL);
         if (request.isClaimed() && !request.isMayHaveRun() && request.target().isEmpty()) {
-            recorder(request).ifPresent(ClaimRecorder::release);
+            mClaims.recorder(request).ifPresent(ClaimRecorder::release);
         }
         request.sink().fail(failure);
         over(request, failure.kind().word());
@@ -490,7 +363,7 @@
         Optional<TargetId> target = request.target().map(TargetLink::target);
         detach(request);
         mPending.remove(request);
-        mRecorders.remove(request);
+        mClaims.forget(request);
         RequestSpec spec = request.spec();
         if (request.isLimited()) {
             mLimiter.release(spec.account());
@@ -515,10 +388,6 @@
                 .log("request on route %s after %d tries", spec.route().name(), request.attempts());
     }
 
-    private Optional<ClaimRecorder> recorder(PendingRequest request) {
-        return Optional.ofNullable(mRecorders.get(request));
-    }
-
     // Accessors
 
     void drain() {
@@ -537,7 +406,32 @@
         mLimitShare = share;
     }
 
-    Collection<PendingRequest> pending() {
-        return mPending;
+    /** What becomes of requests that asked for a claim. */
+    private final class ClaimedRequests implements ClaimDesk.Listener {
+        @Override
+        public void granted(PendingRequest request) {
+            dispatch(request);
+        }
+
+        @Override
+        public void repeated(PendingRequest request, StoredAnswer answer) {
+            request.apply(RequestEvent.FAIL);
+            request.sink().head(answer.status(), answer.contentType());
+            request.sink().data(answer.body());
+            request.sink().end(List.of());
+            over(request, "repeated");
+        }
+
+        @Override
+        public void refused(PendingRequest request, Failure failure) {
+            fail(request, failure);
+        }
+
+        @Override
+        public void ask(RequestSpec spec, AnswerSink sink) {
+            PendingRequest query = new PendingRequest(spec, sink, mNowMs.getAsLong(), false);
+            mPending.add(query);
+            dispatch(query);
+        }
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StatusCheck.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StatusCheck.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.entry;
 
+import dev.cactusspan.claim.StoredAnswer;
 import dev.cactusspan.config.EnvironmentDocument.RequestClass;
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.result.Failure;
@@ -15,13 +16,13 @@
     private static final int OK = 200;
     private static final int MAX_BYTES = 1 << 20;
 
-    private final OnAnswer mOnAnswer;
+    private final Consumer<StoredAnswer> mOnAnswer;
     private final Consumer<String> mOnUnknown;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private int mStatus;
     private String mContentType = "";
 
-    StatusCheck(OnAnswer onAnswer, Consumer<String> onUnknown) {
+    StatusCheck(Consumer<StoredAnswer> onAnswer, Consumer<String> onUnknown) {
         mOnAnswer = onAnswer;
         mOnUnknown = onUnknown;
     }
@@ -63,7 +64,7 @@
     @Override
     public void end(List<VersionSpan> labels) {
         if (mStatus == OK) {
-            mOnAnswer.take(mStatus, mContentType, mBody.toByteArray());
+            mOnAnswer.accept(new StoredAnswer(mStatus, mContentType, mBody.toByteArray(), false));
             return;
         }
         mOnUnknown.accept("the target's status check answered " + mStatus);
@@ -78,10 +79,4 @@
     public boolean isStreaming() {
         return false;
     }
-
-    /** Receives the answer that the target has for the key. */
-    interface OnAnswer {
-        /** Takes status, content type and body. */
-        void take(int status, String contentType, byte[] body);
-    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
@@ -14,6 +14,7 @@
 import dev.cactusspan.platform.KeyValueService;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.sample.DeliveryPlan;
 import dev.cactusspan.sample.StepBook;
@@ -89,7 +90,7 @@
             return;
         }
         Submission submission = new Submission(lane, trainer, keyHash, spec, reply);
-        mKeyValues.get(key(lane)).thenAccept(r -> mThread.execute(() -> opened(submission, r)));
+        Replies.on(mKeyValues.get(key(lane)), mThread, r -> opened(submission, r));
     }
 
     private void opened(Submission submission, Result<Optional<KeyValueService.Entry>> result) {
@@ -133,9 +134,10 @@
 
     private Void start(Submission submission, Opening opening) {
         byte[] value = JsonText.write(opening.ledger());
-        mKeyValues
-                .compareAndSwap(key(submission.lane()), opening.version(), value)
-                .thenAccept(r -> mThread.execute(() -> started(submission, opening, r)));
+        Replies.on(
+                mKeyValues.compareAndSwap(key(submission.lane()), opening.version(), value),
+                mThread,
+                r -> started(submission, opening, r));
         return null;
     }
 
@@ -341,9 +343,7 @@
     /** Repeats the last delivery, after a look whether this entry still holds the step. */
     private void repeat(Lane lane, ActiveStep step, DeliveryPoll poll) {
         step.writing(true, 0);
-        mKeyValues
-                .get(key(lane))
-                .thenAccept(r -> mThread.execute(() -> verified(lane, step, poll, r)));
+        Replies.on(mKeyValues.get(key(lane)), mThread, r -> verified(lane, step, poll, r));
     }
 
     private void verified(
@@ -373,9 +373,10 @@
     private void write(Lane lane, ActiveStep step, DeliveryPlan.Write plan) {
         step.writing(true, 0);
         mTelemetry.count("ledger_writes_total");
-        mKeyValues
-                .compareAndSwap(key(lane), step.version(), JsonText.write(plan.ledger()))
-                .thenAccept(r -> mThread.execute(() -> written(lane, step, plan, r)));
+        Replies.on(
+                mKeyValues.compareAndSwap(key(lane), step.version(), JsonText.write(plan.ledger())),
+                mThread,
+                r -> written(lane, step, plan, r));
     }
 
     private void written(Lane lane, ActiveStep step, DeliveryPlan.Write plan, Result<Long> result) {
@@ -389,9 +390,7 @@
 
     /** The write failed or its reply was lost: only the stored ledger tells which. */
     private void lookUp(Lane lane, ActiveStep step, DeliveryPlan.Write plan) {
-        mKeyValues
-                .get(key(lane))
-                .thenAccept(r -> mThread.execute(() -> lookedUp(lane, step, plan, r)));
+        Replies.on(mKeyValues.get(key(lane)), mThread, r -> lookedUp(lane, step, plan, r));
     }
 
     private void lookedUp(
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
@@ -4,8 +4,8 @@
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.link.Dialer;
 import dev.cactusspan.link.Link;
-import dev.cactusspan.link.LinkReactor;
 import dev.cactusspan.membership.SubsetChooser;
 import dev.cactusspan.membership.VmRecord;
 import dev.cactusspan.routing.Backoff;
@@ -27,7 +27,7 @@
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
 
     private final EntrySettings mSettings;
-    private final LinkReactor mLinks;
+    private final Dialer mDialer;
     private final SubsetChooser mSubset;
     private final Backoff mBackoff;
     private final Map<VmId, Dial> mDials = new HashMap<>();
@@ -35,10 +35,9 @@
     private List<VmRecord> mVms = List.of();
     private Set<VmId> mLeaving = Set.of();
 
-    TargetDirectory(
-            EntrySettings settings, LinkReactor links, SubsetChooser subset, Backoff backoff) {
+    TargetDirectory(EntrySettings settings, Dialer dialer, SubsetChooser subset, Backoff backoff) {
         mSettings = settings;
-        mLinks = links;
+        mDialer = dialer;
         mSubset = subset;
         mBackoff = backoff;
     }
@@ -70,7 +69,7 @@
     void dial(long nowMs) {
         for (Dial dial : mDials.values()) {
             if (dial.mLink == null && nowMs >= dial.mNextMs) {
-                dial.mLink = mLinks.connect(new InetSocketAddress(dial.mVm.ip(), dial.mVm.port()));
+                dial.mLink = mDialer.connect(new InetSocketAddress(dial.mVm.ip(), dial.mVm.port()));
             }
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TrainerApi.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TrainerApi.java
@@ -8,8 +8,10 @@
 import dev.cactusspan.id.TrainerId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.link.DutyThread;
+import dev.cactusspan.platform.KeyValueService;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.sample.StepLedger;
 import dev.cactusspan.sample.StepSpec;
@@ -163,32 +165,26 @@
         if (weights.staged() < 0 || weights.active() < 0) {
             return answer(exchange, Failure.of(ErrorKind.BAD_REQUEST, "$: expected versions >= 0"));
         }
-        mWeights.raise(
-                        model,
-                        WeightVersion.of(weights.staged()),
-                        WeightVersion.of(weights.active()))
-                .thenAccept(
-                        r ->
-                                r.fold(
-                                        f -> {
-                                            onIoThread(exchange, () -> answer(exchange, f));
-                                            return null;
-                                        },
-                                        entry -> {
-                                            mThread.execute(() -> mFollower.took(entry));
-                                            onIoThread(
-                                                    exchange,
-                                                    () ->
-                                                            HttpAnswers.whole(
-                                                                    exchange,
-                                                                    OK,
-                                                                    JSON,
-                                                                    entry.value()));
-                                            return null;
-                                        }));
+        WeightVersion staged = WeightVersion.of(weights.staged());
+        WeightVersion active = WeightVersion.of(weights.active());
+        Replies.on(mWeights.raise(model, staged, active), mThread, r -> published(exchange, r));
         return null;
     }
 
+    private void published(HttpServerExchange exchange, Result<KeyValueService.Entry> result) {
+        result.fold(
+                failure -> {
+                    onIoThread(exchange, () -> answer(exchange, failure));
+                    return null;
+                },
+                entry -> {
+                    mFollower.took(entry);
+                    onIoThread(
+                            exchange, () -> HttpAnswers.whole(exchange, OK, JSON, entry.value()));
+                    return null;
+                });
+    }
+
     private Optional<Call> call(HttpServerExchange exchange) {
         Result<Configuration> configuration = mGate.configuration();
         String key = Gate.key(exchange);
--- a/cactusspan/src/main/java/dev/cactusspan/link/DutyThread.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/DutyThread.java
@@ -14,8 +14,8 @@
 
     private final MpscBlockingConsumerArrayQueue<Runnable> mRing;
     private final Deque<Runnable> mOwnTasks = new ArrayDeque<>();
-    private final Runnable mTick;
     private final long mTickMs;
+    private Runnable mTick = () -> {};
     private final Thread mThread;
     private volatile boolean mClosed;
 
@@ -25,18 +25,21 @@
      * @param name name of the thread
      * @param capacityTasks tasks that the ring holds at most
      * @param tickMs interval of the tick
-     * @param tick called on the thread at each interval
      */
-    public DutyThread(String name, int capacityTasks, long tickMs, Runnable tick) {
+    public DutyThread(String name, int capacityTasks, long tickMs) {
         mRing = new MpscBlockingConsumerArrayQueue<>(capacityTasks);
-        mTick = tick;
         mTickMs = tickMs;
         mThread = new Thread(this::run, name);
         mThread.setDaemon(true);
     }
 
-    /** Starts the thread. */
-    public void start() {
+    /**
+     * Starts the thread.
+     *
+     * @param tick called on the thread at each interval
+     */
+    public void start(Runnable tick) {
+        mTick = tick;
         mThread.start();
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
@@ -17,14 +17,14 @@
 import java.util.function.Supplier;
 
 /** The one thread that reads and writes all links of a process. */
-public final class LinkReactor implements AutoCloseable {
+public final class LinkReactor implements Dialer, AutoCloseable {
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
     private static final int READ_BUFFER_BYTES = 64 << 10;
     private static final long TICK_MS = 100;
     private static final long JOIN_MS = 2_000;
 
     private final LinkSettings mSettings;
-    private final LinkListener mListener;
+    private LinkListener mListener;
     private final Supplier<Revision> mRevision;
     private final Supplier<Message> mHeartbeat;
     private final Selector mSelector;
@@ -37,19 +37,14 @@
      * Creates a reactor; {@link #start} starts its thread.
      *
      * @param settings times and bounds
-     * @param listener receives events
      * @param revision revision that is put on each frame
      * @param heartbeat makes the message of a heartbeat
      * @throws IOException if no selector can be opened
      */
     public LinkReactor(
-            LinkSettings settings,
-            LinkListener listener,
-            Supplier<Revision> revision,
-            Supplier<Message> heartbeat)
+            LinkSettings settings, Supplier<Revision> revision, Supplier<Message> heartbeat)
             throws IOException {
         mSettings = settings;
-        mListener = listener;
         mRevision = revision;
         mHeartbeat = heartbeat;
         mSelector = Selector.open();
@@ -59,8 +54,13 @@
 
     // Operations
 
-    /** Starts the thread. */
-    public void start() {
+    /**
+     * Starts the thread.
+     *
+     * @param listener receives events
+     */
+    public void start(LinkListener listener) {
+        mListener = listener;
         mThread.start();
     }
 
@@ -87,12 +87,7 @@
         }
     }
 
-    /**
-     * Connects to an address. The outcome comes to the listener.
-     *
-     * @param address IP and port
-     * @return the link
-     */
+    @Override
     public Link connect(InetSocketAddress address) {
         ReactorLink link = new ReactorLink(this, address);
         execute(() -> open(link, address));
--- a/cactusspan/src/main/java/dev/cactusspan/result/Result.java
+++ b/cactusspan/src/main/java/dev/cactusspan/result/Result.java
@@ -118,7 +118,11 @@
      * @param <T> type of the value
      */
     record Ok<T>(T value) implements Result<T> {
-        /** Checks the value. */
+        /**
+         * Checks the value.
+         *
+         * @param value the value
+         */
         public Ok {
             Objects.requireNonNull(value, "value is null");
         }
@@ -138,7 +142,11 @@
      * @param <T> type of the value
      */
     record Err<T>(Failure failure) implements Result<T> {
-        /** Checks the failure. */
+        /**
+         * Checks the failure.
+         *
+         * @param failure the failure
+         */
         public Err {
             Objects.requireNonNull(failure, "failure is null");
         }
--- a/cactusspan/src/main/java/dev/cactusspan/side/EngineWeights.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/EngineWeights.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.http.HttpCall;
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.text.JsonText;
 import java.net.URI;
@@ -58,8 +59,8 @@
     private void poll(long nowMs) {
         mIsPolling = true;
         mNextPollMs = nowMs + POLL_MS;
-        mHttp.collect(HttpCall.get(mEngine, "/version", VERSION_TIMEOUT_MS), MAX_ANSWER_BYTES)
-                .thenAccept(r -> mThread.execute(() -> polled(r)));
+        HttpCall call = HttpCall.get(mEngine, "/version", VERSION_TIMEOUT_MS);
+        Replies.on(mHttp.collect(call, MAX_ANSWER_BYTES), mThread, this::polled);
     }
 
     private void polled(Result<HttpAnswer> result) {
@@ -91,8 +92,11 @@
     private void send(String path, WeightVersion version, long nowMs) {
         mIsOrdering = true;
         byte[] body = JsonText.write(new WeightOrder(version.number(), version.number()));
-        mHttp.collect(HttpCall.json("POST", mEngine, path, body, TIMEOUT_MS), MAX_ANSWER_BYTES)
-                .thenAccept(r -> mThread.execute(() -> ordered(path, version, r, nowMs)));
+        HttpCall call = HttpCall.json("POST", mEngine, path, body, TIMEOUT_MS);
+        Replies.on(
+                mHttp.collect(call, MAX_ANSWER_BYTES),
+                mThread,
+                r -> ordered(path, version, r, nowMs));
     }
 
     private void ordered(
--- a/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
@@ -54,7 +54,7 @@
     public SideProcess(SideSettings settings, Telemetry telemetry) throws IOException {
         mSettings = settings;
         mHttp = HttpCaller.create();
-        mThread = new DutyThread("side", RING_TASKS, TICK_MS, this::tick);
+        mThread = new DutyThread("side", RING_TASKS, TICK_MS);
         mWeights = new EngineWeights(mHttp, settings.targetUrl(), mThread);
         mDesk =
                 new TargetDesk(
@@ -68,10 +68,7 @@
         mLastLoad = new AtomicReference<>(mDesk.load());
         mLinks =
                 new LinkReactor(
-                        LinkSettings.STANDARD,
-                        new SideListener(),
-                        mRevision::get,
-                        () -> new Message.Heartbeat(0));
+                        LinkSettings.STANDARD, mRevision::get, () -> new Message.Heartbeat(0));
         mAdmin =
                 new AdminServer(
                         settings.ip(),
@@ -93,8 +90,8 @@
      * @throws IOException if an address cannot be bound
      */
     public int start() throws IOException {
-        mThread.start();
-        mLinks.start();
+        mThread.start(this::tick);
+        mLinks.start(new SideListener());
         int port = mLinks.listen(new InetSocketAddress(mSettings.ip(), mSettings.linkPort()));
         mAdmin.start();
         sLog.atInfo().log(
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -0,0 +1,70 @@
+package dev.cactusspan;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Rules on what may depend on what. */
+final class ArchitectureTest {
+    private static final JavaClasses CLASSES =
+            new ClassFileImporter()
+                    .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+                    .importPackages("dev.cactusspan");
+
+    @Test
+    void shouldKeepDecisionsApartFromSocketsThreadsAndClocks() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "dev.cactusspan.routing",
+                        "dev.cactusspan.limit",
+                        "dev.cactusspan.sample",
+                        "dev.cactusspan.weight",
+                        "dev.cactusspan.membership",
+                        "dev.cactusspan.lease",
+                        "dev.cactusspan.usage",
+                        "dev.cactusspan.scaling",
+                        "dev.cactusspan.chart",
+                        "dev.cactusspan.id",
+                        "dev.cactusspan.result")
+                .and()
+                .doNotHaveSimpleName("Replies")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "io.undertow..", "org.xnio..", "java.net.http..", "java.nio.channels..")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("java.lang.Thread")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .allowEmptyShould(true)
+                .check(CLASSES);
+    }
+
+    @Test
+    void shouldHaveNoCyclesBetweenShellPackages() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackages("dev.cactusspan.entry..", "dev.cactusspan.command..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("dev.cactusspan.entry..", "dev.cactusspan.command..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void shouldHaveNoCyclesBelowTheProcesses() {
+        slices().matching(
+                        "dev.cactusspan.(link|http|routing|limit|membership|side|entry|command)..")
+                .should()
+                .beFreeOfCycles()
+                .check(CLASSES);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/FakeKeyValues.java
@@ -0,0 +1,131 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A key-value service whose calls take effect, and are answered, when a test says so: in any order,
+ * late, or with the reply lost. Watches are answered with what is there.
+ */
+public final class FakeKeyValues implements KeyValueService {
+    private final Map<String, Entry> mEntries = new HashMap<>();
+    private final List<Call> mCalls = new ArrayList<>();
+    private final Random mRandom;
+    private double mLostReplies;
+    private double mFailures;
+    private int mWrites;
+    private int mReads;
+
+    /**
+     * Creates an empty service.
+     *
+     * @param random decides order and faults
+     */
+    public FakeKeyValues(Random random) {
+        mRandom = random;
+    }
+
+    // Operations
+
+    /** Sets the shares of calls whose reply is lost, and that fail without effect. */
+    public void faults(double lostReplies, double failures) {
+        mLostReplies = lostReplies;
+        mFailures = failures;
+    }
+
+    /** Writes a key at once. */
+    public void put(String key, byte[] value) {
+        long version = mEntries.containsKey(key) ? mEntries.get(key).version() : 0;
+        mEntries.put(key, new Entry(version + 1, value));
+    }
+
+    /** Returns a key at once. */
+    public Optional<Entry> peek(String key) {
+        return Optional.ofNullable(mEntries.get(key));
+    }
+
+    /** Carries out one waiting call, drawn at random; tells whether there was one. */
+    public boolean step() {
+        if (mCalls.isEmpty()) {
+            return false;
+        }
+        Call call = mCalls.remove(mRandom.nextInt(mCalls.size()));
+        if (mRandom.nextDouble() < mFailures) {
+            call.fail().run();
+            return true;
+        }
+        Runnable reply = call.effect().get();
+        if (mRandom.nextDouble() < mLostReplies) {
+            call.fail().run();
+            return true;
+        }
+        reply.run();
+        return true;
+    }
+
+    @Override
+    public CompletableFuture<Result<Optional<Entry>>> get(String key) {
+        mReads++;
+        CompletableFuture<Result<Optional<Entry>>> future = new CompletableFuture<>();
+        add(
+                future,
+                () -> {
+                    Optional<Entry> entry = peek(key);
+                    return () -> future.complete(Result.of(entry));
+                });
+        return future;
+    }
+
+    @Override
+    public CompletableFuture<Result<Optional<Entry>>> watch(
+            String key, long afterVersion, long waitMs) {
+        return get(key).thenApply(
+                        r -> r.map(e -> e.filter(found -> found.version() > afterVersion)));
+    }
+
+    @Override
+    public CompletableFuture<Result<Long>> compareAndSwap(
+            String key, long expectedVersion, byte[] value) {
+        mWrites++;
+        CompletableFuture<Result<Long>> future = new CompletableFuture<>();
+        add(
+                future,
+                () -> {
+                    long present = peek(key).map(Entry::version).orElse(0L);
+                    if (present != expectedVersion) {
+                        return () -> future.complete(Result.fail(ErrorKind.CONFLICT, "other"));
+                    }
+                    mEntries.put(key, new Entry(expectedVersion + 1, value));
+                    return () -> future.complete(Result.of(expectedVersion + 1));
+                });
+        return future;
+    }
+
+    private <T> void add(
+            CompletableFuture<Result<T>> future, java.util.function.Supplier<Runnable> effect) {
+        Runnable fail =
+                () -> future.complete(Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, "no reply"));
+        mCalls.add(new Call(effect, fail));
+    }
+
+    // Accessors
+
+    /** Returns how many writes were asked for. */
+    public int writes() {
+        return mWrites;
+    }
+
+    /** Returns how many reads and watches were asked for. */
+    public int reads() {
+        return mReads;
+    }
+
+    private record Call(java.util.function.Supplier<Runnable> effect, Runnable fail) {}
+}
