--- a/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
@@ -101,7 +101,7 @@
         mBatch.forEach(operation -> apply(operation, claims));
         if (claims.equals(mClaims)) {
             settle(nowMs);
-            return next(nowMs);
+            return Optional.empty();
         }
         byte[] value = JsonText.write(new Stored(claims));
         if (value.length > MAX_RECORD_BYTES) {
@@ -217,7 +217,8 @@
             return !isOurs || present.isAnswered();
         }
         if (operation instanceof ClaimOperation.Release release) {
-            return present == null || !present.token().equals(release.token());
+            boolean isOurs = present != null && present.token().equals(release.token());
+            return !isOurs || present.isAnswered();
         }
         return true;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
@@ -424,6 +424,11 @@
             return;
         }
         mTelemetry.count("deliveries_total", "outcome", "made");
+        if (!step.book().isLastFresh(active(step))) {
+            // New weights came while the ledger was written: the poll is planned anew.
+            serve(lane, step);
+            return;
+        }
         // A poll that came meanwhile may ask after another number: it is planned anew.
         step.waitingPoll()
                 .filter(p -> p.after() == step.book().ledger().held())
--- a/cactusspan/src/main/java/dev/cactusspan/sample/StepBook.java
+++ b/cactusspan/src/main/java/dev/cactusspan/sample/StepBook.java
@@ -158,15 +158,23 @@
 
     /** The trainer lacks the last delivery: repeat it if it is here and fresh, else rerun it. */
     private DeliveryPlan lacking(WeightVersion active) {
-        boolean isFresh =
-                mLast.isPresent()
-                        && mLast.get().samples().stream().noneMatch(s -> isStale(s, active));
-        if (isFresh) {
+        if (isLastFresh(active)) {
             return new DeliveryPlan.Repeat(mLast.get().body());
         }
         return new DeliveryPlan.Write(mLedger.voidLast(), List.of());
     }
 
+    /**
+     * Tells whether the last delivery is here and may still be handed out.
+     *
+     * @param active weight version in force
+     * @return false if it is lost or has a sample over the staleness bound
+     */
+    public boolean isLastFresh(WeightVersion active) {
+        return mLast.isPresent()
+                && mLast.get().samples().stream().noneMatch(s -> isStale(s, active));
+    }
+
     private void dropStale(WeightVersion active) {
         List<Integer> stale = new ArrayList<>();
         mReady.forEach(
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
@@ -0,0 +1,266 @@
+package dev.cactusspan.entry;
+
+import dev.cactusspan.claim.ClaimService;
+import dev.cactusspan.config.Configuration;
+import dev.cactusspan.config.DocumentStore;
+import dev.cactusspan.config.EnvironmentDocument.RequestClass;
+import dev.cactusspan.config.EnvironmentDocument.Route;
+import dev.cactusspan.config.KeyHash;
+import dev.cactusspan.config.Stage;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.RequestId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.limit.AccountLimiter;
+import dev.cactusspan.membership.SubsetChooser;
+import dev.cactusspan.membership.VmRecord;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.FakeKeyValues;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.routing.CostRouter;
+import dev.cactusspan.routing.RoutingCosts;
+import dev.cactusspan.routing.ZoneDistance;
+import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.text.JsonText;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
+
+/** The parts of an entry in one thread, with given time, a fake store and fake side processes. */
+final class EntryHarness implements Executor {
+    /** Ports from here on lead to targets of the plain service. */
+    static final int SERVICE_PORT = 100;
+
+    static final EnvironmentId ENVIRONMENT = EnvironmentId.of("kilimanjaro");
+    static final String KEY = "csk-test";
+
+    private static final int MODEL_TARGETS = 2;
+    private static final int SERVICE_TARGETS = 2;
+
+    private final Deque<Runnable> mTasks = new ArrayDeque<>();
+    private final FakeSides mSides;
+    private final Follower mFollower;
+    private final TargetDirectory mTargets;
+    private final ClaimService mClaims;
+    private final RequestDesk mDesk;
+    private final StepDesk mSteps;
+    private final Clock mClock;
+    private final EntryLinks mLinks;
+    private long mAppliedRevision;
+
+    EntryHarness(String name, FakeKeyValues keyValues, FakeSides sides, Clock clock, long seed) {
+        mClock = clock;
+        mSides = sides;
+        SplittableRandom random = new SplittableRandom(seed);
+        EntrySettings settings = settings(name);
+        Telemetry telemetry = Telemetry.create();
+        mFollower = new Follower(settings, keyValues, this, clock::nowMs, random.split());
+        mTargets =
+                new TargetDirectory(
+                        settings, sides, new SubsetChooser(8), new Backoff(10, 50, random.split()));
+        mClaims = new ClaimService(ENVIRONMENT, keyValues, this, clock::nowMs, telemetry, name);
+        mDesk =
+                new RequestDesk(
+                        mTargets,
+                        mClaims,
+                        new AccountLimiter(),
+                        new CostRouter(
+                                RoutingCosts.STANDARD,
+                                zone -> ZoneDistance.SAME_ZONE,
+                                random.split()),
+                        new Backoff(10, 50, random.split()),
+                        telemetry,
+                        this::configuration,
+                        clock::nowMs);
+        mSteps =
+                new StepDesk(
+                        ENVIRONMENT,
+                        name,
+                        keyValues,
+                        this,
+                        mDesk,
+                        mTargets,
+                        this::configuration,
+                        mFollower,
+                        telemetry,
+                        clock::nowMs);
+        mLinks = new EntryLinks(settings, 1, this, mTargets, mDesk, mFollower, clock::nowMs);
+        sides.listener(mLinks);
+    }
+
+    private static EntrySettings settings(String name) {
+        return new EntrySettings(
+                ENVIRONMENT,
+                Stage.PRODUCTION,
+                VmId.of(name),
+                AvailabilityZoneId.of("dar-a"),
+                "127.0.0.1",
+                0,
+                0,
+                0,
+                URI.create("http://127.0.0.1:1"),
+                8,
+                0);
+    }
+
+    /** Puts the sample document, with one key for all traffic, into the store. */
+    static void putDocument(FakeKeyValues keyValues, String... keys) {
+        try {
+            Path sample =
+                    Path.of(
+                            System.getProperty("project.root", ".."),
+                            "samples",
+                            "kilimanjaro.json");
+            String text = Files.readString(sample);
+            for (int i = 0; i < keys.length; i++) {
+                text =
+                        text.replaceFirst(
+                                "\"key_hashes\": \\[\\]",
+                                "\"key_hashes\": [\"" + KeyHash.ofKey(keys[i]).text() + "\"]");
+            }
+            keyValues.put(
+                    DocumentStore.key(ENVIRONMENT, Stage.PRODUCTION),
+                    JsonText.write(Map.of("text", text)));
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    // Operations
+
+    /** Lists the VMs of the targets, so that the entry connects to them. */
+    void listVms() {
+        List<VmRecord> vms = new ArrayList<>();
+        for (int i = 0; i < MODEL_TARGETS; i++) {
+            vms.add(target(1 + i, "lantern-lm"));
+        }
+        for (int i = 0; i < SERVICE_TARGETS; i++) {
+            vms.add(target(SERVICE_PORT + i, "booking"));
+        }
+        mTargets.vms(vms, mClock.nowMs());
+    }
+
+    private static VmRecord target(int port, String service) {
+        return new VmRecord(
+                VmId.of("vm-" + port),
+                ENVIRONMENT,
+                AvailabilityZoneId.of("dar-a"),
+                VmRecord.Role.TARGET,
+                ServiceId.of(service),
+                "127.0.0.1",
+                port,
+                VmRecord.State.LIVE);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        mTasks.add(task);
+    }
+
+    /** Runs what waits, then the tick of the entry. */
+    void tick() {
+        runTasks();
+        mFollower.tick();
+        mClaims.tick();
+        if (mFollower.configuration().isPresent()) {
+            long revision = mFollower.revision().number();
+            if (revision > mAppliedRevision) {
+                mAppliedRevision = revision;
+                mDesk.configured(configuration());
+            }
+            mTargets.dial(mClock.nowMs());
+            mDesk.tick();
+            mSteps.tick();
+        }
+        runTasks();
+    }
+
+    private void runTasks() {
+        for (Runnable task = mTasks.poll(); task != null; task = mTasks.poll()) {
+            task.run();
+        }
+    }
+
+    /** Returns a request for a route. */
+    RequestSpec spec(String id, String routeName, RequestClass requestClass, String key) {
+        Route route =
+                configuration().document().routes().stream()
+                        .filter(r -> r.name().value().equals(routeName))
+                        .findFirst()
+                        .orElseThrow();
+        boolean isKeyed = !key.isEmpty();
+        return new RequestSpec(
+                RequestId.of(id),
+                AccountId.of("box-office-dar"),
+                Optional.of(KeyHash.ofKey(KEY)),
+                route,
+                requestClass,
+                "POST",
+                "/holds",
+                isKeyed ? Map.of("idempotency-key", key) : Map.of(),
+                (isKeyed ? key : id).getBytes(StandardCharsets.UTF_8),
+                0,
+                5_000,
+                false,
+                WeightVersion.NONE,
+                key);
+    }
+
+    // Accessors
+
+    Configuration configuration() {
+        return mFollower.configuration().orElseThrow();
+    }
+
+    Follower follower() {
+        return mFollower;
+    }
+
+    RequestDesk desk() {
+        return mDesk;
+    }
+
+    StepDesk steps() {
+        return mSteps;
+    }
+
+    FakeSides sides() {
+        return mSides;
+    }
+
+    EntryLinks links() {
+        return mLinks;
+    }
+
+    /** Time that only a test moves. */
+    static final class Clock {
+        private long mNowMs = 1;
+
+        long nowMs() {
+            return mNowMs;
+        }
+
+        void advance(long ms) {
+            mNowMs += ms;
+        }
+    }
+
+    /** Draws how long a test's next step takes. */
+    static long pause(Random random) {
+        return random.nextInt(30);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/StepDeskTest.java
@@ -0,0 +1,211 @@
+package dev.cactusspan.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.config.EnvironmentDocument.Trainer;
+import dev.cactusspan.config.KeyHash;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TrainerId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.platform.FakeKeyValues;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.sample.StepSpec;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.weight.WeightBook;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Steps under lost replies, dead entries, take-overs, lost deliveries and new weights. */
+final class StepDeskTest {
+    private static final Lane LANE = new Lane(TrainerId.of("lantern-trainer-1"), 0);
+    private static final ServiceId MODEL = ServiceId.of("lantern-lm");
+    private static final long STALENESS_BOUND = 2;
+    private static final String[] KEYS = {"a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7"};
+
+    private EntryHarness.Clock mClock;
+    private FakeKeyValues mKeyValues;
+    private Random mRandom;
+    private FakeSides mSides;
+    private EntryHarness mEntry;
+    private long mActive;
+    private int mEntries;
+
+    private void start(long seed) {
+        mRandom = new Random(seed);
+        mClock = new EntryHarness.Clock();
+        mKeyValues = new FakeKeyValues(mRandom);
+        EntryHarness.putDocument(mKeyValues, KEYS);
+        mActive = 0;
+        raiseWeights();
+        newEntry();
+    }
+
+    private void raiseWeights() {
+        mActive++;
+        WeightVersion version = WeightVersion.of(mActive);
+        mKeyValues.put(
+                WeightStore.key(EntryHarness.ENVIRONMENT),
+                JsonText.write(WeightBook.EMPTY.raise(MODEL, version, version)));
+    }
+
+    private void newEntry() {
+        mSides = new FakeSides(mRandom);
+        mSides.version(mActive);
+        mEntry = new EntryHarness("e" + mEntries++, mKeyValues, mSides, mClock, mRandom.nextLong());
+        while (mEntry.follower().configuration().isEmpty()
+                || mEntry.follower().book().wanted(MODEL).active().number() == 0) {
+            turn();
+        }
+        mEntry.listVms();
+    }
+
+    private void turn() {
+        mKeyValues.step();
+        mSides.step();
+        mClock.advance(5);
+        mEntry.tick();
+    }
+
+    private void submit(StepSpec spec) {
+        Trainer trainer = mEntry.configuration().document().trainer(LANE.trainer()).orElseThrow();
+        mEntry.steps().submit(LANE, trainer, KeyHash.ofKey("a7"), spec, result -> {});
+    }
+
+    @Property(seed = "31", tries = 60)
+    void shouldDeliverEachSampleOnceAndFreshWhateverFails(@ForAll long seed) {
+        start(seed);
+        List<StepSpec.Group> groups = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            groups.add(new StepSpec.Group("prompt " + i, 6, 4));
+        }
+        StepSpec spec = new StepSpec(1, groups);
+        FakeTrainer trainer = new FakeTrainer();
+        mSides.faults(0.2);
+        mKeyValues.faults(0.1, 0.1);
+        int turns = 0;
+        while (!trainer.mIsComplete && turns < 60_000) {
+            turns++;
+            boolean isCalm = turns > 8_000;
+            if (isCalm) {
+                mSides.faults(0);
+                mKeyValues.faults(0, 0);
+            }
+            if (!isCalm && mRandom.nextInt(400) == 0) {
+                newEntry();
+                mSides.faults(0.2);
+                trainer.mIsWaiting = false;
+            }
+            if (!isCalm && mRandom.nextInt(300) == 0) {
+                raiseWeights();
+            }
+            if (mRandom.nextInt(100) == 0) {
+                mSides.version(mActive);
+            }
+            trainer.act(spec);
+            turn();
+        }
+        assertThat("complete after " + turns, trainer.mIsComplete, is(true));
+        assertThat(trainer.mSlots.size(), is(48));
+        assertThat(trainer.mDuplicates, is(0));
+    }
+
+    /** A trainer that loses some deliveries on the way, and asks again. */
+    private final class FakeTrainer implements DeliveryPoll.Reply {
+        private final Set<String> mSlots = new HashSet<>();
+        private long mAfter;
+        private int mDuplicates;
+        private int mPoll;
+        private boolean mIsWaiting;
+        private boolean mIsComplete;
+
+        void act(StepSpec spec) {
+            if (mIsWaiting) {
+                // Now and then the trainer gives up on a poll and asks again.
+                mIsWaiting = mRandom.nextInt(200) != 0;
+                return;
+            }
+            mIsWaiting = true;
+            submit(spec);
+            int poll = ++mPoll;
+            long nowMs = mClock.nowMs();
+            mEntry.steps()
+                    .poll(LANE, new DeliveryPoll(mAfter, nowMs + 50, nowMs + 500, only(poll)));
+        }
+
+        /** Takes replies to the present poll alone, as a trainer drops its earlier connections. */
+        private DeliveryPoll.Reply only(int poll) {
+            return new DeliveryPoll.Reply() {
+                @Override
+                public void deliver(byte[] body) {
+                    if (poll == mPoll) {
+                        FakeTrainer.this.deliver(body);
+                    }
+                }
+
+                @Override
+                public void none() {
+                    if (poll == mPoll) {
+                        FakeTrainer.this.none();
+                    }
+                }
+
+                @Override
+                public void complete(long step, long delivery) {
+                    if (poll == mPoll) {
+                        FakeTrainer.this.complete(step, delivery);
+                    }
+                }
+
+                @Override
+                public void fail(Failure failure) {
+                    if (poll == mPoll) {
+                        FakeTrainer.this.fail(failure);
+                    }
+                }
+            };
+        }
+
+        @Override
+        public void deliver(byte[] body) {
+            mIsWaiting = false;
+            if (mRandom.nextInt(4) == 0) {
+                return;
+            }
+            JsonNode delivery = JsonText.parse("d", new String(body, StandardCharsets.UTF_8)).get();
+            assertThat(delivery.get("delivery").asLong(), greaterThan(mAfter));
+            mAfter = delivery.get("delivery").asLong();
+            long active = mEntry.follower().book().wanted(MODEL).active().number();
+            for (JsonNode sample : delivery.get("samples")) {
+                String slot = sample.get("group") + "/" + sample.get("index");
+                mDuplicates += mSlots.add(slot) ? 0 : 1;
+                long version = sample.get("versions").get(0).get("version").asLong();
+                assertThat(active - version, lessThanOrEqualTo(STALENESS_BOUND));
+            }
+        }
+
+        @Override
+        public void none() {
+            mIsWaiting = false;
+        }
+
+        @Override
+        public void complete(long step, long delivery) {
+            mIsComplete = true;
+        }
+
+        @Override
+        public void fail(Failure failure) {
+            mIsWaiting = false;
+        }
+    }
+}
