--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -51,7 +51,7 @@
 {
   "environment": "kilimanjaro", "service": "$service", "target": "$service-$n", "vm": "vm-$n",
   "zone": "$zone", "ip": "127.0.0.1", "admin_port": $admin_port, "link_port": $link_port,
-  "target_url": "http://127.0.0.1:$target_port", "kind": "$kind", "slots": $slots, "drain_ms": 5000
+  "platform_url": "$PLATFORM", "target_url": "http://127.0.0.1:$target_port", "kind": "$kind", "slots": $slots, "drain_ms": 5000
 }
 EOF
     start "side-$n" "${JAVA_SMALL[@]}" -jar "$PRODUCT" side --settings "$RUN/side-$n.json"
--- a/cactusspan/src/main/java/dev/cactusspan/config/DocumentReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/config/DocumentReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.text.JsonText;
@@ -62,6 +63,11 @@
         unique("$.accounts", document.accounts(), a -> a.name(), problems);
         unique("$.routes", document.routes(), r -> r.name(), problems);
         unique("$.trainers", document.trainers(), t -> t.name(), problems);
+        unique(
+                "$.scaling",
+                document.scaling(),
+                s -> s.service() + " in " + s.availabilityZone(),
+                problems);
         List<Object> pools = new ArrayList<>();
         document.models().forEach(m -> pools.add(m.name()));
         document.services().forEach(s -> pools.add(s.name()));
@@ -73,6 +79,9 @@
         for (int i = 0; i < document.trainers().size(); i++) {
             checkTrainer(document, "$.trainers[" + i + "]", document.trainers().get(i), problems);
         }
+        for (int i = 0; i < document.scaling().size(); i++) {
+            checkScaling(document, "$.scaling[" + i + "]", document.scaling().get(i), problems);
+        }
         return problems;
     }
 
@@ -134,6 +143,34 @@
         }
     }
 
+    private static void checkScaling(
+            EnvironmentDocument document,
+            String path,
+            EnvironmentDocument.Scaling scaling,
+            List<String> problems) {
+        boolean isZone =
+                document.availabilityZones().stream()
+                        .anyMatch(z -> z.name().equals(scaling.availabilityZone()));
+        if (!isZone) {
+            problems.add(
+                    path
+                            + ".availability_zone: "
+                            + scaling.availabilityZone()
+                            + " is not declared");
+        }
+        if (!isPool(document, scaling.service())) {
+            problems.add(path + ".service: " + scaling.service() + " is not declared");
+        }
+        if (scaling.minTargets() > scaling.maxTargets()) {
+            problems.add(path + ".min_targets: is over max_targets");
+        }
+    }
+
+    private static boolean isPool(EnvironmentDocument document, ServiceId service) {
+        return document.model(service).isPresent()
+                || document.services().stream().anyMatch(s -> s.name().equals(service));
+    }
+
     private static void checkTrainer(
             EnvironmentDocument document,
             String path,
--- a/cactusspan/src/main/java/dev/cactusspan/config/EnvironmentDocument.java
+++ b/cactusspan/src/main/java/dev/cactusspan/config/EnvironmentDocument.java
@@ -20,6 +20,7 @@
  * @param services services whose targets are plain services
  * @param accounts the client accounts
  * @param routes who may call what
+ * @param scaling how many targets each service may have
  * @param trainers the trainers
  * @param bounds bounds for all requests
  */
@@ -30,9 +31,15 @@
         List<Service> services,
         List<Account> accounts,
         List<Route> routes,
+        List<Scaling> scaling,
         List<Trainer> trainers,
         Bounds bounds) {
 
+    /** Fills in absent parts. */
+    public EnvironmentDocument {
+        scaling = scaling == null ? List.of() : scaling;
+    }
+
     /**
      * Finds a client account.
      *
@@ -182,6 +189,20 @@
         }
     }
 
+    /**
+     * How many targets a service may have in an availability zone.
+     *
+     * @param service the model or service
+     * @param availabilityZone the availability zone
+     * @param minTargets targets at least
+     * @param maxTargets targets at most
+     */
+    public record Scaling(
+            ServiceId service,
+            AvailabilityZoneId availabilityZone,
+            int minTargets,
+            int maxTargets) {}
+
     /**
      * A trainer.
      *
@@ -207,6 +228,7 @@
      * @param requestDeadlineMs deadline of a request without one of its own
      * @param claimTtlS how long a claim is kept
      * @param configAgeMs age of the configuration at which keyed routes are refused
+     * @param usageWindowS length of a usage window
      * @param retries further tries of one request
      * @param retryBudgetPercent retries allowed for each hundred requests
      */
@@ -216,6 +238,14 @@
             long requestDeadlineMs,
             long claimTtlS,
             long configAgeMs,
+            long usageWindowS,
             int retries,
-            int retryBudgetPercent) {}
+            int retryBudgetPercent) {
+        private static final long DEFAULT_USAGE_WINDOW_S = 60;
+
+        /** Fills in the values of absent fields. */
+        public Bounds {
+            usageWindowS = usageWindowS == 0 ? DEFAULT_USAGE_WINDOW_S : usageWindowS;
+        }
+    }
 }
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/DutyDesk.java
@@ -0,0 +1,148 @@
+package dev.cactusspan.entry;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.id.DutyId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.lease.DutyLease;
+import dev.cactusspan.lease.LeaseRecord;
+import dev.cactusspan.lease.LeaseTimes;
+import dev.cactusspan.membership.Rendezvous;
+import dev.cactusspan.membership.VmRecord;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.Replies;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * Takes leases of duties and runs what is held. Two entries of each duty, by rendezvous hashing,
+ * stand for it; so duties spread over all entries and few of them read each lease.
+ */
+final class DutyDesk {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final int CANDIDATES = 2;
+
+    private final EnvironmentId mEnvironment;
+    private final VmId mSelf;
+    private final String mOwner;
+    private final KeyValueService mKeyValues;
+    private final Executor mThread;
+    private final LeaseTimes mTimes;
+    private final LongSupplier mNowMs;
+    private final Map<DutyId, Holding> mHoldings = new TreeMap<>();
+    private List<VmRecord> mEntries = List.of();
+
+    DutyDesk(
+            EnvironmentId environment,
+            VmId self,
+            String owner,
+            KeyValueService keyValues,
+            Executor thread,
+            LeaseTimes times,
+            LongSupplier nowMs) {
+        mEnvironment = environment;
+        mSelf = self;
+        mOwner = owner;
+        mKeyValues = keyValues;
+        mThread = thread;
+        mTimes = times;
+        mNowMs = nowMs;
+    }
+
+    // Operations
+
+    /** Adds a duty, if it is not there. */
+    void add(Duty duty) {
+        mHoldings.computeIfAbsent(
+                duty.id(), id -> new Holding(duty, new DutyLease(mOwner, mTimes)));
+        rank();
+    }
+
+    boolean contains(DutyId duty) {
+        return mHoldings.containsKey(duty);
+    }
+
+    /** Tells whether this entry stands for a duty. */
+    boolean isCandidate(DutyId duty) {
+        return isRanked(duty);
+    }
+
+    void entries(List<VmRecord> entries) {
+        mEntries = entries;
+        rank();
+    }
+
+    private void rank() {
+        mHoldings.forEach((id, holding) -> holding.mLease.candidate(isRanked(id)));
+    }
+
+    private boolean isRanked(DutyId duty) {
+        boolean isListed = mEntries.stream().anyMatch(e -> e.vm().equals(mSelf));
+        return isListed && Rendezvous.rank(duty.value(), mSelf, mEntries) < CANDIDATES;
+    }
+
+    void tick() {
+        for (Holding holding : mHoldings.values()) {
+            step(holding);
+            boolean isHeld = holding.now().isPresent();
+            if (isHeld != holding.mWasHeld) {
+                holding.mWasHeld = isHeld;
+                sLog.atInfo().log(
+                        "duty %s is %s (%s)",
+                        holding.mDuty.id(), isHeld ? "held" : "not held", holding.now());
+            }
+            if (isHeld) {
+                holding.mDuty.tick(holding::now, mNowMs.getAsLong());
+            }
+        }
+    }
+
+    private void step(Holding holding) {
+        DutyLease lease = holding.mLease;
+        Optional<DutyLease.Step> step = lease.next(mNowMs.getAsLong());
+        if (step.isEmpty()) {
+            return;
+        }
+        String key = LeaseRecord.key(mEnvironment, holding.mDuty.id());
+        if (step.get() instanceof DutyLease.Step.Write write) {
+            Replies.on(
+                    mKeyValues.compareAndSwap(key, write.expectedVersion(), write.value()),
+                    mThread,
+                    r -> lease.onWritten(r, mNowMs.getAsLong()));
+            return;
+        }
+        Replies.on(mKeyValues.get(key), mThread, r -> lease.onRead(r, mNowMs.getAsLong()));
+    }
+
+    /** Gives all duties up, so that successors need not wait. */
+    void release() {
+        mHoldings.values().forEach(holding -> holding.mLease.release());
+    }
+
+    /** Lists the duties that are held. */
+    List<DutyId> held() {
+        return mHoldings.values().stream()
+                .filter(h -> h.now().isPresent())
+                .map(h -> h.mDuty.id())
+                .toList();
+    }
+
+    private final class Holding {
+        private final Duty mDuty;
+        private final DutyLease mLease;
+        private boolean mWasHeld;
+
+        Holding(Duty duty, DutyLease lease) {
+            mDuty = duty;
+            mLease = lease;
+        }
+
+        Optional<dev.cactusspan.id.FencingNumber> now() {
+            return mLease.held(mNowMs.getAsLong());
+        }
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryLinks.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryLinks.java
@@ -16,6 +16,7 @@
     private final long mIncarnation;
     private final Executor mThread;
     private final TargetDirectory mTargets;
+    private final PeerDirectory mPeers;
     private final RequestDesk mDesk;
     private final Follower mFollower;
     private final LongSupplier mNowMs;
@@ -25,6 +26,7 @@
             long incarnation,
             Executor thread,
             TargetDirectory targets,
+            PeerDirectory peers,
             RequestDesk desk,
             Follower follower,
             LongSupplier nowMs) {
@@ -32,6 +34,7 @@
         mIncarnation = incarnation;
         mThread = thread;
         mTargets = targets;
+        mPeers = peers;
         mDesk = desk;
         mFollower = follower;
         mNowMs = nowMs;
@@ -64,6 +67,14 @@
             greeted(link, hello);
             return;
         }
+        if (message instanceof Message.EntryHello hello) {
+            greeted(link, hello);
+            return;
+        }
+        if (mPeers.isPeer(link)) {
+            handlePeer(link, message);
+            return;
+        }
         Optional<TargetLink> target = mTargets.target(link);
         if (target.isEmpty()) {
             link.close("expected a greeting first");
@@ -88,6 +99,24 @@
         }
     }
 
+    private void handlePeer(Link link, Message message) {
+        if (message instanceof Message.Heartbeat beat) {
+            mPeers.beat(link, beat);
+        } else if (message instanceof Message.News news) {
+            mPeers.news(link, news);
+        } else {
+            link.close("unexpected " + message.getClass().getSimpleName());
+        }
+    }
+
+    private void greeted(Link link, Message.EntryHello hello) {
+        if (!hello.environment().equals(mSettings.environment())) {
+            link.close("entry serves environment " + hello.environment());
+            return;
+        }
+        mPeers.greeted(link, hello);
+    }
+
     private void greeted(Link link, Message.SideHello hello) {
         if (!mTargets.greeted(link, hello)) {
             link.close("not a target of environment " + mSettings.environment());
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -6,18 +6,23 @@
 import dev.cactusspan.config.EnvironmentDocument;
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.DutyId;
 import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.Revision;
+import dev.cactusspan.lease.LeaseTimes;
 import dev.cactusspan.limit.AccountLimiter;
 import dev.cactusspan.link.DutyThread;
 import dev.cactusspan.link.LinkReactor;
 import dev.cactusspan.link.LinkSettings;
+import dev.cactusspan.membership.FreshnessRule;
 import dev.cactusspan.membership.SubsetChooser;
 import dev.cactusspan.membership.VmRecord;
 import dev.cactusspan.observe.AdminServer;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.platform.HttpKeyValueService;
 import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.platform.TargetClient;
+import dev.cactusspan.platform.UsageClient;
 import dev.cactusspan.platform.VmListClient;
 import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
@@ -42,6 +47,7 @@
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
     private static final int RING_TASKS = 16_384;
     private static final long TICK_MS = 20;
+    private static final FreshnessRule FRESHNESS = FreshnessRule.unlessPlatformIsDown();
     private static final long VM_LIST_MS = 2_000;
     private static final long BACKOFF_BASE_MS = 20;
     private static final long BACKOFF_MAX_MS = 1_000;
@@ -58,6 +64,10 @@
     private final ClaimService mClaims;
     private final RequestDesk mDesk;
     private final StepDesk mSteps;
+    private final PeerDirectory mPeers;
+    private final UsageMeter mMeter;
+    private final DutyDesk mDuties;
+    private final DutyFactory mDutyFactory;
     private final EntryLinks mFrames;
     private final Undertow mServer;
     private final AdminServer mAdmin;
@@ -88,10 +98,24 @@
         mFollower = new Follower(settings, keyValues, mThread, EntryProcess::nowMs, random.split());
         mLinks =
                 new LinkReactor(
-                        LinkSettings.STANDARD, mFollower::revision, () -> new Message.Heartbeat(0));
+                        LinkSettings.STANDARD,
+                        mFollower::revision,
+                        () -> new Message.Heartbeat(0, false));
         Backoff dialBackoff = new Backoff(DIAL_BASE_MS, DIAL_MAX_MS, random.split());
         SubsetChooser subset = new SubsetChooser(settings.linksPerTarget());
         mTargets = new TargetDirectory(settings, mLinks, subset, dialBackoff);
+        mPeers =
+                new PeerDirectory(
+                        settings,
+                        mLinks,
+                        new Backoff(DIAL_BASE_MS, DIAL_MAX_MS, random.split()),
+                        mFollower,
+                        EntryProcess::nowMs);
+        mMeter =
+                new UsageMeter(
+                        settings.environment(), owner(), keyValues, mThread, EntryProcess::nowMs);
+        mDuties = newDuties(keyValues);
+        mDutyFactory = newDutyFactory(keyValues);
         mClaims = newClaims(keyValues, telemetry);
         mDesk = newDesk(telemetry, random);
         mSteps = newSteps(keyValues, telemetry);
@@ -101,6 +125,7 @@
                         mIncarnation,
                         mThread,
                         mTargets,
+                        mPeers,
                         mDesk,
                         mFollower,
                         EntryProcess::nowMs);
@@ -123,6 +148,29 @@
         return mSettings.vm() + "-" + Long.toHexString(mIncarnation);
     }
 
+    private DutyDesk newDuties(KeyValueService keyValues) {
+        return new DutyDesk(
+                mSettings.environment(),
+                mSettings.vm(),
+                owner(),
+                keyValues,
+                mThread,
+                LeaseTimes.STANDARD,
+                EntryProcess::nowMs);
+    }
+
+    private DutyFactory newDutyFactory(KeyValueService keyValues) {
+        return new DutyFactory(
+                mSettings.environment(),
+                keyValues,
+                new UsageClient(mHttp, mSettings.platformUrl()),
+                new TargetClient(mHttp, mSettings.platformUrl()),
+                mThread,
+                mTargets,
+                System::currentTimeMillis,
+                this::current);
+    }
+
     private ClaimService newClaims(KeyValueService keyValues, Telemetry telemetry) {
         return new ClaimService(
                 mSettings.environment(),
@@ -140,6 +188,7 @@
                 new AccountLimiter(),
                 new CostRouter(RoutingCosts.STANDARD, this::distance, random.split()),
                 new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random.split()),
+                mMeter,
                 telemetry,
                 this::current,
                 EntryProcess::nowMs);
@@ -176,7 +225,9 @@
      */
     public void start() throws IOException {
         mThread.start(this::tick);
+        mTargets.watched(vm -> mDuties.isCandidate(DutyId.targets(vm.service(), vm.zone())));
         mLinks.start(mFrames);
+        mLinks.listen(new InetSocketAddress(mSettings.ip(), mSettings.linkPort()));
         mAdmin.start();
         mServer.start();
         sLog.atInfo().log("entry %s listens for callers on port %d", mSettings.vm(), port());
@@ -185,7 +236,11 @@
     /** Stops gracefully: refuses new requests, and waits for those in progress. */
     public void drain() {
         mIsDraining = true;
-        mThread.execute(mDesk::drain);
+        mThread.execute(
+                () -> {
+                    mDesk.drain();
+                    mDuties.release();
+                });
         try {
             if (!mDrained.await(mSettings.drainMs(), TimeUnit.MILLISECONDS)) {
                 sLog.atWarning().log("drain took longer than %d ms", mSettings.drainMs());
@@ -208,10 +263,13 @@
         }
         apply(configuration.get());
         long boundMs = configuration.get().document().bounds().configAgeMs();
-        mIsFresh = mFollower.ageMs() <= boundMs;
+        mIsFresh = FRESHNESS.isFresh(mPeers.knowledge(boundMs), boundMs);
+        mPeers.tick();
+        mMeter.tick();
+        mDuties.tick();
         mDesk.tick();
         mSteps.tick();
-        if (mIsDraining && mDesk.isIdle()) {
+        if (mIsDraining && mDesk.isIdle() && mMeter.isFlushed()) {
             mDrained.countDown();
         }
     }
@@ -235,6 +293,8 @@
                 vms -> {
                     mTargets.vms(vms, nowMs());
                     mDesk.limitShare(1.0 / Math.max(1, mTargets.entries().size()));
+                    mDuties.entries(mTargets.entries());
+                    mFollower.configuration().ifPresent(c -> mPeers.entries(mTargets.entries(), c));
                     return null;
                 });
     }
@@ -244,11 +304,15 @@
         if (configuration.revision().isAfter(mApplied)) {
             mApplied = configuration.revision();
             mDesk.configured(configuration);
+            mDutyFactory.addAll(mDuties);
+            mPeers.learned();
+            mPeers.entries(mTargets.entries(), configuration);
         }
         WeightBook book = mFollower.book();
         if (!book.equals(mAppliedBook)) {
             mAppliedBook = book;
             mFrames.wanted(book);
+            mPeers.learned();
         }
     }
 
@@ -296,7 +360,8 @@
                 mIsDraining,
                 mTargetCount,
                 mDesk.size(),
-                mFollower.book());
+                mFollower.book(),
+                mDuties.held());
     }
 
     private static long nowMs() {
@@ -319,5 +384,6 @@
             boolean draining,
             int targets,
             int pendingRequests,
-            WeightBook weights) {}
+            WeightBook weights,
+            List<DutyId> duties) {}
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/Follower.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/Follower.java
@@ -10,8 +10,13 @@
 import dev.cactusspan.result.Result;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.text.Gzip;
 import dev.cactusspan.text.JsonText;
 import dev.cactusspan.weight.WeightBook;
+import dev.cactusspan.wire.Message;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
@@ -23,11 +28,14 @@
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
     private static final long BACKOFF_BASE_MS = 100;
     private static final long BACKOFF_MAX_MS = 2_000;
+    private static final int MAX_VALUE_BYTES = 1 << 20;
 
     private final KeyWatcher mDocument;
     private final KeyWatcher mWeights;
     private final AtomicReference<Optional<Configuration>> mConfiguration =
             new AtomicReference<>(Optional.empty());
+    private final Map<Message.News.Subject, Message.News> mNews =
+            new EnumMap<>(Message.News.Subject.class);
     private final AtomicReference<WeightBook> mBook = new AtomicReference<>(WeightBook.EMPTY);
 
     Follower(
@@ -63,6 +71,7 @@
     }
 
     private void document(KeyValueService.Entry entry) {
+        keep(Message.News.Subject.DOCUMENT, entry);
         Result<StoredDocument> stored = DocumentStore.decode(entry);
         stored.flatMap(Configuration::of)
                 .fold(
@@ -80,6 +89,7 @@
     }
 
     private void weights(KeyValueService.Entry entry) {
+        keep(Message.News.Subject.WEIGHTS, entry);
         JsonText.read(entry.value(), WeightBook.class)
                 .fold(
                         failure -> {
@@ -92,11 +102,55 @@
                         });
     }
 
-    /** Asks for the wanted weights at once, after this process raised them. */
+    /** Takes the wanted weights at once, after this process raised them. */
     void took(KeyValueService.Entry weights) {
         mWeights.take(weights);
     }
 
+    /** Takes a value from another entry; tells whether it was newer. */
+    boolean took(Message.News news) {
+        KeyWatcher watcher = watcher(news.subject());
+        if (news.version() <= watcher.version()) {
+            return false;
+        }
+        return Gzip.expand(news.value(), MAX_VALUE_BYTES)
+                .map(value -> new KeyValueService.Entry(news.version(), value))
+                .fold(
+                        failure -> false,
+                        entry -> {
+                            watcher.take(entry);
+                            return true;
+                        });
+    }
+
+    private KeyWatcher watcher(Message.News.Subject subject) {
+        return switch (subject) {
+            case DOCUMENT -> mDocument;
+            case WEIGHTS -> mWeights;
+        };
+    }
+
+    /** Notes that another entry knew at a time that there was nothing newer than what it told. */
+    void confirm(long confirmedMs, Map<Message.News.Subject, Long> told) {
+        told.forEach((subject, version) -> watcher(subject).confirm(version, confirmedMs));
+    }
+
+    /** Switches between watching the platform and being told by other entries. */
+    void activate(boolean isActive) {
+        mDocument.activate(isActive);
+        mWeights.activate(isActive);
+    }
+
+    /** Returns what this entry knows, as news for other entries. */
+    List<Message.News> news() {
+        return List.copyOf(mNews.values());
+    }
+
+    private void keep(Message.News.Subject subject, KeyValueService.Entry entry) {
+        byte[] value = Gzip.compress(entry.value());
+        mNews.put(subject, new Message.News(subject, entry.version(), value));
+    }
+
     // Accessors
 
     /** Returns the configuration in force, on any thread. */
--- a/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
@@ -40,6 +40,7 @@
     private final AccountLimiter mLimiter;
     private final Router mRouter;
     private final Backoff mBackoff;
+    private final UsageMeter mMeter;
     private final Telemetry mTelemetry;
     private final Supplier<Configuration> mConfiguration;
     private final LongSupplier mNowMs;
@@ -54,6 +55,7 @@
             AccountLimiter limiter,
             Router router,
             Backoff backoff,
+            UsageMeter meter,
             Telemetry telemetry,
             Supplier<Configuration> configuration,
             LongSupplier nowMs) {
@@ -62,6 +64,7 @@
         mLimiter = limiter;
         mRouter = router;
         mBackoff = backoff;
+        mMeter = meter;
         mTelemetry = telemetry;
         mConfiguration = configuration;
         mNowMs = nowMs;
@@ -221,6 +224,9 @@
         }
         mClaims.recorder(request).ifPresent(ClaimRecorder::keep);
         request.sink().end(end.labels());
+        if (request.isLimited()) {
+            mMeter.count(request.spec().account(), end.answerBytes());
+        }
         over(request, "answered");
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.entry;
 
 import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
@@ -20,6 +21,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /** The targets that this entry connects to, by the VM list and the greetings of side processes. */
@@ -32,6 +34,7 @@
     private final Backoff mBackoff;
     private final Map<VmId, Dial> mDials = new HashMap<>();
     private final Map<Link, TargetLink> mTargets = new HashMap<>();
+    private Predicate<VmRecord> mIsWatched = vm -> false;
     private List<VmRecord> mVms = List.of();
     private Set<VmId> mLeaving = Set.of();
 
@@ -44,6 +47,11 @@
 
     // Operations
 
+    /** Sets which targets this entry connects to for a duty, besides those of its subset. */
+    void watched(Predicate<VmRecord> isWatched) {
+        mIsWatched = isWatched;
+    }
+
     /** Takes a new VM list; links to VMs that are no longer chosen are kept while they work. */
     void vms(List<VmRecord> vms, long nowMs) {
         mVms = vms;
@@ -55,7 +63,10 @@
         Set<VmId> wanted = new HashSet<>();
         for (VmRecord vm : vms) {
             boolean isTarget = vm.role() == VmRecord.Role.TARGET && vm.isLive();
-            boolean isChosen = self.isEmpty() || mSubset.isChosen(self.get(), vm, entries);
+            boolean isChosen =
+                    self.isEmpty()
+                            || mIsWatched.test(vm)
+                            || mSubset.isChosen(self.get(), vm, entries);
             if (isTarget && isChosen) {
                 wanted.add(vm.vm());
                 mDials.computeIfAbsent(vm.vm(), v -> new Dial()).mVm = vm;
@@ -135,6 +146,22 @@
         return mLeaving.contains(target.hello().vm());
     }
 
+    /** Returns the connected targets of a service in an availability zone. */
+    List<TargetLink> of(ServiceId service, AvailabilityZoneId zone) {
+        return mTargets.values().stream()
+                .filter(t -> t.service().equals(service) && t.hello().zone().equals(zone))
+                .toList();
+    }
+
+    /** Returns how many targets of a service in an availability zone are listed and live. */
+    int listed(ServiceId service, AvailabilityZoneId zone) {
+        return (int)
+                mVms.stream()
+                        .filter(v -> v.role() == VmRecord.Role.TARGET && v.isLive())
+                        .filter(v -> v.service().equals(service) && v.zone().equals(zone))
+                        .count();
+    }
+
     /** Returns the live entries of the VM list. */
     List<VmRecord> entries() {
         return mVms.stream().filter(v -> v.role() == VmRecord.Role.ENTRY && v.isLive()).toList();
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetsDuty.java
@@ -0,0 +1,224 @@
+package dev.cactusspan.entry;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.config.EnvironmentDocument.Scaling;
+import dev.cactusspan.id.DutyId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.platform.TargetInterface;
+import dev.cactusspan.platform.TargetOrder;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.scaling.ScalingBounds;
+import dev.cactusspan.scaling.ScalingPolicy;
+import dev.cactusspan.scaling.TargetDemand;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.wire.Message;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+
+/**
+ * Starts and stops the targets of a service in an availability zone. Each order is recorded before
+ * it is given; one that is recorded and not acknowledged is given again under the same number. A
+ * target is stopped only when it has left and is idle.
+ */
+final class TargetsDuty implements Duty {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final long LOOK_MS = 1_000;
+
+    private final EnvironmentId mEnvironment;
+    private final DutyId mId;
+    private final Supplier<Optional<Scaling>> mScaling;
+    private final TargetDirectory mTargets;
+    private final ScalingPolicy mPolicy;
+    private final KeyValueService mKeyValues;
+    private final TargetInterface mInterface;
+    private final Executor mThread;
+    private Optional<TargetLink> mLeaving = Optional.empty();
+    private boolean mIsBusy;
+    private long mNextMs;
+
+    TargetsDuty(
+            EnvironmentId environment,
+            DutyId id,
+            Supplier<Optional<Scaling>> scaling,
+            TargetDirectory targets,
+            ScalingPolicy policy,
+            KeyValueService keyValues,
+            TargetInterface targetInterface,
+            Executor thread) {
+        mEnvironment = environment;
+        mId = id;
+        mScaling = scaling;
+        mTargets = targets;
+        mPolicy = policy;
+        mKeyValues = keyValues;
+        mInterface = targetInterface;
+        mThread = thread;
+    }
+
+    @Override
+    public DutyId id() {
+        return mId;
+    }
+
+    @Override
+    public void tick(Held held, long nowMs) {
+        if (mIsBusy || nowMs < mNextMs || mScaling.get().isEmpty()) {
+            return;
+        }
+        mNextMs = nowMs + LOOK_MS;
+        mIsBusy = true;
+        Replies.on(mKeyValues.get(key()), mThread, r -> looked(held, nowMs, r));
+    }
+
+    private String key() {
+        return "orders/" + mEnvironment + "/" + mId;
+    }
+
+    private void looked(Held held, long nowMs, Result<Optional<KeyValueService.Entry>> result) {
+        Result<Stored> stored = result.flatMap(TargetsDuty::stored);
+        Optional<Scaling> scaling = mScaling.get();
+        if (!stored.isOk() || scaling.isEmpty() || held.now().isEmpty()) {
+            mIsBusy = false;
+            return;
+        }
+        if (!stored.get().intent().isDone()) {
+            give(held, stored.get());
+            return;
+        }
+        decide(held, scaling.get(), stored.get(), nowMs);
+    }
+
+    private static Result<Stored> stored(Optional<KeyValueService.Entry> entry) {
+        if (entry.isEmpty()) {
+            return Result.of(new Stored(0, Intent.NONE));
+        }
+        return JsonText.read(entry.get().value(), Intent.class)
+                .map(intent -> new Stored(entry.get().version(), intent));
+    }
+
+    // Deciding
+
+    private void decide(Held held, Scaling scaling, Stored stored, long nowMs) {
+        List<TargetLink> targets = mTargets.of(scaling.service(), scaling.availabilityZone());
+        List<TargetLink> serving = targets.stream().filter(TargetLink::isUsable).toList();
+        int starting =
+                mTargets.listed(scaling.service(), scaling.availabilityZone()) - targets.size();
+        int requests =
+                serving.stream().mapToInt(t -> t.load().inFlight() + t.load().queued()).sum();
+        int slots = serving.stream().mapToInt(t -> t.load().slots()).max().orElse(1);
+        TargetDemand demand =
+                new TargetDemand(serving.size(), Math.max(0, starting), requests, slots);
+        ScalingBounds bounds = new ScalingBounds(scaling.minTargets(), scaling.maxTargets());
+        int wanted = mPolicy.wanted(demand, bounds, nowMs);
+        int present = demand.targets() + demand.starting();
+        if (wanted > present) {
+            record(held, scaling, stored, TargetOrder.Kind.START, VmId.of(""));
+            return;
+        }
+        if (mLeaving.isPresent()) {
+            stopLeft(held, scaling, stored);
+            return;
+        }
+        if (wanted < present) {
+            leave(held, serving);
+        }
+        mIsBusy = false;
+    }
+
+    /** Asks the least loaded target to leave; it is stopped once it is idle. */
+    private void leave(Held held, List<TargetLink> serving) {
+        Optional<FencingNumber> fencing = held.now();
+        Optional<TargetLink> least =
+                serving.stream().min(Comparator.comparingInt(t -> t.load().inFlight()));
+        if (fencing.isPresent() && least.isPresent()) {
+            mLeaving = least;
+            least.get().link().send(new Message.Leave(mId, fencing.get()));
+        }
+    }
+
+    private void stopLeft(Held held, Scaling scaling, Stored stored) {
+        TargetLink target = mLeaving.orElseThrow();
+        Message.Load load = target.load();
+        boolean isIdle = load.leaving() && load.inFlight() == 0 && load.queued() == 0;
+        if (isIdle) {
+            mLeaving = Optional.empty();
+            record(held, scaling, stored, TargetOrder.Kind.STOP, target.hello().vm());
+            return;
+        }
+        if (!mTargets.targets().contains(target)) {
+            mLeaving = Optional.empty();
+        }
+        mIsBusy = false;
+    }
+
+    // Ordering
+
+    private void record(Held held, Scaling scaling, Stored stored, TargetOrder.Kind kind, VmId vm) {
+        Optional<FencingNumber> fencing = held.now();
+        if (fencing.isEmpty()) {
+            mIsBusy = false;
+            return;
+        }
+        TargetOrder order =
+                new TargetOrder(
+                        scaling.service(),
+                        scaling.availabilityZone(),
+                        stored.intent().sequence() + 1,
+                        kind,
+                        vm,
+                        fencing.get());
+        Intent intent = new Intent(order, false);
+        Replies.on(
+                mKeyValues.compareAndSwap(key(), stored.version(), JsonText.write(intent)),
+                mThread,
+                r -> {
+                    if (!r.isOk()) {
+                        mIsBusy = false;
+                        return;
+                    }
+                    give(held, new Stored(r.get(), intent));
+                });
+    }
+
+    /** Gives a recorded order; whether the duty is held is asked directly before it is sent. */
+    private void give(Held held, Stored stored) {
+        Optional<FencingNumber> fencing = held.now();
+        if (fencing.isEmpty()) {
+            mIsBusy = false;
+            return;
+        }
+        TargetOrder order = stored.intent().order().under(fencing.get());
+        Replies.on(mInterface.give(order), mThread, r -> given(stored, r));
+    }
+
+    private void given(Stored stored, Result<Boolean> result) {
+        if (!result.getOrElse(false)) {
+            mIsBusy = false;
+            return;
+        }
+        sLog.atInfo().log("order %s is given", stored.intent().order());
+        Intent done = new Intent(stored.intent().order(), true);
+        Replies.on(
+                mKeyValues.compareAndSwap(key(), stored.version(), JsonText.write(done)),
+                mThread,
+                r -> mIsBusy = false);
+    }
+
+    private record Stored(long version, Intent intent) {}
+
+    /** An order as recorded; no order at all counts as done. */
+    private record Intent(TargetOrder order, boolean isDone) {
+        static final Intent NONE = new Intent(null, true);
+
+        long sequence() {
+            return order == null ? 0 : order.sequence();
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/UsageMeter.java
@@ -0,0 +1,107 @@
+package dev.cactusspan.entry;
+
+import com.google.common.hash.Hashing;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.usage.AccountUsage;
+import dev.cactusspan.usage.UsageShard;
+import dev.cactusspan.usage.UsageTotals;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * Counts what client accounts used at this entry and writes the totals to a shard in the key-value
+ * service. What was counted since the last write is lost if the entry dies.
+ */
+final class UsageMeter {
+    /** Keys that entries write their totals to. */
+    static final int SHARDS = 16;
+
+    private static final long FLUSH_MS = 2_000;
+
+    private final KeyValueService mKeyValues;
+    private final Executor mThread;
+    private final LongSupplier mNowMs;
+    private final String mSource;
+    private final String mKey;
+    private UsageTotals mTotals = UsageTotals.EMPTY;
+    private UsageTotals mFlushed = UsageTotals.EMPTY;
+    private boolean mIsFlushing;
+    private long mNextMs;
+
+    UsageMeter(
+            EnvironmentId environment,
+            String source,
+            KeyValueService keyValues,
+            Executor thread,
+            LongSupplier nowMs) {
+        mKeyValues = keyValues;
+        mThread = thread;
+        mNowMs = nowMs;
+        mSource = source;
+        int hash = Hashing.murmur3_32_fixed().hashString(source, StandardCharsets.UTF_8).asInt();
+        mKey = key(environment, Math.floorMod(hash, SHARDS));
+    }
+
+    static String key(EnvironmentId environment, int shard) {
+        return "usage/" + environment + "/counters/" + shard;
+    }
+
+    // Operations
+
+    void count(AccountId account, long answerBytes) {
+        mTotals = mTotals.plus(account, new AccountUsage(1, answerBytes));
+    }
+
+    void tick() {
+        boolean isChanged = !mTotals.equals(mFlushed);
+        if (mIsFlushing || !isChanged || mNowMs.getAsLong() < mNextMs) {
+            return;
+        }
+        flush();
+    }
+
+    private void flush() {
+        mIsFlushing = true;
+        mNextMs = mNowMs.getAsLong() + FLUSH_MS;
+        Replies.on(mKeyValues.get(mKey), mThread, this::read);
+    }
+
+    private void read(Result<Optional<KeyValueService.Entry>> result) {
+        if (!result.isOk()) {
+            mIsFlushing = false;
+            return;
+        }
+        Optional<KeyValueService.Entry> entry = result.get();
+        Result<UsageShard> shard =
+                entry.map(e -> JsonText.read(e.value(), UsageShard.class))
+                        .orElse(Result.of(UsageShard.EMPTY));
+        if (!shard.isOk()) {
+            mIsFlushing = false;
+            return;
+        }
+        UsageTotals totals = mTotals;
+        byte[] value = JsonText.write(shard.get().with(mSource, totals));
+        long version = entry.map(KeyValueService.Entry::version).orElse(0L);
+        Replies.on(
+                mKeyValues.compareAndSwap(mKey, version, value), mThread, r -> written(r, totals));
+    }
+
+    private void written(Result<Long> result, UsageTotals totals) {
+        mIsFlushing = false;
+        if (result.isOk()) {
+            mFlushed = totals;
+        }
+    }
+
+    /** Tells whether all that was counted is durable. */
+    boolean isFlushed() {
+        return mTotals.equals(mFlushed);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/membership/FanOutTree.java
@@ -0,0 +1,53 @@
+package dev.cactusspan.membership;
+
+import dev.cactusspan.id.VmId;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Two trees over the entries of a region, along which news and freshness travel. Each entry has a
+ * parent in each tree; the roots watch the platform. As the two orders differ, losing one entry
+ * rarely costs another entry both its parents.
+ */
+public final class FanOutTree {
+    private static final int FAN_OUT = 8;
+    private static final List<String> KEYS = List.of("tree-a", "tree-b");
+
+    private FanOutTree() {}
+
+    /**
+     * Returns the parents of an entry.
+     *
+     * @param self the entry
+     * @param entries live entries of its region, itself among them
+     * @return up to two parents; none if it is a root of both trees
+     */
+    public static List<VmId> parents(VmId self, List<VmRecord> entries) {
+        List<VmId> parents = new ArrayList<>();
+        for (String key : KEYS) {
+            List<VmId> order = Rendezvous.order(key, entries);
+            int index = order.indexOf(self);
+            if (index <= 0) {
+                continue;
+            }
+            VmId parent = order.get((index - 1) / FAN_OUT);
+            if (!parents.contains(parent)) {
+                parents.add(parent);
+            }
+        }
+        return parents;
+    }
+
+    /**
+     * Returns the roots, which watch the platform.
+     *
+     * @param entries live entries of a region
+     * @return one or two roots, none without entries
+     */
+    public static List<VmId> roots(List<VmRecord> entries) {
+        return KEYS.stream()
+                .flatMap(key -> Rendezvous.order(key, entries).stream().limit(1))
+                .distinct()
+                .toList();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/membership/SubsetChooser.java
+++ b/cactusspan/src/main/java/dev/cactusspan/membership/SubsetChooser.java
@@ -1,9 +1,5 @@
 package dev.cactusspan.membership;
 
-import com.google.common.hash.Hashing;
-import dev.cactusspan.id.VmId;
-import java.nio.charset.StandardCharsets;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -37,34 +33,15 @@
             return true;
         }
         boolean isNear = entry.zone().equals(target.zone());
-        if (isNear && rank(entry, target, near(target, entries)) < mLinksPerTarget / 2) {
+        String key = target.vm().value();
+        int nearLinks = mLinksPerTarget / 2;
+        if (isNear && Rendezvous.rank(key, entry.vm(), near(target, entries)) < nearLinks) {
             return true;
         }
-        return rank(entry, target, entries) < mLinksPerTarget - mLinksPerTarget / 2;
+        return Rendezvous.rank(key, entry.vm(), entries) < mLinksPerTarget - nearLinks;
     }
 
     private static List<VmRecord> near(VmRecord target, List<VmRecord> entries) {
         return entries.stream().filter(e -> e.zone().equals(target.zone())).toList();
     }
-
-    private static long rank(VmRecord entry, VmRecord target, List<VmRecord> entries) {
-        long own = score(entry.vm(), target.vm());
-        return entries.stream()
-                .filter(e -> !e.vm().equals(entry.vm()))
-                .filter(e -> isBefore(score(e.vm(), target.vm()), e.vm(), own, entry.vm()))
-                .count();
-    }
-
-    private static boolean isBefore(long score, VmId vm, long otherScore, VmId otherVm) {
-        if (score != otherScore) {
-            return score > otherScore;
-        }
-        return Comparator.<VmId>naturalOrder().compare(vm, otherVm) < 0;
-    }
-
-    private static long score(VmId entry, VmId target) {
-        return Hashing.murmur3_128()
-                .hashString(entry + "/" + target, StandardCharsets.UTF_8)
-                .asLong();
-    }
 }
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/TargetClient.java
@@ -0,0 +1,37 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.http.HttpAnswer;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+
+/** Gives orders to the platform's target interface over HTTP. */
+public final class TargetClient implements TargetInterface {
+    private static final long TIMEOUT_MS = 2_000;
+    private static final int MAX_ANSWER_BYTES = 64 << 10;
+
+    private final HttpCaller mHttp;
+    private final URI mServer;
+
+    /**
+     * Creates a client.
+     *
+     * @param http sends the requests
+     * @param server scheme, IP and port of the platform
+     */
+    public TargetClient(HttpCaller http, URI server) {
+        mHttp = http;
+        mServer = server;
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> give(TargetOrder order) {
+        HttpCall call =
+                HttpCall.json(
+                        "POST", mServer, "/targets/orders", JsonText.write(order), TIMEOUT_MS);
+        return mHttp.collect(call, MAX_ANSWER_BYTES).thenApply(r -> r.map(HttpAnswer::isSuccess));
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/UsageClient.java
@@ -0,0 +1,48 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.http.HttpAnswer;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.result.Result;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Sends usage reports to the platform's usage interface. */
+public final class UsageClient implements UsageInterface {
+    private static final long TIMEOUT_MS = 3_000;
+    private static final int MAX_ANSWER_BYTES = 64 << 10;
+
+    private final HttpCaller mHttp;
+    private final URI mServer;
+
+    /**
+     * Creates a client.
+     *
+     * @param http sends the requests
+     * @param server scheme, IP and port of the platform
+     */
+    public UsageClient(HttpCaller http, URI server) {
+        mHttp = http;
+        mServer = server;
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> send(byte[] report, FencingNumber fencing) {
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        mServer,
+                        "/usage",
+                        Map.of(
+                                "Content-Type",
+                                "application/json",
+                                "Fencing-Number",
+                                fencing.toString()),
+                        report,
+                        TIMEOUT_MS,
+                        false);
+        return mHttp.collect(call, MAX_ANSWER_BYTES).thenApply(r -> r.map(HttpAnswer::isSuccess));
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/scaling/ScalingPolicy.java
@@ -0,0 +1,15 @@
+package dev.cactusspan.scaling;
+
+/** Decides how many targets a service should have in an availability zone. */
+public interface ScalingPolicy {
+
+    /**
+     * Decides the number of targets.
+     *
+     * @param demand present load
+     * @param bounds bounds on the number
+     * @param nowMs monotonic time
+     * @return the wanted number
+     */
+    int wanted(TargetDemand demand, ScalingBounds bounds, long nowMs);
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/scaling/package-info.java
@@ -0,0 +1,2 @@
+/** How many targets a service needs in an availability zone. */
+package dev.cactusspan.scaling;
--- a/cactusspan/src/main/java/dev/cactusspan/settings/SideSettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/SideSettings.java
@@ -19,6 +19,7 @@
  * @param ip address that it listens at
  * @param adminPort port for health, metrics and status
  * @param linkPort port for links from entries
+ * @param platformUrl where the platform answers
  * @param targetUrl where its target answers
  * @param kind what its target is
  * @param slots requests that the target takes at a time
@@ -34,6 +35,7 @@
         String ip,
         int adminPort,
         int linkPort,
+        URI platformUrl,
         URI targetUrl,
         Kind kind,
         int slots,
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/side/OrderGuard.java
@@ -0,0 +1,66 @@
+package dev.cactusspan.side;
+
+import com.google.common.flogger.FluentLogger;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.lease.LeaseRecord;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.wire.Message;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+
+/**
+ * Checks the fencing number of an order against the duty's lease, on behalf of a target that does
+ * not. The lease is read for each order, as orders are rare; so nothing need be kept, and a side
+ * process that restarted refuses an old order too.
+ */
+final class OrderGuard {
+    private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+
+    private final EnvironmentId mEnvironment;
+    private final KeyValueService mKeyValues;
+    private final Executor mThread;
+
+    OrderGuard(EnvironmentId environment, KeyValueService keyValues, Executor thread) {
+        mEnvironment = environment;
+        mKeyValues = keyValues;
+        mThread = thread;
+    }
+
+    /** Runs an action if the order comes from the present holder of its duty. */
+    void verify(Message.Leave order, Runnable action) {
+        String key = LeaseRecord.key(mEnvironment, order.duty());
+        Replies.on(mKeyValues.get(key), mThread, r -> verified(order, r, action));
+    }
+
+    private static void verified(
+            Message.Leave order, Result<Optional<KeyValueService.Entry>> result, Runnable action) {
+        result.flatMap(entry -> record(entry))
+                .fold(
+                        failure -> {
+                            sLog.atWarning().log("order %s is refused: %s", order, failure);
+                            return null;
+                        },
+                        record -> {
+                            carryOut(order, record, action);
+                            return null;
+                        });
+    }
+
+    private static Result<LeaseRecord> record(Optional<KeyValueService.Entry> entry) {
+        return entry.map(e -> JsonText.read(e.value(), LeaseRecord.class))
+                .orElse(Result.fail(ErrorKind.NOT_FOUND, "the duty has no lease"));
+    }
+
+    private static void carryOut(Message.Leave order, LeaseRecord record, Runnable action) {
+        if (!record.fencing().equals(order.fencing()) || record.isFree()) {
+            sLog.atWarning().log(
+                    "order %s is refused: fencing number is %s", order, record.fencing());
+            return;
+        }
+        action.run();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
@@ -11,6 +11,7 @@
 import dev.cactusspan.link.LinkSettings;
 import dev.cactusspan.observe.AdminServer;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.HttpKeyValueService;
 import dev.cactusspan.settings.SideSettings;
 import dev.cactusspan.wire.Frame;
 import dev.cactusspan.wire.Message;
@@ -35,6 +36,7 @@
     private final DutyThread mThread;
     private final EngineWeights mWeights;
     private final TargetDesk mDesk;
+    private final OrderGuard mOrders;
     private final AdminServer mAdmin;
     private final long mIncarnation = System.nanoTime();
     private final Set<Link> mEntries = new HashSet<>();
@@ -65,10 +67,17 @@
                         telemetry,
                         mWeights,
                         SideProcess::nowMs);
+        mOrders =
+                new OrderGuard(
+                        settings.environment(),
+                        new HttpKeyValueService(mHttp, settings.platformUrl()),
+                        mThread);
         mLastLoad = new AtomicReference<>(mDesk.load());
         mLinks =
                 new LinkReactor(
-                        LinkSettings.STANDARD, mRevision::get, () -> new Message.Heartbeat(0));
+                        LinkSettings.STANDARD,
+                        mRevision::get,
+                        () -> new Message.Heartbeat(0, false));
         mAdmin =
                 new AdminServer(
                         settings.ip(),
@@ -157,6 +166,8 @@
             mDesk.cancel(link, cancel.stream());
         } else if (message instanceof Message.WantedWeights wanted) {
             want(wanted);
+        } else if (message instanceof Message.Leave leave) {
+            mOrders.verify(leave, this::leave);
         } else if (!(message instanceof Message.Heartbeat)) {
             link.close("unexpected " + message.getClass().getSimpleName());
         }
@@ -179,6 +190,11 @@
         link.send(mDesk.load());
     }
 
+    private void leave() {
+        mDesk.leave();
+        report(true);
+    }
+
     private void want(Message.WantedWeights wanted) {
         if (wanted.service().equals(mSettings.service())) {
             mWeights.want(wanted.staged(), wanted.active(), nowMs());
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Usage of client accounts: cumulative counters, sealed windows and reports. */
+package dev.cactusspan.usage;
--- a/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
@@ -5,7 +5,9 @@
 import dev.cactusspan.config.EnvironmentDocument.RequestClass;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.DutyId;
 import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.FencingNumber;
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
@@ -24,6 +26,8 @@
     @JsonSubTypes.Type(value = Message.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = Message.Load.class, name = "ld"),
     @JsonSubTypes.Type(value = Message.WantedWeights.class, name = "ww"),
+    @JsonSubTypes.Type(value = Message.Leave.class, name = "le"),
+    @JsonSubTypes.Type(value = Message.News.class, name = "ne"),
     @JsonSubTypes.Type(value = Message.Submit.class, name = "su"),
     @JsonSubTypes.Type(value = Message.Cancel.class, name = "ca"),
     @JsonSubTypes.Type(value = Message.Head.class, name = "he"),
@@ -64,11 +68,12 @@
             implements Message {}
 
     /**
-     * Sent when nothing else was sent for an interval.
+     * Sent at an interval.
      *
      * @param configAgeMs age of the sender's configuration
+     * @param platformDown true if the sender knows that no entry of any region has fresher news
      */
-    record Heartbeat(long configAgeMs) implements Message {}
+    record Heartbeat(long configAgeMs, boolean platformDown) implements Message {}
 
     /**
      * Load of a target.
@@ -92,6 +97,31 @@
     record WantedWeights(ServiceId service, WeightVersion staged, WeightVersion active)
             implements Message {}
 
+    /**
+     * The target is to be stopped: it takes no new work.
+     *
+     * @param duty the duty under which the order is given
+     * @param fencing fencing number of the duty's holder
+     */
+    record Leave(DutyId duty, FencingNumber fencing) implements Message {}
+
+    /**
+     * A value of the key-value service, handed on from entry to entry.
+     *
+     * @param subject which value
+     * @param version its version in the key-value service
+     * @param value the value, compressed with gzip
+     */
+    record News(Subject subject, long version, byte[] value) implements Message {
+        /** Values that entries hand on. */
+        public enum Subject {
+            /** The environment document. */
+            DOCUMENT,
+            /** The wanted weights. */
+            WEIGHTS
+        }
+    }
+
     /**
      * A request for the target.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
@@ -83,6 +83,7 @@
                                 zone -> ZoneDistance.SAME_ZONE,
                                 random.split()),
                         new Backoff(10, 50, random.split()),
+                        new UsageMeter(ENVIRONMENT, name, keyValues, this, clock::nowMs),
                         telemetry,
                         this::configuration,
                         clock::nowMs);
@@ -98,7 +99,14 @@
                         mFollower,
                         telemetry,
                         clock::nowMs);
-        mLinks = new EntryLinks(settings, 1, this, mTargets, mDesk, mFollower, clock::nowMs);
+        PeerDirectory peers =
+                new PeerDirectory(
+                        settings,
+                        sides,
+                        new Backoff(10, 50, random.split()),
+                        mFollower,
+                        clock::nowMs);
+        mLinks = new EntryLinks(settings, 1, this, mTargets, peers, mDesk, mFollower, clock::nowMs);
         sides.listener(mLinks);
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/platform/FakeKeyValues.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/FakeKeyValues.java
@@ -20,6 +20,7 @@
     private final Random mRandom;
     private double mLostReplies;
     private double mFailures;
+    private double mLateEffects;
     private int mWrites;
     private int mReads;
 
@@ -40,6 +41,16 @@
         mFailures = failures;
     }
 
+    /** Sets the share of calls that take effect only after they were given up. */
+    public void lateEffects(double share) {
+        mLateEffects = share;
+    }
+
+    private static Runnable lateEffect(Call call) {
+        var unused = call.effect().get();
+        return () -> {};
+    }
+
     /** Writes a key at once. */
     public void put(String key, byte[] value) {
         long version = mEntries.containsKey(key) ? mEntries.get(key).version() : 0;
@@ -61,6 +72,11 @@
             call.fail().run();
             return true;
         }
+        if (mRandom.nextDouble() < mLateEffects) {
+            call.fail().run();
+            mCalls.add(new Call(() -> lateEffect(call), () -> {}));
+            return true;
+        }
         Runnable reply = call.effect().get();
         if (mRandom.nextDouble() < mLostReplies) {
             call.fail().run();
--- a/cactusspan/src/test/java/dev/cactusspan/wire/FrameDecoderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/wire/FrameDecoderTest.java
@@ -30,7 +30,8 @@
                 Arbitraries.strings()
                         .ofMaxLength(20)
                         .map(type -> new Message.Head(type.length(), 200, type));
-        Arbitrary<Message> heartbeats = Arbitraries.longs().map(Message.Heartbeat::new);
+        Arbitrary<Message> heartbeats =
+                Arbitraries.longs().map(age -> new Message.Heartbeat(age, age > 0));
         return Arbitraries.oneOf(cancels, heads, heartbeats).list().ofMaxSize(MAX_MESSAGES);
     }
 
