Hold the whole path on loopback under twelve failures

Cause: the decision classes were held under failure, the processes' shells and their sockets were not.

Change: a deployment in one process (platform, engines, service, side processes, entries on loopback) and twelve tests on it: whole and streamed answers, refusals, a withdrawn key on a running stream, an outage of the platform, lost replies, an answer lost with its side process and found by the status check, an engine that cuts, a target that leaves, a step across a swap that fails at one engine and a change of entry, a bad frame, a connection gone silent, and usage reported once.

--- /dev/null
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/Deployment.java
@@ -0,0 +1,275 @@
+package dev.cactusspan.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.cactusspan.config.DocumentStore;
+import dev.cactusspan.config.KeyHash;
+import dev.cactusspan.config.Stage;
+import dev.cactusspan.entry.EntryProcess;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.membership.VmRecord;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.HttpKeyValueService;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.settings.SideSettings;
+import dev.cactusspan.side.SideProcess;
+import dev.cactusspan.text.JsonText;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+/** A small deployment on loopback, in threads of this process. */
+final class Deployment implements AutoCloseable {
+    static final EnvironmentId ENVIRONMENT = EnvironmentId.of("kilimanjaro");
+
+    private static final String IP = "127.0.0.1";
+    private static final long AWAIT_MS = 20_000;
+    private static final long POLL_MS = 20;
+
+    private final Deque<AutoCloseable> mParts = new ArrayDeque<>();
+    private final PlatformStandIn mPlatform = PlatformStandIn.start(IP, 0);
+    private final URI mPlatformUrl = URI.create("http://" + IP + ":" + mPlatform.port());
+    private final HttpCaller mHttp = HttpCaller.create();
+    private final DocumentStore mStore =
+            new DocumentStore(new HttpKeyValueService(mHttp, mPlatformUrl));
+    private final DemoClient mClient = new DemoClient();
+    private final Map<String, String> mKeys = new HashMap<>();
+    private final List<EntryProcess> mEntries = new ArrayList<>();
+    private final List<Telemetry> mTelemetries = new ArrayList<>();
+    private final JsonNode mDocument;
+    private long mRevision;
+    private int mNext;
+
+    Deployment() throws IOException {
+        mParts.push(mPlatform);
+        mParts.push(mHttp);
+        Path sample =
+                Path.of(System.getProperty("project.root", ".."), "samples", "kilimanjaro.json");
+        mDocument = JsonText.parse("sample", Files.readString(sample)).get();
+        for (JsonNode account : mDocument.path("accounts")) {
+            String name = account.path("name").asText();
+            mKeys.put(name, "csk-" + name);
+            setKey(name, "csk-" + name);
+        }
+        put();
+    }
+
+    // Operations
+
+    /** Changes the key of an account in the document that {@link #put} writes. */
+    void setKey(String account, String key) {
+        for (JsonNode node : mDocument.path("accounts")) {
+            if (node.path("name").asText().equals(account)) {
+                ((ObjectNode) node)
+                        .set(
+                                "key_hashes",
+                                JsonText.mapper().createArrayNode().add(KeyHash.ofKey(key).text()));
+            }
+        }
+    }
+
+    /** Writes and promotes the document. */
+    void put() {
+        String text = JsonText.line(mDocument);
+        Revision expected = Revision.of(mRevision);
+        Result<Revision> trial = mStore.put(ENVIRONMENT, text, expected).join();
+        mStore.promote(ENVIRONMENT, trial.get(), expected).join().get();
+        mRevision++;
+    }
+
+    EngineStandIn engine(String zone, boolean namesVersion) throws IOException {
+        EngineStandIn engine =
+                EngineStandIn.start(new EngineStandIn.EngineOptions(IP, 0, 3_000, namesVersion));
+        mParts.push(engine);
+        side(zone, "lantern-lm", SideSettings.Kind.ENGINE, engine.port());
+        return engine;
+    }
+
+    ServiceStandIn service(String zone) throws IOException {
+        ServiceStandIn service = ServiceStandIn.start(IP, 0);
+        mParts.push(service);
+        side(zone, "booking", SideSettings.Kind.SERVICE, service.port());
+        return service;
+    }
+
+    /** Starts a side process for a target and lists its VM. */
+    Side side(String zone, String service, SideSettings.Kind kind, int targetPort)
+            throws IOException {
+        int number = mNext++;
+        SideSettings settings =
+                new SideSettings(
+                        ENVIRONMENT,
+                        ServiceId.of(service),
+                        TargetId.of("target-" + number),
+                        VmId.of("vm-" + number),
+                        AvailabilityZoneId.of(zone),
+                        IP,
+                        0,
+                        0,
+                        mPlatformUrl,
+                        URI.create("http://" + IP + ":" + targetPort),
+                        kind,
+                        16,
+                        0,
+                        5_000);
+        SideProcess process = new SideProcess(settings, Telemetry.create());
+        mParts.push(process);
+        Side side = new Side(process, process.start(), settings);
+        list(settings, side.linkPort());
+        return side;
+    }
+
+    void list(SideSettings settings, int linkPort) {
+        mPlatform.list(
+                new VmRecord(
+                        settings.vm(),
+                        ENVIRONMENT,
+                        settings.zone(),
+                        VmRecord.Role.TARGET,
+                        settings.service(),
+                        IP,
+                        linkPort,
+                        VmRecord.State.LIVE));
+    }
+
+    EntryProcess entry(String zone) throws IOException {
+        VmId vm = VmId.of("entry-" + mNext++);
+        EntrySettings settings =
+                new EntrySettings(
+                        ENVIRONMENT,
+                        Stage.PRODUCTION,
+                        vm,
+                        AvailabilityZoneId.of(zone),
+                        IP,
+                        0,
+                        0,
+                        0,
+                        mPlatformUrl,
+                        0,
+                        5_000);
+        Telemetry telemetry = Telemetry.create();
+        EntryProcess entry = new EntryProcess(settings, telemetry);
+        mParts.push(entry);
+        int linkPort = entry.start();
+        mPlatform.list(
+                new VmRecord(
+                        vm,
+                        ENVIRONMENT,
+                        settings.zone(),
+                        VmRecord.Role.ENTRY,
+                        ServiceId.of(""),
+                        IP,
+                        linkPort,
+                        VmRecord.State.LIVE));
+        mEntries.add(entry);
+        mTelemetries.add(telemetry);
+        return entry;
+    }
+
+    /** Waits until each entry is connected to a number of targets. */
+    void awaitTargets(int targets) {
+        for (Telemetry telemetry : mTelemetries) {
+            await(() -> telemetry.text().contains("cactusspan_entry_targets " + targets + ".0"));
+        }
+    }
+
+    static void await(BooleanSupplier condition) {
+        long untilMs = System.nanoTime() / 1_000_000 + AWAIT_MS;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() / 1_000_000 > untilMs) {
+                throw new AssertionError("not reached within " + AWAIT_MS + " ms");
+            }
+            pause(POLL_MS);
+        }
+    }
+
+    static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    DemoClient.Reply post(int entry, String path, String account, String idempotency, Object body) {
+        return send("POST", entry, path, account, idempotency, body);
+    }
+
+    DemoClient.Reply send(
+            String method, int entry, String path, String account, String key, Object body) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/json");
+        if (!account.isEmpty()) {
+            headers.put("Authorization", "Bearer " + mKeys.get(account));
+        }
+        if (!key.isEmpty()) {
+            headers.put("Idempotency-Key", key);
+        }
+        return mClient.send(method, uri(entry, path), headers, body);
+    }
+
+    URI uri(int entry, String path) {
+        return URI.create("http://" + IP + ":" + mEntries.get(entry).port() + path);
+    }
+
+    /** Sets the length of usage windows and puts the document. */
+    void usageWindow(int seconds) {
+        ((ObjectNode) mDocument.path("bounds")).put("usage_window_s", seconds);
+        put();
+    }
+
+    /** Returns the requests of an account that the platform was told of, over all windows. */
+    long reportedRequests(String account) {
+        JsonNode reports =
+                mClient.send("GET", mPlatformUrl.resolve("/usage"), Map.of(), null).json();
+        Map<Long, Long> byWindow = new HashMap<>();
+        for (JsonNode report : reports) {
+            JsonNode usage = report.path("usage").path("accounts").path(account);
+            byWindow.put(report.path("window").asLong(), usage.path("requests").asLong());
+        }
+        return byWindow.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    // Accessors
+
+    PlatformStandIn platform() {
+        return mPlatform;
+    }
+
+    URI platformUrl() {
+        return mPlatformUrl;
+    }
+
+    DemoClient client() {
+        return mClient;
+    }
+
+    Telemetry telemetry(int entry) {
+        return mTelemetries.get(entry);
+    }
+
+    @Override
+    public void close() throws Exception {
+        while (!mParts.isEmpty()) {
+            mParts.pop().close();
+        }
+    }
+
+    /** A running side process. */
+    record Side(SideProcess process, int linkPort, SideSettings settings) {}
+}
--- /dev/null
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
@@ -0,0 +1,341 @@
+package dev.cactusspan.standin;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.settings.SideSettings;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The whole path on loopback, under failures of its parts. */
+@Timeout(value = 90, unit = TimeUnit.SECONDS)
+final class WholePathTest {
+    private static final String COMPLETIONS = "/v1/completions";
+    private static final String HOLDS = "/v1/services/booking/holds";
+    private static final String QUERIES = "/v1/services/booking/queries";
+    private static final String OFFICE = "box-office-dar";
+
+    private static Map<String, Object> completion(String prompt, int tokens, boolean isStreamed) {
+        return Map.of(
+                "model",
+                "lantern-lm",
+                "prompt",
+                prompt,
+                "max_tokens",
+                tokens,
+                "stream",
+                isStreamed);
+    }
+
+    @Test
+    void shouldAnswerWholeAndStreamedAndKeepKeysFromTargets() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            EngineStandIn engine = deployment.engine("dar-a", true);
+            deployment.service("dar-a");
+            deployment.entry("dar-a");
+            deployment.awaitTargets(2);
+            DemoClient.Reply whole =
+                    deployment.post(0, COMPLETIONS, OFFICE, "", completion("p", 5, false));
+            assertThat(
+                    whole.json().path("choices").path(0).path("text").asText(),
+                    is(EngineStandIn.expected("p", 5)));
+            assertThat(whole.outcome(), containsString("kind=ok"));
+            DemoClient.Reply streamed =
+                    deployment.post(0, COMPLETIONS, OFFICE, "", completion("p", 5, true));
+            assertThat(streamed.text(), containsString("[DONE]"));
+            assertThat(engine.keysSeen(), is(0L));
+            DemoClient.Reply leaking =
+                    deployment.post(0, QUERIES, OFFICE, "", "my key is csk-" + OFFICE);
+            assertThat(leaking.kind(), is("bad_request"));
+            DemoClient.Reply inQuery =
+                    deployment.post(0, QUERIES + "?k=csk-" + OFFICE, OFFICE, "", "text");
+            assertThat(inQuery.kind(), is("bad_request"));
+        }
+    }
+
+    @Test
+    void shouldRefuseByAccountRouteAndBound() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            deployment.service("dar-a");
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            assertThat(deployment.post(0, QUERIES, "", "", "x").kind(), is("unauthenticated"));
+            assertThat(deployment.post(0, HOLDS, "settlement", "k", "x").kind(), is("forbidden"));
+            assertThat(
+                    deployment.post(0, HOLDS, OFFICE, "", "x").kind(),
+                    is("idempotency_key_required"));
+            assertThat(
+                    deployment.post(0, "/v1/services/none/x", OFFICE, "", "x").kind(),
+                    is("not_found"));
+            assertThat(
+                    deployment.post(0, QUERIES, OFFICE, "", "x".repeat(1_100_000)).kind(),
+                    is("payload_too_large"));
+            assertThat(deployment.send("GET", 0, QUERIES, "", "", null).status(), is(200));
+            assertThat(
+                    deployment.post(0, COMPLETIONS, OFFICE, "", completion("p", 1, false)).kind(),
+                    is("no_target"));
+        }
+    }
+
+    @Test
+    void shouldCutARunningStreamAndRefuseNewRequestsWhenItsKeyIsWithdrawn() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            deployment.engine("dar-a", true);
+            deployment.entry("dar-a");
+            deployment.entry("arusha-a");
+            deployment.awaitTargets(1);
+            CompletableFuture<DemoClient.Reply> running =
+                    CompletableFuture.supplyAsync(
+                            () ->
+                                    deployment.post(
+                                            1,
+                                            COMPLETIONS,
+                                            OFFICE,
+                                            "",
+                                            completion("long", 4_000, true)));
+            Deployment.pause(300);
+            deployment.setKey(OFFICE, "csk-replaced");
+            deployment.put();
+            DemoClient.Reply reply = running.get(10, TimeUnit.SECONDS);
+            assertThat(reply.text(), not(containsString("[DONE]")));
+            for (int entry = 0; entry < 2; entry++) {
+                assertThat(
+                        deployment.post(entry, QUERIES, OFFICE, "", "x").kind(),
+                        is("unauthenticated"));
+            }
+        }
+    }
+
+    @Test
+    void shouldServeThroughAnOutageOfThePlatformAndRefuseNewClaimsNotRun() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            ServiceStandIn service = deployment.service("dar-a");
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            assertThat(deployment.post(0, HOLDS, OFFICE, "k1", "x").status(), is(200));
+            deployment.platform().faults(PlatformStandIn.Faults.DOWN);
+            Deployment.pause(9_000);
+            assertThat(deployment.post(0, QUERIES, OFFICE, "", "x").status(), is(200));
+            DemoClient.Reply refused = deployment.post(0, HOLDS, OFFICE, "k2", "x");
+            assertThat(refused.kind(), is("claim_unavailable"));
+            assertThat(refused.isNotRun(), is(true));
+            assertThat(service.runs().containsKey("k2"), is(false));
+            deployment.platform().faults(PlatformStandIn.Faults.NONE);
+            Deployment.await(() -> deployment.post(0, HOLDS, OFFICE, "k2", "x").status() == 200);
+            assertThat(service.runs().get("k2"), is(1));
+        }
+    }
+
+    @Test
+    void shouldRunAHoldOnceWhenRepliesOfThePlatformAreLost() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            ServiceStandIn service = deployment.service("dar-a");
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            deployment.platform().faults(PlatformStandIn.Faults.LOSES_REPLIES);
+            for (int i = 0; i < 20; i++) {
+                deployment.post(0, HOLDS, OFFICE, "k" + i % 5, "x");
+            }
+            deployment.platform().faults(PlatformStandIn.Faults.NONE);
+            service.runs().forEach((key, runs) -> assertThat(key, runs, is(1)));
+        }
+    }
+
+    @Test
+    void shouldAskTheTargetWhenTheAnswerToAHoldWasLost() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            ServiceStandIn service = ServiceStandIn.start("127.0.0.1", 0);
+            Deployment.Side side =
+                    deployment.side("dar-a", "booking", SideSettings.Kind.SERVICE, service.port());
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            service.delay(3_000);
+            CompletableFuture<DemoClient.Reply> first =
+                    CompletableFuture.supplyAsync(
+                            () -> deployment.post(0, HOLDS, OFFICE, "k1", "x"));
+            Deployment.await(() -> service.runs().containsKey("k1"));
+            side.process().close();
+            assertThat(first.get(10, TimeUnit.SECONDS).kind(), is("outcome_unknown"));
+            deployment.side("dar-a", "booking", SideSettings.Kind.SERVICE, service.port());
+            Deployment.await(() -> deployment.post(0, QUERIES, OFFICE, "", "x").status() == 200);
+            Deployment.await(() -> deployment.post(0, HOLDS, OFFICE, "k1", "x").status() == 200);
+            assertThat(service.runs().get("k1"), is(1));
+            service.close();
+        }
+    }
+
+    @Test
+    void shouldTryAgainWhenAnEngineCutsAndNeverShowAShortAnswer() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            EngineStandIn broken = deployment.engine("dar-a", true);
+            deployment.engine("arusha-a", true);
+            deployment.entry("dar-a");
+            deployment.awaitTargets(2);
+            broken.cutAfter(3);
+            for (int i = 0; i < 10; i++) {
+                DemoClient.Reply whole =
+                        deployment.post(0, COMPLETIONS, OFFICE, "", completion("p" + i, 8, false));
+                assertThat(
+                        whole.json().path("choices").path(0).path("text").asText(),
+                        is(EngineStandIn.expected("p" + i, 8)));
+                DemoClient.Reply streamed =
+                        deployment.post(0, COMPLETIONS, OFFICE, "", completion("p" + i, 8, true));
+                boolean isWhole = streamed.text().contains("[DONE]");
+                boolean isCutSeen = streamed.status() == 0;
+                assertThat(isWhole != isCutSeen, is(true));
+            }
+        }
+    }
+
+    @Test
+    void shouldCutNoRequestWhenATargetLeaves() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            ServiceStandIn service = ServiceStandIn.start("127.0.0.1", 0);
+            Deployment.Side side =
+                    deployment.side("dar-a", "booking", SideSettings.Kind.SERVICE, service.port());
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            service.delay(1_500);
+            CompletableFuture<DemoClient.Reply> running =
+                    CompletableFuture.supplyAsync(
+                            () -> deployment.post(0, HOLDS, OFFICE, "k1", "x"));
+            Deployment.await(() -> service.runs().containsKey("k1"));
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(side.process()::drain);
+            Deployment.pause(500);
+            DemoClient.Reply late = deployment.post(0, HOLDS, OFFICE, "k2", "x");
+            assertThat(late.isNotRun(), is(true));
+            assertThat(running.get(10, TimeUnit.SECONDS).status(), is(200));
+            drained.get(10, TimeUnit.SECONDS);
+            assertThat(service.runs().containsKey("k2"), is(false));
+            service.close();
+        }
+    }
+
+    @Test
+    void shouldDeliverAStepOnceAcrossASwapThatFailsAtOneEngine() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            EngineStandIn broken = deployment.engine("dar-a", false);
+            deployment.engine("arusha-a", true);
+            deployment.entry("dar-a");
+            deployment.entry("arusha-a");
+            deployment.awaitTargets(2);
+            broken.breakSwaps(true);
+            String weights = "/v1/models/lantern-lm/weights";
+            deployment.post(0, weights, "lantern-trainer", "", Map.of("staged", 1, "active", 1));
+            Object step =
+                    Map.of(
+                            "step",
+                            1,
+                            "groups",
+                            List.of(Map.of("prompt", "g", "samples", 64, "max_tokens", 40)));
+            String base = "/v1/trainers/lantern-trainer-1/";
+            deployment.post(0, base + "steps", "lantern-trainer", "", step);
+            Set<Integer> got = new HashSet<>();
+            long after = 0;
+            int entry = 0;
+            boolean isComplete = false;
+            for (int poll = 0; poll < 100 && !isComplete; poll++) {
+                DemoClient.Reply reply =
+                        deployment.send(
+                                "GET",
+                                entry,
+                                base + "deliveries?wait_ms=1000&after=" + after,
+                                "lantern-trainer",
+                                "",
+                                null);
+                if (reply.status() != 200) {
+                    deployment.post(entry, base + "steps", "lantern-trainer", "", step);
+                    continue;
+                }
+                JsonNode body = reply.json();
+                after = body.path("delivery").asLong();
+                isComplete = !body.has("samples");
+                for (JsonNode sample : body.path("samples")) {
+                    assertThat(got.add(sample.path("index").asInt()), is(true));
+                }
+                if (poll == 1) {
+                    deployment.post(
+                            entry,
+                            weights,
+                            "lantern-trainer",
+                            "",
+                            Map.of("staged", 2, "active", 2));
+                    entry = 1;
+                }
+            }
+            assertThat(isComplete, is(true));
+            assertThat(got.size(), is(64));
+        }
+    }
+
+    @Test
+    void shouldCloseOnlyTheConnectionThatSendsABadFrame() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            ServiceStandIn service = ServiceStandIn.start("127.0.0.1", 0);
+            Deployment.Side side =
+                    deployment.side("dar-a", "booking", SideSettings.Kind.SERVICE, service.port());
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            try (Socket socket = new Socket("127.0.0.1", side.linkPort())) {
+                socket.getOutputStream()
+                        .write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertThat(drainToEnd(socket), is(true));
+            }
+            assertThat(deployment.post(0, QUERIES, OFFICE, "", "x").status(), is(200));
+            service.close();
+        }
+    }
+
+    private static boolean drainToEnd(Socket socket) throws IOException {
+        socket.setSoTimeout(5_000);
+        while (socket.getInputStream().read() >= 0) {
+            // The side process may send heartbeats before it closes.
+        }
+        return true;
+    }
+
+    @Test
+    void shouldGoAroundAConnectionThatWentSilent() throws Exception {
+        try (Deployment deployment = new Deployment();
+                ServiceStandIn service = ServiceStandIn.start("127.0.0.1", 0)) {
+            Deployment.Side side =
+                    deployment.side("dar-a", "booking", SideSettings.Kind.SERVICE, service.port());
+            try (Relay relay = Relay.to(side.linkPort())) {
+                deployment.list(side.settings(), relay.port());
+                deployment.entry("dar-a");
+                deployment.awaitTargets(1);
+                relay.silence();
+                DemoClient.Reply reply = deployment.post(0, QUERIES, OFFICE, "", "x");
+                assertThat(reply.status(), is(200));
+            }
+        }
+    }
+
+    @Test
+    void shouldReportWhatAccountsUsed() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            deployment.service("dar-a");
+            deployment.usageWindow(1);
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            for (int i = 0; i < 30; i++) {
+                assertThat(deployment.post(0, QUERIES, OFFICE, "", "x").status(), is(200));
+            }
+            Deployment.await(() -> deployment.reportedRequests(OFFICE) >= 30);
+            Deployment.pause(2_500);
+            assertThat(deployment.reportedRequests(OFFICE), is(30L));
+        }
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -221,16 +221,18 @@
     /**
      * Starts the entry.
      *
+     * @return the port for links from other entries
      * @throws IOException if an address cannot be bound
      */
-    public void start() throws IOException {
+    public int start() throws IOException {
         mThread.start(this::tick);
         mTargets.watched(vm -> mDuties.isCandidate(DutyId.targets(vm.service(), vm.zone())));
         mLinks.start(mFrames);
-        mLinks.listen(new InetSocketAddress(mSettings.ip(), mSettings.linkPort()));
+        int linkPort = mLinks.listen(new InetSocketAddress(mSettings.ip(), mSettings.linkPort()));
         mAdmin.start();
         mServer.start();
         sLog.atInfo().log("entry %s listens for callers on port %d", mSettings.vm(), port());
+        return linkPort;
     }
 
     /** Stops gracefully: refuses new requests, and waits for those in progress. */
