Share limits by demand, hedge stragglers, read the VM list by tag; docs

Change: demand is summed up the region trees and the total travels down; late samples of a step's tail run a second time, at most 5 % of a step; the VM list is read with an entity tag and ranked only when it changed.

--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -73,23 +73,32 @@
     start "entry-$n" "${JAVA_SMALL[@]}" -jar "$PRODUCT" entry --settings "$RUN/entry-$n.json"
 }
 
-# Starts platform, three engines and a plain service in three zones, and two entries.
-start_deployment() {
+# Starts the platform and makes keys for the sample document.
+start_platform() {
     RUN=$(mktemp -d)
     BASE=${CACTUSSPAN_BASE_PORT:-21000}
     PLATFORM="http://127.0.0.1:$BASE"
-    trap 'stop_all; [ -n "${CACTUSSPAN_KEEP:-}" ] && echo "kept $RUN" >&2 || rm -rf "$RUN"' EXIT
+    trap 'stop_all; if [ -n "${CACTUSSPAN_KEEP:-}" ]; then echo "kept $RUN" >&2; else rm -rf "$RUN"; fi' EXIT
     start platform "${JAVA_STANDIN[@]}" -jar "$STANDIN" platform --port "$BASE"
     await_http "$PLATFORM/counters"
     "${JAVA_SMALL[@]}" -jar "$STANDIN" keys --out "$RUN/document.json" --keys "$RUN/keys.json" \
         "$ROOT/samples/kilimanjaro.json" 2>"$RUN/keys.log"
+}
+
+put_document() {
+    local store=(--platform "$PLATFORM" --environment kilimanjaro)
+    "${JAVA_SMALL[@]}" -jar "$PRODUCT" config put "${store[@]}" --expect 0 "$RUN/document.json"
+    "${JAVA_SMALL[@]}" -jar "$PRODUCT" config promote "${store[@]}" --trial 1 --expect 0
+}
+
+# Starts the platform, three engines and a plain service in three zones, and two entries.
+start_deployment() {
+    start_platform
     start_target 1 dar-a engine lantern-lm 16
     start_target 2 arusha-a engine lantern-lm 16
     start_target 3 zanzibar-a engine lantern-lm 16
     start_target 4 dar-a service booking 32
     start_entry 1 dar-a
     start_entry 2 arusha-a
-    local store=(--platform "$PLATFORM" --environment kilimanjaro)
-    "${JAVA_SMALL[@]}" -jar "$PRODUCT" config put "${store[@]}" --expect 0 "$RUN/document.json"
-    "${JAVA_SMALL[@]}" -jar "$PRODUCT" config promote "${store[@]}" --trial 1 --expect 0
+    put_document
 }
--- /dev/null
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/EventLoop.java
@@ -0,0 +1,33 @@
+package dev.cactusspan.benchmark;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Runs tasks in the order of their given time, in one thread. */
+final class EventLoop {
+    private final PriorityQueue<Task> mTasks =
+            new PriorityQueue<>(
+                    Comparator.comparingDouble(Task::timeMs).thenComparingLong(Task::number));
+    private double mNowMs;
+    private long mNumber;
+
+    void after(double delayMs, Runnable task) {
+        mTasks.add(new Task(mNowMs + delayMs, mNumber++, task));
+    }
+
+    /** Runs tasks until none is left or a time is reached. */
+    void runUntil(double timeMs) {
+        while (!mTasks.isEmpty() && mTasks.peek().timeMs() <= timeMs) {
+            Task task = mTasks.poll();
+            mNowMs = task.timeMs();
+            task.task().run();
+        }
+        mNowMs = timeMs;
+    }
+
+    double nowMs() {
+        return mNowMs;
+    }
+
+    private record Task(double timeMs, long number, Runnable task) {}
+}
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/Main.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/Main.java
@@ -27,7 +27,11 @@
                         new CommandLine.Entry(
                                 "demo", "sends the traffic of the demo", DemoCommand::new),
                         new CommandLine.Entry(
-                                "overhead", "measures the path's overhead", OverheadCommand::new));
+                                "overhead", "measures the path's overhead", OverheadCommand::new),
+                        new CommandLine.Entry(
+                                "slopes",
+                                "measures what links to targets cost",
+                                SlopesCommand::new));
         CommandLine line = new CommandLine("cactusspan-standin", commands);
         ExitCode code = line.run(List.of(args), System.out, System.err);
         if (code != ExitCode.OK || !line.isDaemon()) {
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/OverheadCommand.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/OverheadCommand.java
@@ -34,7 +34,7 @@
         String key =
                 JsonText.read(Files.readAllBytes(mKeys), Map.class)
                         .get()
-                        .get("box-office-dar")
+                        .get("lantern-trainer")
                         .toString();
         Map<String, String> headers =
                 Map.of("Authorization", "Bearer " + key, "Content-Type", "application/json");
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/PlatformStandIn.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/PlatformStandIn.java
@@ -8,6 +8,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * The platform: key-value service, VM list, target interface and usage interface, with faults that
@@ -27,6 +29,7 @@
 
     private final FakeKeyValueService mKeyValues = new FakeKeyValueService();
     private final Map<VmId, VmRecord> mVms = new ConcurrentHashMap<>();
+    private final AtomicLong mVmListVersion = new AtomicLong();
     private final List<Object> mOrders = new ArrayList<>();
     private final List<Object> mUsageReports = new ArrayList<>();
     private final StandInTimer mTimer = new StandInTimer("platform-timer");
@@ -79,6 +82,7 @@
      */
     public void list(VmRecord vm) {
         mVms.put(vm.vm(), vm);
+        mVmListVersion.incrementAndGet();
     }
 
     private void read(HttpServerExchange exchange) {
@@ -160,6 +164,13 @@
     }
 
     private void listVms(HttpServerExchange exchange) {
+        String tag = "\"" + mVmListVersion.get() + "\"";
+        exchange.getResponseHeaders().put(Headers.ETAG, tag);
+        if (tag.equals(exchange.getRequestHeaders().getFirst(Headers.IF_NONE_MATCH))) {
+            exchange.setStatusCode(304);
+            exchange.endExchange();
+            return;
+        }
         String environment = StandInServer.query(exchange, "environment", "");
         List<VmRecord> vms =
                 mVms.values().stream()
--- /dev/null
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/FrozenHolderTest.java
@@ -0,0 +1,126 @@
+package dev.cactusspan.standin;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.membership.VmRecord;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Freezes a real process that holds duties, past its lease, and wakes it again. */
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+final class FrozenHolderTest {
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** An entry in a process of its own. */
+    private record Entry(JvmProcess process, String vm, URI admin) {}
+
+    private static Entry entry(Deployment deployment, Path folder, String vm) throws IOException {
+        int adminPort = freePort();
+        int linkPort = freePort();
+        Path settings = folder.resolve(vm + ".json");
+        Files.writeString(
+                settings,
+                """
+                {"environment": "kilimanjaro", "stage": "production", "vm": "%s",
+                 "zone": "dar-a", "ip": "127.0.0.1", "http_port": 0, "admin_port": %d,
+                 "link_port": %d, "platform_url": "%s", "drain_ms": 1000}
+                """
+                        .formatted(vm, adminPort, linkPort, deployment.platformUrl()));
+        JvmProcess process =
+                JvmProcess.start(
+                        folder.resolve(vm + ".log"), "entry", "--settings", settings.toString());
+        deployment
+                .platform()
+                .list(
+                        new VmRecord(
+                                VmId.of(vm),
+                                Deployment.ENVIRONMENT,
+                                AvailabilityZoneId.of("dar-a"),
+                                VmRecord.Role.ENTRY,
+                                ServiceId.of(""),
+                                "127.0.0.1",
+                                linkPort,
+                                VmRecord.State.LIVE));
+        return new Entry(process, vm, URI.create("http://127.0.0.1:" + adminPort));
+    }
+
+    private static int duties(Deployment deployment, Entry entry) {
+        DemoClient.Reply reply =
+                deployment.client().send("GET", entry.admin().resolve("/status"), Map.of(), null);
+        return reply.isOk() ? reply.json().path("duties").size() : 0;
+    }
+
+    @Test
+    void shouldLetOnlyOneProcessGiveOrdersAndReports(@TempDir Path folder) throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            deployment.usageWindow(1);
+            Entry first = entry(deployment, folder, "entry-a");
+            try (JvmProcess a = first.process()) {
+                Deployment.await(() -> duties(deployment, first) == 4);
+                Entry second = entry(deployment, folder, "entry-b");
+                try (JvmProcess b = second.process()) {
+                    Deployment.pause(2_000);
+                    assertThat(duties(deployment, second), is(0));
+                    a.signal("STOP");
+                    Deployment.await(() -> duties(deployment, second) == 4);
+                    a.signal("CONT");
+                    Deployment.pause(4_000);
+                    assertThat(duties(deployment, first), is(0));
+                    assertThat(duties(deployment, second), is(4));
+                }
+            }
+            checkOrders(deployment);
+            checkReports(deployment);
+        }
+    }
+
+    /** Numbers rise in the order of arrival, and no order comes under two of them. */
+    private static void checkOrders(Deployment deployment) {
+        JsonNode orders = get(deployment, "/targets/orders");
+        Map<String, Long> numbers = new HashMap<>();
+        for (JsonNode order : orders) {
+            String pool = order.path("service").asText() + "/" + order.path("zone").asText();
+            long number = order.path("fencing").asLong();
+            assertThat(pool, number, greaterThanOrEqualTo(numbers.getOrDefault(pool, 1L)));
+            numbers.put(pool, number);
+        }
+        assertThat(orders.size(), greaterThan(0));
+    }
+
+    private static void checkReports(Deployment deployment) {
+        Map<Long, String> reports = new HashMap<>();
+        for (JsonNode report : get(deployment, "/usage")) {
+            String before = reports.put(report.path("window").asLong(), report.toString());
+            assertThat(before == null || before.equals(report.toString()), is(true));
+        }
+        assertThat(reports.size(), greaterThan(1));
+    }
+
+    private static JsonNode get(Deployment deployment, String path) {
+        return deployment
+                .client()
+                .send("GET", deployment.platformUrl().resolve(path), Map.of(), null)
+                .json();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/entry/ActiveStep.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/ActiveStep.java
@@ -3,13 +3,23 @@
 import dev.cactusspan.config.EnvironmentDocument;
 import dev.cactusspan.config.KeyHash;
 import dev.cactusspan.sample.DeliveryPlan;
+import dev.cactusspan.sample.HedgePolicy;
 import dev.cactusspan.sample.StepBook;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** A step that this entry holds for a trainer. */
 final class ActiveStep {
+    private static final double LATE_FACTOR = 3.0;
+    private static final double MAX_HEDGED_SHARE = 0.05;
+
     private final StepBook mBook;
     private final EnvironmentDocument.Trainer mTrainer;
+    private final Map<Integer, Run> mRuns = new HashMap<>();
+    private final HedgePolicy mHedges = new HedgePolicy(LATE_FACTOR, MAX_HEDGED_SHARE);
     private KeyHash mKeyHash;
     private long mVersion;
     private Optional<DeliveryPoll> mPoll = Optional.empty();
@@ -74,6 +84,47 @@
         mKeyHash = keyHash;
     }
 
+    /** Notes that a copy of a slot starts. */
+    void started(int slot, long nowMs) {
+        mRuns.computeIfAbsent(slot, i -> new Run(nowMs)).mCopies++;
+    }
+
+    /** Notes that a copy of a slot ended; tells whether another one still runs. */
+    boolean ended(int slot) {
+        Run run = mRuns.get(slot);
+        if (run == null) {
+            return false;
+        }
+        run.mCopies--;
+        if (run.mCopies <= 0) {
+            mRuns.remove(slot);
+            return false;
+        }
+        return true;
+    }
+
+    /** Notes that a slot has its sample. */
+    void finished(int slot, long nowMs) {
+        Run run = mRuns.get(slot);
+        if (run != null) {
+            mHedges.finished(nowMs - run.mStartedMs);
+        }
+    }
+
+    /** Returns slots that run late and may be run a second time. */
+    List<Integer> late(long nowMs) {
+        List<Integer> late = new ArrayList<>();
+        int samples = mBook.ledger().total();
+        mRuns.forEach(
+                (slot, run) -> {
+                    boolean isSingle = run.mCopies == 1 && mBook.isRunning(slot);
+                    if (isSingle && mHedges.tryHedge(nowMs - run.mStartedMs, samples)) {
+                        late.add(slot);
+                    }
+                });
+        return late;
+    }
+
     // Accessors
 
     KeyHash keyHash() {
@@ -107,4 +158,13 @@
     long version() {
         return mVersion;
     }
+
+    private static final class Run {
+        private final long mStartedMs;
+        private int mCopies;
+
+        Run(long startedMs) {
+            mStartedMs = startedMs;
+        }
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/Duty.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/Duty.java
@@ -7,7 +7,11 @@
 /** Work that one entry at a time carries out. */
 interface Duty {
 
-    /** Returns the duty's id. */
+    /**
+     * Returns the duty's id.
+     *
+     * @return the id
+     */
     DutyId id();
 
     /**
@@ -20,7 +24,11 @@
 
     /** Tells whether the duty is held. */
     interface Held {
-        /** Returns the fencing number, empty if the duty is not surely held now. */
+        /**
+         * Returns the fencing number.
+         *
+         * @return the number, empty if the duty is not surely held now
+         */
         Optional<FencingNumber> now();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryLinks.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryLinks.java
@@ -104,6 +104,8 @@
             mPeers.beat(link, beat);
         } else if (message instanceof Message.News news) {
             mPeers.news(link, news);
+        } else if (message instanceof Message.Demand demand) {
+            mPeers.demand(link, demand);
         } else {
             link.close("unexpected " + message.getClass().getSimpleName());
         }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -11,6 +11,7 @@
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.lease.LeaseTimes;
 import dev.cactusspan.limit.AccountLimiter;
+import dev.cactusspan.limit.DemandShares;
 import dev.cactusspan.link.DutyThread;
 import dev.cactusspan.link.LinkReactor;
 import dev.cactusspan.link.LinkSettings;
@@ -48,7 +49,7 @@
     private static final int RING_TASKS = 16_384;
     private static final long TICK_MS = 20;
     private static final FreshnessRule FRESHNESS = FreshnessRule.unlessPlatformIsDown();
-    private static final long VM_LIST_MS = 2_000;
+    private static final long VM_LIST_MS = 3_000;
     private static final long BACKOFF_BASE_MS = 20;
     private static final long BACKOFF_MAX_MS = 1_000;
     private static final long DIAL_BASE_MS = 100;
@@ -64,6 +65,7 @@
     private final ClaimService mClaims;
     private final RequestDesk mDesk;
     private final StepDesk mSteps;
+    private final DemandShares mShares = new DemandShares();
     private final PeerDirectory mPeers;
     private final UsageMeter mMeter;
     private final DutyDesk mDuties;
@@ -110,6 +112,7 @@
                         mLinks,
                         new Backoff(DIAL_BASE_MS, DIAL_MAX_MS, random.split()),
                         mFollower,
+                        mShares,
                         EntryProcess::nowMs);
         mMeter =
                 new UsageMeter(
@@ -141,6 +144,8 @@
         telemetry.gauge("entry_revision", () -> mFollower.revision().number());
         telemetry.gauge("entry_targets", () -> mTargetCount);
         telemetry.gauge("entry_ring_tasks", mThread::size);
+        telemetry.gauge("link_sent_bytes", mLinks::sentBytes);
+        telemetry.gauge("link_received_bytes", mLinks::receivedBytes);
     }
 
     /** Names this start of this process in what it stores. */
@@ -186,6 +191,7 @@
                 mTargets,
                 mClaims,
                 new AccountLimiter(),
+                mShares,
                 new CostRouter(RoutingCosts.STANDARD, this::distance, random.split()),
                 new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, random.split()),
                 mMeter,
@@ -285,7 +291,7 @@
         Replies.on(mVmList.list(mSettings.environment()), mThread, this::listed);
     }
 
-    private void listed(Result<List<VmRecord>> result) {
+    private void listed(Result<Optional<List<VmRecord>>> result) {
         mIsListing = false;
         result.fold(
                 failure -> {
@@ -293,20 +299,25 @@
                     return null;
                 },
                 vms -> {
-                    mTargets.vms(vms, nowMs());
-                    mDesk.limitShare(1.0 / Math.max(1, mTargets.entries().size()));
-                    mDuties.entries(mTargets.entries());
-                    mFollower.configuration().ifPresent(c -> mPeers.entries(mTargets.entries(), c));
+                    vms.ifPresent(this::changed);
                     return null;
                 });
     }
 
+    private void changed(List<VmRecord> vms) {
+        mTargets.vms(vms, nowMs());
+        List<VmRecord> entries = mTargets.entries();
+        mDuties.entries(entries);
+        mFollower.configuration().ifPresent(c -> mPeers.entries(entries, c));
+    }
+
     /** Applies what the follower learned since the last tick. */
     private void apply(Configuration configuration) {
         if (configuration.revision().isAfter(mApplied)) {
             mApplied = configuration.revision();
             mDesk.configured(configuration);
             mDutyFactory.addAll(mDuties);
+            mTargets.refresh(nowMs());
             mPeers.learned();
             mPeers.entries(mTargets.entries(), configuration);
         }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/PeerDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/PeerDirectory.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.VmId;
+import dev.cactusspan.limit.DemandShares;
 import dev.cactusspan.link.Dialer;
 import dev.cactusspan.link.Link;
 import dev.cactusspan.membership.FanOutTree;
@@ -33,16 +34,20 @@
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
     private static final long BEAT_MS = 1_000;
     private static final long HEARD_MS = 5_000;
+    private static final double MS_PER_S = 1_000.0;
 
     private final EntrySettings mSettings;
     private final Dialer mDialer;
     private final Backoff mBackoff;
     private final Follower mFollower;
+    private final DemandShares mShares;
     private final LongSupplier mNowMs;
     private final Map<VmId, Peer> mDialled = new HashMap<>();
     private final Map<Link, Peer> mPeers = new HashMap<>();
     private Map<RegionId, Set<VmId>> mRoots = new TreeMap<>();
     private Set<VmId> mParents = Set.of();
+    private Set<VmId> mSumRoots = Set.of();
+    private Optional<VmId> mSumParent = Optional.empty();
     private boolean mIsRoot = true;
     private long mNextBeatMs;
     private boolean mIsPlatformDown;
@@ -52,11 +57,13 @@
             Dialer dialer,
             Backoff backoff,
             Follower follower,
+            DemandShares shares,
             LongSupplier nowMs) {
         mSettings = settings;
         mDialer = dialer;
         mBackoff = backoff;
         mFollower = follower;
+        mShares = shares;
         mNowMs = nowMs;
     }
 
@@ -75,6 +82,12 @@
         Optional<RegionId> own = region(configuration, mSettings.zone());
         List<VmRecord> near = own.map(r -> byRegion.getOrDefault(r, List.of())).orElse(List.of());
         mParents = new HashSet<>(FanOutTree.parents(mSettings.vm(), near));
+        mSumParent = FanOutTree.sumParent(mSettings.vm(), near);
+        mSumRoots =
+                byRegion.values().stream()
+                        .flatMap(vms -> FanOutTree.roots(vms).stream().limit(1))
+                        .collect(Collectors.toSet());
+        mShares.entries(entries.size());
         Set<VmId> nearRoots = new HashSet<>(FanOutTree.roots(near));
         mIsRoot = nearRoots.isEmpty() || nearRoots.contains(mSettings.vm());
         mRoots = new TreeMap<>();
@@ -124,10 +137,52 @@
             mNextBeatMs = nowMs + BEAT_MS;
             Message.Heartbeat beat = new Message.Heartbeat(mFollower.ageMs(), mIsPlatformDown);
             greeted().forEach(peer -> peer.mLink.send(beat));
+            shareDemand(nowMs);
         }
         mFollower.activate(mIsRoot || !isParentFresh());
     }
 
+    /** Passes demand up to the parent, or between the roots, and the total down. */
+    private void shareDemand(long nowMs) {
+        mShares.endInterval(BEAT_MS / MS_PER_S);
+        mShares.expire(nowMs - HEARD_MS);
+        Message.Demand sum = new Message.Demand(false, mShares.subtree());
+        boolean isRoot = mSumParent.isEmpty();
+        if (isRoot) {
+            mShares.fromParent(mShares.rootTotal());
+        }
+        Message.Demand total = new Message.Demand(true, mShares.total());
+        for (Peer peer : greeted()) {
+            boolean isUp = mSumParent.equals(Optional.of(peer.mVm));
+            boolean isRootPeer = isRoot && mSumRoots.contains(peer.mVm);
+            if (isUp || isRootPeer) {
+                peer.mLink.send(sum);
+            } else if (peer.mIsSumChild) {
+                peer.mLink.send(total);
+            }
+        }
+    }
+
+    /** Takes demand from a child, another root or the parent. */
+    void demand(Link link, Message.Demand demand) {
+        Peer peer = mPeers.get(link);
+        if (peer == null || peer.mVm == null) {
+            return;
+        }
+        if (demand.total()) {
+            if (mSumParent.equals(Optional.of(peer.mVm))) {
+                mShares.fromParent(demand.perS());
+            }
+            return;
+        }
+        if (mSumRoots.contains(peer.mVm)) {
+            mShares.fromRoot(peer.mVm, demand.perS(), mNowMs.getAsLong());
+            return;
+        }
+        peer.mIsSumChild = true;
+        mShares.fromChild(peer.mVm, demand.perS(), mNowMs.getAsLong());
+    }
+
     /** Without a parent that has fresh news, an entry watches the platform itself. */
     private boolean isParentFresh() {
         return greeted().stream()
@@ -195,6 +250,7 @@
         }
         peer.mLink = null;
         peer.mVm = null;
+        peer.mIsSumChild = false;
         peer.mTold.clear();
         peer.mFailures++;
         peer.mNextMs = mNowMs.getAsLong() + mBackoff.delayMs(peer.mFailures);
@@ -236,6 +292,7 @@
         private VmId mVm;
         private long mToldAgeMs = Long.MAX_VALUE;
         private boolean mIsPlatformDown;
+        private boolean mIsSumChild;
         private long mHeardMs = Long.MIN_VALUE;
         private int mFailures;
         private long mNextMs;
--- a/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/RequestDesk.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.limit.AccountLimiter;
+import dev.cactusspan.limit.DemandShares;
 import dev.cactusspan.observe.LogFields;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.ErrorKind;
@@ -38,6 +39,7 @@
     private final TargetDirectory mTargets;
     private final ClaimDesk mClaims;
     private final AccountLimiter mLimiter;
+    private final DemandShares mShares;
     private final Router mRouter;
     private final Backoff mBackoff;
     private final UsageMeter mMeter;
@@ -46,13 +48,13 @@
     private final LongSupplier mNowMs;
     private final Set<PendingRequest> mPending = new LinkedHashSet<>();
     private RetryBudget mBudget = new RetryBudget(0);
-    private double mLimitShare = 1.0;
     private boolean mIsDraining;
 
     RequestDesk(
             TargetDirectory targets,
             ClaimService claims,
             AccountLimiter limiter,
+            DemandShares shares,
             Router router,
             Backoff backoff,
             UsageMeter meter,
@@ -62,6 +64,7 @@
         mTargets = targets;
         mClaims = new ClaimDesk(claims, new ClaimedRequests(), configuration, nowMs);
         mLimiter = limiter;
+        mShares = shares;
         mRouter = router;
         mBackoff = backoff;
         mMeter = meter;
@@ -104,8 +107,9 @@
                             ErrorKind.IDEMPOTENCY_KEY_REQUIRED,
                             "route " + spec.route().name() + " needs Idempotency-Key"));
         }
+        mShares.arrived(spec.account());
         return account(spec.account())
-                .flatMap(a -> mLimiter.admit(a, mLimitShare, mNowMs.getAsLong()));
+                .flatMap(a -> mLimiter.admit(a, mShares.share(a.name()), mNowMs.getAsLong()));
     }
 
     private Optional<EnvironmentDocument.Account> account(AccountId id) {
@@ -408,10 +412,6 @@
         return mPending.size();
     }
 
-    void limitShare(double share) {
-        mLimitShare = share;
-    }
-
     /** What becomes of requests that asked for a claim. */
     private final class ClaimedRequests implements ClaimDesk.Listener {
         @Override
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
@@ -17,6 +17,7 @@
 import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.sample.DeliveryPlan;
+import dev.cactusspan.sample.Sample;
 import dev.cactusspan.sample.StepBook;
 import dev.cactusspan.sample.StepLedger;
 import dev.cactusspan.sample.StepSpec;
@@ -186,13 +187,32 @@
         ServiceId model = step.trainer().model();
         int slots = mTargets.usable(model).stream().mapToInt(t -> t.load().slots()).sum();
         int capacity = (int) Math.ceil(slots * QUEUE_FACTOR);
-        while (step.book().running() < capacity) {
-            Optional<Integer> slot = step.book().takeOpen();
-            if (slot.isEmpty()) {
+        while (step.book().running() < capacity && !step.book().isAllTaken()) {
+            int slot = step.book().takeOpen().orElseThrow();
+            if (!start(step, slot)) {
                 return;
             }
-            if (mRequests.admit(spec(step, slot.get()), sink(step, slot.get())).isEmpty()) {
-                step.nextRunAt(mNowMs.getAsLong() + RETRY_MS);
+        }
+        if (step.book().isAllTaken()) {
+            hedge(step);
+        }
+    }
+
+    /** Runs a slot; tells whether the request was admitted. */
+    private boolean start(ActiveStep step, int slot) {
+        step.started(slot, mNowMs.getAsLong());
+        if (mRequests.admit(spec(step, slot), sink(step, slot)).isEmpty()) {
+            step.nextRunAt(mNowMs.getAsLong() + RETRY_MS);
+            return false;
+        }
+        return true;
+    }
+
+    /** Runs late samples of the step's tail a second time; the first one that ends counts. */
+    private void hedge(ActiveStep step) {
+        for (int slot : step.late(mNowMs.getAsLong())) {
+            mTelemetry.count("hedges_total");
+            if (!start(step, slot)) {
                 return;
             }
         }
@@ -253,15 +273,22 @@
         return new SampleSink(
                 step.book().spec().step(),
                 step.book().slot(slot),
-                sample -> {
-                    boolean isKept = step.book().finished(slot, sample, active(step));
-                    String outcome = isKept ? "kept" : "rerun";
-                    mTelemetry.count("samples_total", "outcome", outcome);
-                },
-                reason -> {
-                    step.book().failed(slot);
-                    mTelemetry.count("samples_total", "outcome", "failed");
-                });
+                sample -> finished(step, slot, sample),
+                reason -> failed(step, slot));
+    }
+
+    private void finished(ActiveStep step, int slot, Sample sample) {
+        step.finished(slot, mNowMs.getAsLong());
+        step.ended(slot);
+        boolean isKept = step.book().finished(slot, sample, active(step));
+        mTelemetry.count("samples_total", "outcome", isKept ? "kept" : "dropped");
+    }
+
+    private void failed(ActiveStep step, int slot) {
+        if (!step.ended(slot)) {
+            step.book().failed(slot);
+        }
+        mTelemetry.count("samples_total", "outcome", "failed");
     }
 
     private WeightVersion active(ActiveStep step) {
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
@@ -76,6 +76,11 @@
         dial(nowMs);
     }
 
+    /** Applies the last VM list again, after the duties of this entry changed. */
+    void refresh(long nowMs) {
+        vms(mVms, nowMs);
+    }
+
     /** Connects to what is wanted and not connected. */
     void dial(long nowMs) {
         for (Dial dial : mDials.values()) {
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TargetsDuty.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetsDuty.java
@@ -30,6 +30,7 @@
 final class TargetsDuty implements Duty {
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
     private static final long LOOK_MS = 1_000;
+    private static final long LEAD_MS = 120_000;
 
     private final EnvironmentId mEnvironment;
     private final DutyId mId;
@@ -40,6 +41,8 @@
     private final TargetInterface mInterface;
     private final Executor mThread;
     private Optional<TargetLink> mLeaving = Optional.empty();
+    private int mExpected;
+    private long mOrderedMs;
     private boolean mIsBusy;
     private long mNextMs;
 
@@ -108,8 +111,8 @@
     private void decide(Held held, Scaling scaling, Stored stored, long nowMs) {
         List<TargetLink> targets = mTargets.of(scaling.service(), scaling.availabilityZone());
         List<TargetLink> serving = targets.stream().filter(TargetLink::isUsable).toList();
-        int starting =
-                mTargets.listed(scaling.service(), scaling.availabilityZone()) - targets.size();
+        int listed = mTargets.listed(scaling.service(), scaling.availabilityZone());
+        int starting = starting(listed, nowMs) - targets.size();
         int requests =
                 serving.stream().mapToInt(t -> t.load().inFlight() + t.load().queued()).sum();
         int slots = serving.stream().mapToInt(t -> t.load().slots()).max().orElse(1);
@@ -119,6 +122,8 @@
         int wanted = mPolicy.wanted(demand, bounds, nowMs);
         int present = demand.targets() + demand.starting();
         if (wanted > present) {
+            mExpected = present + 1;
+            mOrderedMs = nowMs;
             record(held, scaling, stored, TargetOrder.Kind.START, VmId.of(""));
             return;
         }
@@ -132,6 +137,12 @@
         mIsBusy = false;
     }
 
+    /** Counts an ordered target as starting until it is listed, or its lead time is over. */
+    private int starting(int listed, long nowMs) {
+        boolean isExpected = mExpected > listed && nowMs - mOrderedMs < LEAD_MS;
+        return isExpected ? mExpected : listed;
+    }
+
     /** Asks the least loaded target to leave; it is stopped once it is idle. */
     private void leave(Held held, List<TargetLink> serving) {
         Optional<FencingNumber> fencing = held.now();
--- a/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
@@ -14,6 +14,7 @@
 import java.util.Iterator;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 /** The one thread that reads and writes all links of a process. */
@@ -31,6 +32,8 @@
     private final Queue<Runnable> mTasks = new ConcurrentLinkedQueue<>();
     private final ByteBuffer mReadBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     private final Thread mThread;
+    private final AtomicLong mSentBytes = new AtomicLong();
+    private final AtomicLong mReceivedBytes = new AtomicLong();
     private volatile boolean mClosed;
 
     /**
@@ -193,6 +196,7 @@
             drop(link, "closed by the other end");
             return;
         }
+        mReceivedBytes.addAndGet(count);
         mReadBuffer.flip();
         link.decoder()
                 .feed(mReadBuffer)
@@ -230,6 +234,28 @@
         }
     }
 
+    void countSent(int bytes) {
+        mSentBytes.addAndGet(bytes);
+    }
+
+    /**
+     * Returns how many bytes were sent on all links.
+     *
+     * @return bytes since the start
+     */
+    public long sentBytes() {
+        return mSentBytes.get();
+    }
+
+    /**
+     * Returns how many bytes came on all links.
+     *
+     * @return bytes since the start
+     */
+    public long receivedBytes() {
+        return mReceivedBytes.get();
+    }
+
     static long nowMs() {
         return System.nanoTime() / 1_000_000;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
@@ -112,6 +112,7 @@
         for (ByteBuffer head = mSendQueue.peek(); head != null; head = mSendQueue.peek()) {
             int count = mChannel.write(head);
             mSendQueueBytes.addAndGet(-count);
+            mReactor.countSent(count);
             mLastSentMs = nowMs;
             if (head.hasRemaining()) {
                 mKey.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
--- a/cactusspan/src/main/java/dev/cactusspan/membership/FanOutTree.java
+++ b/cactusspan/src/main/java/dev/cactusspan/membership/FanOutTree.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.id.VmId;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Two trees over the entries of a region, along which news and freshness travel. Each entry has a
@@ -38,11 +39,24 @@
         return parents;
     }
 
+    /**
+     * Returns the parent along which sums travel, so that each entry is counted once.
+     *
+     * @param self the entry
+     * @param entries live entries of its region, itself among them
+     * @return the parent in the first tree, empty for its root
+     */
+    public static Optional<VmId> sumParent(VmId self, List<VmRecord> entries) {
+        List<VmId> order = Rendezvous.order(KEYS.get(0), entries);
+        int index = order.indexOf(self);
+        return index <= 0 ? Optional.empty() : Optional.of(order.get((index - 1) / FAN_OUT));
+    }
+
     /**
      * Returns the roots, which watch the platform.
      *
      * @param entries live entries of a region
-     * @return one or two roots, none without entries
+     * @return one or two roots, that of the first tree first; none without entries
      */
     public static List<VmId> roots(List<VmRecord> entries) {
         return KEYS.stream()
--- a/cactusspan/src/main/java/dev/cactusspan/observe/Telemetry.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/Telemetry.java
@@ -38,7 +38,10 @@
      * @return the metrics
      */
     public static Telemetry create() {
-        return new Telemetry();
+        Telemetry telemetry = new Telemetry();
+        Runtime runtime = Runtime.getRuntime();
+        telemetry.gauge("heap_used_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        return telemetry;
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/VmListClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/VmListClient.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.platform;
 
+import dev.cactusspan.http.HttpAnswer;
 import dev.cactusspan.http.HttpCall;
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.id.EnvironmentId;
@@ -9,13 +10,19 @@
 import dev.cactusspan.text.JsonText;
 import java.net.URI;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** Reads the platform's VM list, which lags behind the truth. */
 public final class VmListClient {
     private static final long TIMEOUT_MS = 3_000;
     private static final int MAX_LIST_BYTES = 4 << 20;
 
+    private static final int NOT_MODIFIED = 304;
+
+    private final AtomicReference<String> mTag = new AtomicReference<>("");
     private final HttpCaller mHttp;
     private final URI mServer;
 
@@ -31,25 +38,39 @@
     }
 
     /**
-     * Reads the list.
+     * Reads the list, if it changed since the last time. The platform names each state of the list
+     * with an entity tag, so that an unchanged list costs few bytes.
      *
      * @param environment the environment
-     * @return its VMs, or {@code platform_unavailable}
+     * @return its VMs, empty if they are the same as before, or {@code platform_unavailable}
      */
-    public CompletableFuture<Result<List<VmRecord>>> list(EnvironmentId environment) {
-        return mHttp.collect(
-                        HttpCall.get(mServer, "/vms?environment=" + environment, TIMEOUT_MS),
-                        MAX_LIST_BYTES)
-                .thenApply(
-                        r ->
-                                r.flatMap(
-                                        answer ->
-                                                answer.isSuccess()
-                                                        ? JsonText.read(
-                                                                answer.body(), VmRecord[].class)
-                                                        : Result.fail(
-                                                                ErrorKind.PLATFORM_UNAVAILABLE,
-                                                                "VM list: " + answer.status())))
-                .thenApply(r -> r.map(List::of));
+    public CompletableFuture<Result<Optional<List<VmRecord>>>> list(EnvironmentId environment) {
+        String tag = mTag.get();
+        Map<String, String> headers = tag.isEmpty() ? Map.of() : Map.of("If-None-Match", tag);
+        HttpCall call =
+                new HttpCall(
+                        "GET",
+                        mServer,
+                        "/vms?environment=" + environment,
+                        headers,
+                        new byte[0],
+                        TIMEOUT_MS,
+                        false);
+        return mHttp.collect(call, MAX_LIST_BYTES).thenApply(r -> r.flatMap(this::read));
+    }
+
+    private Result<Optional<List<VmRecord>>> read(HttpAnswer answer) {
+        if (answer.status() == NOT_MODIFIED) {
+            return Result.of(Optional.empty());
+        }
+        if (!answer.isSuccess()) {
+            return Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, "VM list: " + answer.status());
+        }
+        return JsonText.read(answer.body(), VmRecord[].class)
+                .map(
+                        vms -> {
+                            mTag.set(answer.header("etag").orElse(""));
+                            return Optional.of(List.of(vms));
+                        });
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/sample/StepBook.java
+++ b/cactusspan/src/main/java/dev/cactusspan/sample/StepBook.java
@@ -245,6 +245,25 @@
         return mRunning.cardinality();
     }
 
+    /**
+     * Tells whether a slot runs.
+     *
+     * @param slot the slot
+     * @return true if it was taken and is not finished
+     */
+    public boolean isRunning(int slot) {
+        return mRunning.get(slot);
+    }
+
+    /**
+     * Tells whether all slots run, are ready or are delivered.
+     *
+     * @return true if none is open
+     */
+    public boolean isAllTaken() {
+        return mOpen.isEmpty();
+    }
+
     /**
      * Returns how many samples wait to be delivered.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
@@ -87,6 +87,8 @@
                         mLastLoad::get);
         telemetry.gauge("side_in_flight_requests", () -> mLastLoad.get().inFlight());
         telemetry.gauge("side_queued_requests", () -> mLastLoad.get().queued());
+        telemetry.gauge("link_sent_bytes", mLinks::sentBytes);
+        telemetry.gauge("link_received_bytes", mLinks::receivedBytes);
         telemetry.gauge("side_weight_version", () -> mLastLoad.get().version().number());
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
@@ -28,6 +28,7 @@
     @JsonSubTypes.Type(value = Message.WantedWeights.class, name = "ww"),
     @JsonSubTypes.Type(value = Message.Leave.class, name = "le"),
     @JsonSubTypes.Type(value = Message.News.class, name = "ne"),
+    @JsonSubTypes.Type(value = Message.Demand.class, name = "de"),
     @JsonSubTypes.Type(value = Message.Submit.class, name = "su"),
     @JsonSubTypes.Type(value = Message.Cancel.class, name = "ca"),
     @JsonSubTypes.Type(value = Message.Head.class, name = "he"),
@@ -122,6 +123,15 @@
         }
     }
 
+    /**
+     * Demand of client accounts: the sum of a subtree on its way up or between roots, or the total
+     * on its way down.
+     *
+     * @param total true for the total over all entries
+     * @param perS requests a second by account
+     */
+    record Demand(boolean total, Map<AccountId, Double> perS) implements Message {}
+
     /**
      * A request for the target.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
@@ -15,6 +15,7 @@
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.limit.AccountLimiter;
+import dev.cactusspan.limit.DemandShares;
 import dev.cactusspan.membership.SubsetChooser;
 import dev.cactusspan.membership.VmRecord;
 import dev.cactusspan.observe.Telemetry;
@@ -73,11 +74,13 @@
                 new TargetDirectory(
                         settings, sides, new SubsetChooser(8), new Backoff(10, 50, random.split()));
         mClaims = new ClaimService(ENVIRONMENT, keyValues, this, clock::nowMs, telemetry, name);
+        DemandShares shares = new DemandShares();
         mDesk =
                 new RequestDesk(
                         mTargets,
                         mClaims,
                         new AccountLimiter(),
+                        shares,
                         new CostRouter(
                                 RoutingCosts.STANDARD,
                                 zone -> ZoneDistance.SAME_ZONE,
@@ -105,6 +108,7 @@
                         sides,
                         new Backoff(10, 50, random.split()),
                         mFollower,
+                        shares,
                         clock::nowMs);
         mLinks = new EntryLinks(settings, 1, this, mTargets, peers, mDesk, mFollower, clock::nowMs);
         sides.listener(mLinks);
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/limit/DemandSharesTest.java
@@ -0,0 +1,83 @@
+package dev.cactusspan.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Shares over a root and its children. */
+final class DemandSharesTest {
+    private static final AccountId ACCOUNT = AccountId.of("a");
+
+    private final DemandShares mRoot = new DemandShares();
+    private final List<DemandShares> mChildren = new ArrayList<>();
+
+    private void turn(int... arrivals) {
+        mRoot.endInterval(1);
+        for (int i = 0; i < mChildren.size(); i++) {
+            DemandShares child = mChildren.get(i);
+            for (int n = 0; n < arrivals[i]; n++) {
+                child.arrived(ACCOUNT);
+            }
+            child.endInterval(1);
+            mRoot.fromChild(VmId.of("c" + i), child.subtree(), 0);
+        }
+        mRoot.fromParent(mRoot.rootTotal());
+        mChildren.forEach(child -> child.fromParent(mRoot.rootTotal()));
+    }
+
+    private void start(int children) {
+        mRoot.entries(children + 1);
+        for (int i = 0; i < children; i++) {
+            mChildren.add(new DemandShares());
+            mChildren.get(i).entries(children + 1);
+        }
+    }
+
+    @Test
+    void shouldGiveNearlyAllToTheEntryThatHasAllDemand() {
+        start(7);
+        for (int i = 0; i < 20; i++) {
+            turn(100, 0, 0, 0, 0, 0, 0);
+        }
+        assertThat(mChildren.get(0).share(ACCOUNT), greaterThan(0.95));
+        assertThat(mChildren.get(1).share(ACCOUNT), lessThan(0.1));
+    }
+
+    @Test
+    void shouldFollowDemandThatMoves() {
+        start(3);
+        for (int i = 0; i < 20; i++) {
+            turn(100, 0, 0);
+        }
+        for (int i = 0; i < 20; i++) {
+            turn(30, 70, 0);
+        }
+        assertThat(mChildren.get(0).share(ACCOUNT), closeTo(0.3, 0.05));
+        assertThat(mChildren.get(1).share(ACCOUNT), closeTo(0.7, 0.05));
+    }
+
+    @Test
+    void shouldForgetAnEntryThatIsGone() {
+        start(2);
+        for (int i = 0; i < 20; i++) {
+            turn(50, 50);
+        }
+        mRoot.expire(1);
+        mRoot.fromChild(VmId.of("c0"), mChildren.get(0).subtree(), 2);
+        mChildren.get(0).fromParent(mRoot.rootTotal());
+        assertThat(mChildren.get(0).share(ACCOUNT), greaterThan(0.95));
+    }
+
+    @Test
+    void shouldShareEquallyWhileNothingIsKnown() {
+        start(3);
+        assertThat(mChildren.get(0).share(ACCOUNT), closeTo(0.25, 0.001));
+    }
+}
