Refuse at the side process what would be answered too late

Change: a side process estimates from the last requests of a class whether a new one would end after its deadline, counting for a small account only what the fair queue serves before it, and refuses it "not run".

--- a/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/RetryExperiment.java
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/RetryExperiment.java
@@ -1,5 +1,7 @@
 package dev.cactusspan.benchmark;
 
+import dev.cactusspan.config.EnvironmentDocument.RequestClass;
+import dev.cactusspan.limit.WaitEstimate;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.routing.RetryBudget;
 import java.io.PrintStream;
@@ -25,14 +27,15 @@
     private final Backoff mBackoff = new Backoff(20, 1_000, new SplittableRandom(2));
     private final Deque<Try> mQueue = new ArrayDeque<>();
     private final RetryBudget mBudget;
-    private final boolean mDropsGivenUp;
+    private final Target mTarget;
+    private final WaitEstimate mEstimate = new WaitEstimate();
     private final int[] mTries = new int[(int) (RUN_MS / WINDOW_MS) + 1];
     private final int[] mArrived = new int[mTries.length];
     private final int[] mAnswered = new int[mTries.length];
     private int mBusy;
 
-    private RetryExperiment(int percent, boolean dropsGivenUp) {
-        mDropsGivenUp = dropsGivenUp;
+    private RetryExperiment(int percent, Target target) {
+        mTarget = target;
         mBudget = new RetryBudget(percent);
     }
 
@@ -41,13 +44,13 @@
         out.printf(
                 "%-20s %18s %20s %22s%n",
                 "budget", "peak tries/request", "answered in outage", "normal again after (s)");
-        for (boolean dropsGivenUp : new boolean[] {false, true}) {
+        for (Target target : Target.values()) {
             for (int percent : new int[] {100_000, 50, 20, 10, 0}) {
-                RetryExperiment experiment = new RetryExperiment(percent, dropsGivenUp);
+                RetryExperiment experiment = new RetryExperiment(percent, target);
                 experiment.arrive();
                 experiment.mLoop.runUntil(RUN_MS);
                 String budget = percent >= 100_000 ? "none" : percent + " %";
-                experiment.report(out, budget + (dropsGivenUp ? ", queue drops" : ""));
+                experiment.report(out, budget + target.mNote);
             }
         }
     }
@@ -92,11 +95,20 @@
     private void attempt(int number) {
         mTries[window()]++;
         Try attempt = new Try(number);
+        if (mTarget == Target.LOOKS_AHEAD && isLate()) {
+            timeout(attempt);
+            return;
+        }
         mQueue.add(attempt);
         mLoop.after(TIMEOUT_MS, () -> timeout(attempt));
         serve();
     }
 
+    private boolean isLate() {
+        return mEstimate.isLate(
+                RequestClass.INTERACTIVE, mQueue.size(), slots(), (long) TIMEOUT_MS);
+    }
+
     /** The target does not know of the time-out and works on, as one that cannot cancel. */
     private void timeout(Try attempt) {
         if (attempt.mIsDone) {
@@ -112,13 +124,15 @@
     private void serve() {
         while (mBusy < slots() && !mQueue.isEmpty()) {
             Try attempt = mQueue.poll();
-            if (mDropsGivenUp && attempt.mIsGivenUp) {
+            if (mTarget != Target.PLAIN && attempt.mIsGivenUp) {
                 continue;
             }
             mBusy++;
+            double tookMs = Samples.exponential(mRandom, MEAN_MS);
             mLoop.after(
-                    Samples.exponential(mRandom, MEAN_MS),
+                    tookMs,
                     () -> {
+                        mEstimate.finished(RequestClass.INTERACTIVE, (long) tookMs);
                         mBusy--;
                         attempt.mIsDone = true;
                         mAnswered[window()] += attempt.mIsGivenUp ? 0 : 1;
@@ -127,6 +141,19 @@
         }
     }
 
+    /** What the target does about work that cannot be answered in time. */
+    private enum Target {
+        PLAIN(""),
+        DROPS_GIVEN_UP(", queue drops"),
+        LOOKS_AHEAD(", looks ahead");
+
+        private final String mNote;
+
+        Target(String note) {
+            mNote = note;
+        }
+    }
+
     private static final class Try {
         private final int mNumber;
         private boolean mIsDone;
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
@@ -42,6 +42,7 @@
     private final EnvironmentId mEnvironment;
     private final String mOwner;
     private final KeyValueService mKeyValues;
+    private final StepOpener mOpener;
     private final Executor mThread;
     private final RequestDesk mRequests;
     private final TargetDirectory mTargets;
@@ -66,6 +67,7 @@
         mEnvironment = environment;
         mOwner = owner;
         mKeyValues = keyValues;
+        mOpener = new StepOpener(environment, owner, keyValues, thread);
         mThread = thread;
         mRequests = requests;
         mTargets = targets;
@@ -90,72 +92,24 @@
             reply.accept(Result.of(held.book().ledger()));
             return;
         }
-        Submission submission = new Submission(lane, trainer, keyHash, spec, reply);
-        Replies.on(mKeyValues.get(key(lane)), mThread, r -> opened(submission, r));
-    }
-
-    private void opened(Submission submission, Result<Optional<KeyValueService.Entry>> result) {
-        result.flatMap(entry -> ledger(entry, submission.spec()))
-                .fold(
-                        failure -> refuse(submission, failure),
-                        opening -> start(submission, opening));
-    }
-
-    private static Void refuse(Submission submission, Failure failure) {
-        submission.reply().accept(Result.fail(failure));
-        return null;
-    }
-
-    /** Returns the ledger to write for a submitted step, with the version that it replaces. */
-    private Result<Opening> ledger(Optional<KeyValueService.Entry> entry, StepSpec spec) {
-        if (entry.isEmpty()) {
-            return Result.of(new Opening(0, StepLedger.start(spec, mOwner, 0)));
-        }
-        long version = entry.get().version();
-        return JsonText.read(entry.get().value(), StepLedger.class)
-                .flatMap(ledger -> succeed(ledger, spec))
-                .map(ledger -> new Opening(version, ledger));
-    }
-
-    private Result<StepLedger> succeed(StepLedger ledger, StepSpec spec) {
-        if (ledger.step() == spec.step() && ledger.digest().equals(spec.digest())) {
-            return Result.of(ledger.takeOver(mOwner));
-        }
-        if (ledger.step() >= spec.step()) {
-            return Result.fail(
-                    ErrorKind.CONFLICT,
-                    "step " + ledger.step() + " is under way; a new step needs a higher number");
-        }
-        if (!ledger.isWhole()) {
-            return Result.fail(
-                    ErrorKind.CONFLICT, "step " + ledger.step() + " is not delivered whole");
-        }
-        return Result.of(StepLedger.start(spec, mOwner, ledger.delivery()));
-    }
-
-    private Void start(Submission submission, Opening opening) {
-        byte[] value = JsonText.write(opening.ledger());
-        Replies.on(
-                mKeyValues.compareAndSwap(key(submission.lane()), opening.version(), value),
-                mThread,
-                r -> started(submission, opening, r));
-        return null;
-    }
-
-    private void started(Submission submission, Opening opening, Result<Long> result) {
-        result.fold(
-                failure -> refuse(submission, failure),
-                version -> {
-                    hold(submission, opening, version);
-                    submission.reply().accept(Result.of(opening.ledger()));
-                    return null;
-                });
-    }
-
-    private void hold(Submission submission, Opening opening, long version) {
-        Lane lane = submission.lane();
-        StepSpec spec = submission.spec();
-        EnvironmentDocument.Trainer trainer = submission.trainer();
+        mOpener.open(
+                lane,
+                spec,
+                result ->
+                        reply.accept(
+                                result.map(
+                                        opening -> {
+                                            hold(lane, trainer, keyHash, spec, opening);
+                                            return opening.ledger();
+                                        })));
+    }
+
+    private void hold(
+            Lane lane,
+            EnvironmentDocument.Trainer trainer,
+            KeyHash keyHash,
+            StepSpec spec,
+            StepOpener.Opening opening) {
         long bound =
                 mConfiguration
                         .get()
@@ -164,7 +118,7 @@
                         .map(m -> m.stalenessBoundVersions())
                         .orElse(0L);
         StepBook book = new StepBook(spec, opening.ledger(), bound, trainer.deliverySamples());
-        ActiveStep step = new ActiveStep(book, trainer, submission.keyHash(), version);
+        ActiveStep step = new ActiveStep(book, trainer, keyHash, opening.version());
         Optional.ofNullable(mSteps.put(lane, step))
                 .flatMap(ActiveStep::takePoll)
                 .ifPresent(p -> p.reply().fail(Failure.of(ErrorKind.CONFLICT, "a newer step")));
@@ -488,17 +442,8 @@
     }
 
     private String key(Lane lane) {
-        return "steps/" + mEnvironment + "/" + lane.trainer() + "/" + lane.number();
+        return StepOpener.key(mEnvironment, lane);
     }
 
-    private record Submission(
-            Lane lane,
-            EnvironmentDocument.Trainer trainer,
-            KeyHash keyHash,
-            StepSpec spec,
-            Consumer<Result<StepLedger>> reply) {}
-
-    private record Opening(long version, StepLedger ledger) {}
-
     private record Completion(ServiceId model, String prompt, int maxTokens, boolean stream) {}
 }
--- a/cactusspan/src/main/java/dev/cactusspan/limit/FairQueue.java
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/FairQueue.java
@@ -118,6 +118,22 @@
         };
     }
 
+    /** The flow's own requests, and what the other flows are served meanwhile by their weight. */
+    @Override
+    public int ahead(QueuedItem<T> item) {
+        FlowId id = new FlowId(item.account(), item.requestClass());
+        int weight = item.weight() * factor(item.requestClass());
+        int own = Optional.ofNullable(mFlows.get(id)).map(f -> f.mItems.size()).orElse(0);
+        double ahead = own;
+        for (Map.Entry<FlowId, Flow<T>> flow : mFlows.entrySet()) {
+            if (!flow.getKey().equals(id)) {
+                double meanwhile = (own + 1.0) * flow.getValue().mWeight / weight;
+                ahead += Math.min(flow.getValue().mItems.size(), meanwhile);
+            }
+        }
+        return (int) ahead;
+    }
+
     // Accessors
 
     @Override
--- a/cactusspan/src/main/java/dev/cactusspan/limit/FifoQueue.java
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/FifoQueue.java
@@ -54,6 +54,11 @@
         return removed;
     }
 
+    @Override
+    public int ahead(QueuedItem<T> item) {
+        return mItems.size();
+    }
+
     @Override
     public int size() {
         return mItems.size();
--- a/cactusspan/src/main/java/dev/cactusspan/limit/RequestQueue.java
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/RequestQueue.java
@@ -35,6 +35,14 @@
      */
     List<QueuedItem<T>> removeIf(Predicate<QueuedItem<T>> which);
 
+    /**
+     * Estimates how many requests are served before a new one.
+     *
+     * @param item the new request
+     * @return the number of requests
+     */
+    int ahead(QueuedItem<T> item);
+
     /**
      * Returns how many requests wait.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/side/TargetDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/TargetDesk.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.limit.QueuedItem;
 import dev.cactusspan.limit.RequestQueue;
+import dev.cactusspan.limit.WaitEstimate;
 import dev.cactusspan.link.Link;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.ErrorKind;
@@ -35,6 +36,7 @@
     private final Telemetry mTelemetry;
     private final EngineWeights mWeights;
     private final LongSupplier mNowMs;
+    private final WaitEstimate mEstimate = new WaitEstimate();
     private final Map<StreamId, TargetRequest> mRequests = new HashMap<>();
     private int mInFlight;
     private int mRolloutsInFlight;
@@ -78,6 +80,12 @@
                         submit.weight(),
                         deadlineMs,
                         request);
+        int ahead = mInFlight < mSettings.slots() ? 0 : mQueue.ahead(item);
+        if (mEstimate.isLate(
+                submit.requestClass(), ahead, mSettings.slots(), submit.deadlineMs())) {
+            refuse(request, ErrorKind.OVERLOADED, "the answer would come after the deadline");
+            return;
+        }
         mQueue.add(item)
                 .ifPresent(out -> refuse(out.item(), ErrorKind.OVERLOADED, "queue is full"));
         dispatchQueued();
@@ -179,6 +187,7 @@
         TargetRequest request = item.item();
         Message.Submit submit = request.submit();
         request.apply(TargetRequestEvent.DISPATCH);
+        request.dispatchedAt(mNowMs.getAsLong());
         mInFlight++;
         mRolloutsInFlight += submit.requestClass() == RequestClass.ROLLOUT ? 1 : 0;
         HttpCall call =
@@ -230,6 +239,8 @@
         long stream = request.submit().stream();
         request.link()
                 .send(new Message.End(stream, request.chunks(), request.answerBytes(), labels));
+        mEstimate.finished(
+                request.submit().requestClass(), mNowMs.getAsLong() - request.dispatchedMs());
         finish(request, "ended");
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/side/TargetRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/TargetRequest.java
@@ -20,6 +20,7 @@
     private Runnable mCancel = () -> {};
     private int mChunks;
     private long mAnswerBytes;
+    private long mDispatchedMs;
 
     TargetRequest(Link link, Message.Submit submit, Optional<EngineEvents> events) {
         mLink = link;
@@ -39,6 +40,14 @@
         return new Message.Chunk(mSubmit.stream(), mChunks++, data);
     }
 
+    void dispatchedAt(long timeMs) {
+        mDispatchedMs = timeMs;
+    }
+
+    long dispatchedMs() {
+        return mDispatchedMs;
+    }
+
     void onCancel(Runnable cancel) {
         mCancel = cancel;
     }
