Strengthen the proof of exactly-once samples

Cause: with guards removed on a scratch copy, the step property did not fail for two of them: a delivery repeated without a look at the ledger, and a voided delivery whose slots are not opened again. The test had one living entry and few deliveries.

Change: two living entries, one of which may be out of date; the trainer moves between them; deliveries of 4 samples, one in three lost, some with their entry; 150 cases instead of 60. StepBookTest holds the decisions one at a time.

Measured (scratch copy): without the look at the ledger the property now fails (a sample came twice); without the second look at staleness it fails (4 versions behind, bound 2); the slots of a voided delivery are held by StepBookTest, not by the property.

--- a/cactusspan/src/test/java/dev/cactusspan/entry/StepDeskTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/StepDeskTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusspan.config.EnvironmentDocument.Trainer;
 import dev.cactusspan.config.KeyHash;
+import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TrainerId;
 import dev.cactusspan.id.WeightVersion;
@@ -30,24 +31,31 @@
     private static final Lane LANE = new Lane(TrainerId.of("lantern-trainer-1"), 0);
     private static final ServiceId MODEL = ServiceId.of("lantern-lm");
     private static final long STALENESS_BOUND = 2;
+    private static final int DELIVERY = 4;
     private static final String[] KEYS = {"a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7"};
 
     private EntryHarness.Clock mClock;
     private FakeKeyValues mKeyValues;
     private Random mRandom;
-    private FakeSides mSides;
+    private List<EntryHarness> mNodes;
     private EntryHarness mEntry;
     private long mActive;
-    private int mEntries;
+    private int mStarted;
+    private boolean mIsEntryLost;
 
     private void start(long seed) {
         mRandom = new Random(seed);
         mClock = new EntryHarness.Clock();
         mKeyValues = new FakeKeyValues(mRandom);
+        mNodes = new ArrayList<>();
+        mStarted = 0;
+        mIsEntryLost = false;
         EntryHarness.putDocument(mKeyValues, KEYS);
         mActive = 0;
         raiseWeights();
-        newEntry();
+        addEntry();
+        addEntry();
+        mEntry = mNodes.get(0);
     }
 
     private void raiseWeights() {
@@ -58,30 +66,49 @@
                 JsonText.write(WeightBook.EMPTY.raise(MODEL, version, version)));
     }
 
-    private void newEntry() {
-        mSides = new FakeSides(mRandom);
-        mSides.version(mActive);
-        mEntry = new EntryHarness("e" + mEntries++, mKeyValues, mSides, mClock, mRandom.nextLong());
-        while (mEntry.follower().configuration().isEmpty()
-                || mEntry.follower().book().wanted(MODEL).active().number() == 0) {
+    private void addEntry() {
+        FakeSides sides = new FakeSides(mRandom);
+        sides.version(mActive);
+        EntryHarness entry =
+                new EntryHarness("e" + mStarted++, mKeyValues, sides, mClock, mRandom.nextLong());
+        mNodes.add(entry);
+        while (entry.follower().configuration().isEmpty()
+                || entry.follower().book().wanted(MODEL).active().number() == 0) {
             turn();
         }
-        mEntry.listVms();
+        entry.listVms();
+    }
+
+    /** One entry dies, and another starts. */
+    private void replaceEntry() {
+        EntryHarness dead = mNodes.remove(mRandom.nextInt(mNodes.size()));
+        addEntry();
+        if (dead == mEntry) {
+            mEntry = mNodes.get(mRandom.nextInt(mNodes.size()));
+        }
     }
 
     private void turn() {
         mKeyValues.step();
-        mSides.step();
         mClock.advance(5);
-        mEntry.tick();
+        for (EntryHarness entry : mNodes) {
+            entry.sides().step();
+            entry.tick();
+        }
+    }
+
+    private void faults(double share) {
+        mNodes.forEach(entry -> entry.sides().faults(share));
+        mKeyValues.faults(share / 2, share / 2);
     }
 
     private void submit(StepSpec spec) {
-        Trainer trainer = mEntry.configuration().document().trainer(LANE.trainer()).orElseThrow();
+        Trainer trainer =
+                new Trainer(LANE.trainer(), AccountId.of("lantern-trainer"), MODEL, DELIVERY);
         mEntry.steps().submit(LANE, trainer, KeyHash.ofKey("a7"), spec, result -> {});
     }
 
-    @Property(seed = "31", tries = 60)
+    @Property(seed = "31", tries = 150)
     void shouldDeliverEachSampleOnceAndFreshWhateverFails(@ForAll long seed) {
         start(seed);
         List<StepSpec.Group> groups = new ArrayList<>();
@@ -90,26 +117,21 @@
         }
         StepSpec spec = new StepSpec(1, groups);
         FakeTrainer trainer = new FakeTrainer();
-        mSides.faults(0.2);
-        mKeyValues.faults(0.1, 0.1);
         int turns = 0;
         while (!trainer.mIsComplete && turns < 60_000) {
             turns++;
             boolean isCalm = turns > 8_000;
-            if (isCalm) {
-                mSides.faults(0);
-                mKeyValues.faults(0, 0);
-            }
-            if (!isCalm && mRandom.nextInt(400) == 0) {
-                newEntry();
-                mSides.faults(0.2);
+            faults(isCalm ? 0 : 0.2);
+            if (mIsEntryLost || (!isCalm && mRandom.nextInt(300) == 0)) {
+                mIsEntryLost = false;
+                replaceEntry();
                 trainer.mIsWaiting = false;
             }
-            if (!isCalm && mRandom.nextInt(80) == 0) {
+            if (!isCalm && mRandom.nextInt(150) == 0) {
                 raiseWeights();
             }
-            if (mRandom.nextInt(100) == 0) {
-                mSides.version(mActive);
+            if (mRandom.nextInt(50) == 0) {
+                mNodes.forEach(entry -> entry.sides().version(mActive));
             }
             trainer.act(spec);
             turn();
@@ -135,7 +157,12 @@
                 return;
             }
             mIsWaiting = true;
-            submit(spec);
+            if (mRandom.nextInt(8) == 0) {
+                mEntry = mNodes.get(mRandom.nextInt(mNodes.size()));
+            }
+            if (mRandom.nextBoolean()) {
+                submit(spec);
+            }
             int poll = ++mPoll;
             long nowMs = mClock.nowMs();
             mEntry.steps()
@@ -178,7 +205,9 @@
         @Override
         public void deliver(byte[] body) {
             mIsWaiting = false;
-            if (mRandom.nextInt(4) == 0) {
+            if (mRandom.nextInt(3) == 0) {
+                // The delivery is lost on its way, perhaps with the entry.
+                mIsEntryLost = mRandom.nextInt(3) == 0;
                 return;
             }
             JsonNode delivery = JsonText.parse("d", new String(body, StandardCharsets.UTF_8)).get();
