--- /dev/null
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/ClaimExperiment.java
@@ -0,0 +1,159 @@
+package dev.cactusspan.benchmark;
+
+import dev.cactusspan.claim.ClaimKey;
+import dev.cactusspan.claim.ClaimOutcome;
+import dev.cactusspan.claim.ClaimService;
+import dev.cactusspan.claim.StoredAnswer;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.RouteId;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.KeyValueService;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+/** Calls at the key-value service for each claim, over the rate and the number of entries. */
+final class ClaimExperiment {
+    private static final double RUN_MS = 20_000;
+    private static final double ONE_WAY_MS = 2.5;
+    private static final double SERVICE_MS = 50;
+    private static final double TICK_MS = 50;
+    private static final byte[] ANSWER = new byte[64];
+
+    private final EventLoop mLoop = new EventLoop();
+    private final SplittableRandom mRandom = new SplittableRandom(1);
+    private final SlowKeyValues mKeyValues = new SlowKeyValues();
+    private final List<ClaimService> mEntries = new ArrayList<>();
+    private final Samples mWaits = new Samples();
+    private long mKeys;
+
+    private ClaimExperiment(int entries) {
+        for (int i = 0; i < entries; i++) {
+            mEntries.add(
+                    new ClaimService(
+                            EnvironmentId.of("e"),
+                            mKeyValues,
+                            Runnable::run,
+                            () -> (long) mLoop.nowMs(),
+                            Telemetry.create(),
+                            "entry-" + i));
+        }
+    }
+
+    static void run(PrintStream out) {
+        out.println("claims: 64 partitions, 5 ms a call, an answer stored 50 ms after its claim");
+        out.printf(
+                "%8s %10s %14s %14s %14s %12s%n",
+                "entries", "claims/s", "writes/claim", "reads/claim", "conflicts/s", "p99 ms");
+        for (int entries : new int[] {1, 4, 16, 64}) {
+            for (int rate : new int[] {50, 200, 800}) {
+                new ClaimExperiment(entries).report(out, entries, rate);
+            }
+        }
+    }
+
+    private void report(PrintStream out, int entries, int rate) {
+        arrive(1_000.0 / rate);
+        tick();
+        mLoop.runUntil(RUN_MS);
+        double claims = mWaits.size();
+        out.printf(
+                "%8d %10d %14.2f %14.2f %14.1f %12.0f%n",
+                entries,
+                rate,
+                mKeyValues.mWrites / claims,
+                mKeyValues.mReads / claims,
+                mKeyValues.mConflicts / (RUN_MS / 1_000),
+                mWaits.percentile(99));
+    }
+
+    private void tick() {
+        mEntries.forEach(ClaimService::tick);
+        mLoop.after(TICK_MS, this::tick);
+    }
+
+    private void arrive(double meanMs) {
+        mLoop.after(
+                Samples.exponential(mRandom, meanMs),
+                () -> {
+                    claim(mEntries.get(mRandom.nextInt(mEntries.size())));
+                    arrive(meanMs);
+                });
+    }
+
+    private void claim(ClaimService entry) {
+        ClaimKey key = ClaimKey.of(AccountId.of("a"), RouteId.of("r"), "k" + mKeys++);
+        double askedMs = mLoop.nowMs();
+        entry.ask(
+                key,
+                "digest",
+                1_000,
+                5_000,
+                outcome -> {
+                    mWaits.add(mLoop.nowMs() - askedMs);
+                    if (outcome instanceof ClaimOutcome.Granted granted) {
+                        StoredAnswer answer = new StoredAnswer(200, "", ANSWER, false);
+                        mLoop.after(SERVICE_MS, () -> entry.answer(key, granted.token(), answer));
+                    }
+                });
+    }
+
+    /** A key-value service that answers each call after a fixed time. */
+    private final class SlowKeyValues implements KeyValueService {
+        private final Map<String, Entry> mStored = new HashMap<>();
+        private int mReads;
+        private int mWrites;
+        private int mConflicts;
+
+        @Override
+        public CompletableFuture<Result<Optional<Entry>>> get(String key) {
+            mReads++;
+            CompletableFuture<Result<Optional<Entry>>> future = new CompletableFuture<>();
+            mLoop.after(
+                    ONE_WAY_MS,
+                    () -> {
+                        Optional<Entry> entry = Optional.ofNullable(mStored.get(key));
+                        mLoop.after(ONE_WAY_MS, () -> future.complete(Result.of(entry)));
+                    });
+            return future;
+        }
+
+        @Override
+        public CompletableFuture<Result<Optional<Entry>>> watch(
+                String key, long afterVersion, long waitMs) {
+            return get(key);
+        }
+
+        @Override
+        public CompletableFuture<Result<Long>> compareAndSwap(
+                String key, long expectedVersion, byte[] value) {
+            mWrites++;
+            CompletableFuture<Result<Long>> future = new CompletableFuture<>();
+            mLoop.after(
+                    ONE_WAY_MS,
+                    () -> {
+                        Result<Long> result = swap(key, expectedVersion, value);
+                        mLoop.after(ONE_WAY_MS, () -> future.complete(result));
+                    });
+            return future;
+        }
+
+        private Result<Long> swap(String key, long expectedVersion, byte[] value) {
+            long present = Optional.ofNullable(mStored.get(key)).map(Entry::version).orElse(0L);
+            if (present != expectedVersion) {
+                mConflicts++;
+                return Result.fail(ErrorKind.CONFLICT, "the key's version is another");
+            }
+            mStored.put(key, new Entry(expectedVersion + 1, value));
+            return Result.of(expectedVersion + 1);
+        }
+    }
+}
--- a/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/PolicyExperiments.java
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/PolicyExperiments.java
@@ -1,25 +1,37 @@
 package dev.cactusspan.benchmark;
 
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
 /** Runs the experiments on policies, each against the project's own baseline. */
 public final class PolicyExperiments {
     private PolicyExperiments() {}
 
     /**
-     * Runs all experiments.
+     * Runs experiments.
      *
-     * @param args not used
+     * @param args names of experiments; all of them if none is given
      */
     public static void main(String[] args) {
-        QueueExperiment.run(System.out);
-        System.out.println();
-        RoutingExperiment.run(System.out);
-        System.out.println();
-        RetryExperiment.run(System.out);
-        System.out.println();
-        HedgeExperiment.run(System.out);
-        System.out.println();
-        ScalingExperiment.run(System.out);
-        System.out.println();
-        FreshnessExperiment.run(System.out);
+        Map<String, Consumer<PrintStream>> experiments = new LinkedHashMap<>();
+        experiments.put("queue", QueueExperiment::run);
+        experiments.put("routing", RoutingExperiment::run);
+        experiments.put("retry", RetryExperiment::run);
+        experiments.put("hedge", HedgeExperiment::run);
+        experiments.put("scaling", ScalingExperiment::run);
+        experiments.put("freshness", FreshnessExperiment::run);
+        experiments.put("claim", ClaimExperiment::run);
+        Set<String> wanted = args.length == 0 ? experiments.keySet() : Set.of(args);
+        for (String name : wanted) {
+            if (!experiments.containsKey(name)) {
+                System.err.println("unknown experiment " + name + "; " + experiments.keySet());
+                System.exit(2);
+            }
+            experiments.get(name).accept(System.out);
+            System.out.println();
+        }
     }
 }
--- a/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/RoutingExperiment.java
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/RoutingExperiment.java
@@ -31,10 +31,12 @@
     private static final double CACHED_FACTOR = 0.5;
     private static final double REGION_MS = 40;
     private static final double REPORT_MS = 500;
+    private static final double SLOW_REPORT_MS = 1_000;
     private static final double RUN_MS = 60_000;
 
     private final EventLoop mLoop = new EventLoop();
     private final SplittableRandom mRandom;
+    private final double mReportMs;
     private final List<Target> mTargets = new ArrayList<>();
     private final int[][] mOwn = new int[ENTRIES][TARGETS];
     private final int[][] mOthers = new int[ENTRIES][TARGETS];
@@ -43,7 +45,8 @@
     private int mHits;
     private int mRemote;
 
-    private RoutingExperiment(IntFunction<Router> routers, long seed) {
+    private RoutingExperiment(IntFunction<Router> routers, long seed, double reportMs) {
+        mReportMs = reportMs;
         mRandom = new SplittableRandom(seed);
         for (int i = 0; i < TARGETS; i++) {
             mTargets.add(new Target(i % REGIONS));
@@ -54,19 +57,25 @@
     }
 
     static void run(PrintStream out) {
-        out.println("routing: 9 entries, 30 targets in 3 regions, reports 500 ms late");
+        out.println("routing: 9 entries, 30 targets in 3 regions, reports 500 ms apart");
         out.printf(
                 "%-34s %6s %8s %8s %8s %8s%n",
                 "router", "load", "p50 ms", "p99 ms", "cached", "remote");
         for (double load : new double[] {0.6, 0.85}) {
-            row(out, "round robin", load, entry -> new RoundRobinRouter());
+            row(out, "round robin", load, REPORT_MS, entry -> new RoundRobinRouter());
             for (double regionCost : new double[] {0.3, 1.0}) {
                 for (double gain : new double[] {0.0, 0.5}) {
                     RoutingCosts costs = new RoutingCosts(0.25, regionCost, gain, 0.8);
                     String name = "cost, region " + regionCost + ", prefix gain " + gain;
-                    row(out, name, load, entry -> router(costs, entry));
+                    row(out, name, load, REPORT_MS, entry -> router(costs, entry));
                 }
             }
+            row(
+                    out,
+                    "as built, reports 1 s apart",
+                    load,
+                    SLOW_REPORT_MS,
+                    entry -> router(RoutingCosts.STANDARD, entry));
         }
     }
 
@@ -81,8 +90,12 @@
     }
 
     private static void row(
-            PrintStream out, String name, double load, IntFunction<Router> routers) {
-        RoutingExperiment experiment = new RoutingExperiment(routers, 1);
+            PrintStream out,
+            String name,
+            double load,
+            double reportMs,
+            IntFunction<Router> routers) {
+        RoutingExperiment experiment = new RoutingExperiment(routers, 1, reportMs);
         experiment.simulate(load);
         int size = experiment.mTimes.size();
         out.printf(
@@ -119,7 +132,7 @@
                 mOthers[entry][i] = Math.max(0, requests - mOwn[entry][i]);
             }
         }
-        mLoop.after(REPORT_MS, this::report);
+        mLoop.after(mReportMs, this::report);
     }
 
     private void request() {
--- a/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
@@ -28,6 +28,8 @@
  */
 public final class ClaimPartition {
     private static final int MAX_WAITING = 4_096;
+    private static final long WRITE_INTERVAL_MS = 50;
+    private static final long ANSWER_INTERVAL_MS = 200;
     private static final int MAX_RECORD_BYTES = 900_000;
 
     private final Deque<ClaimOperation> mWaiting = new ArrayDeque<>();
@@ -37,6 +39,8 @@
     private long mVersion;
     private boolean mIsLoaded;
     private boolean mIsBusy;
+    private boolean mIsContended;
+    private long mWrittenMs;
 
     // Operations
 
@@ -88,7 +92,7 @@
      * @return a step, empty if one is under way or nothing is to be done
      */
     public Optional<Step> next(long nowMs) {
-        if (mIsBusy || (mWaiting.isEmpty() && mBatch.isEmpty())) {
+        if (mIsBusy || (mWaiting.isEmpty() && mBatch.isEmpty()) || isHeldBack(nowMs)) {
             return Optional.empty();
         }
         mBatch = batch();
@@ -113,6 +117,17 @@
         return Optional.of(new Step.Write(mVersion, value));
     }
 
+    /** Lets operations gather: claims for a moment after a write, answers for longer. */
+    private boolean isHeldBack(long nowMs) {
+        if (nowMs < mWrittenMs + WRITE_INTERVAL_MS) {
+            return true;
+        }
+        boolean isAsked =
+                mWaiting.stream().anyMatch(ClaimOperation.Ask.class::isInstance)
+                        || mBatch.stream().anyMatch(ClaimOperation.Ask.class::isInstance);
+        return !isAsked && nowMs < mWrittenMs + ANSWER_INTERVAL_MS;
+    }
+
     private List<ClaimOperation> batch() {
         List<ClaimOperation> batch = new ArrayList<>(mBatch);
         batch.addAll(mWaiting);
@@ -156,6 +171,7 @@
                 },
                 value -> {
                     mIsLoaded = true;
+                    mIsContended &= value.version() != mVersion;
                     mVersion = value.version();
                     mClaims = value.claims();
                     settle(nowMs);
@@ -179,9 +195,13 @@
         result.fold(
                 failure -> {
                     mIsLoaded = false;
+                    mIsContended |= failure.kind() == ErrorKind.CONFLICT;
                     return null;
                 },
                 version -> {
+                    // Where others write too, the cache is most likely out of date by next time.
+                    mIsLoaded = !mIsContended;
+                    mWrittenMs = nowMs;
                     mVersion = version;
                     mClaims = mProposed;
                     settle(nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetDirectory.java
@@ -27,6 +27,7 @@
 /** The targets that this entry connects to, by the VM list and the greetings of side processes. */
 final class TargetDirectory {
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
+    private static final long DUTY_REPORT_MS = 2_000;
 
     private final EntrySettings mSettings;
     private final Dialer mDialer;
@@ -63,13 +64,15 @@
         Set<VmId> wanted = new HashSet<>();
         for (VmRecord vm : vms) {
             boolean isTarget = vm.role() == VmRecord.Role.TARGET && vm.isLive();
-            boolean isChosen =
-                    self.isEmpty()
-                            || mIsWatched.test(vm)
-                            || mSubset.isChosen(self.get(), vm, entries);
-            if (isTarget && isChosen) {
+            if (!isTarget) {
+                continue;
+            }
+            boolean isChosen = self.isEmpty() || mSubset.isChosen(self.get(), vm, entries);
+            if (isChosen || mIsWatched.test(vm)) {
                 wanted.add(vm.vm());
-                mDials.computeIfAbsent(vm.vm(), v -> new Dial()).mVm = vm;
+                Dial dial = mDials.computeIfAbsent(vm.vm(), v -> new Dial());
+                dial.mVm = vm;
+                dial.route(isChosen, Optional.ofNullable(mTargets.get(dial.mLink)));
             }
         }
         mDials.keySet().removeIf(vm -> !wanted.contains(vm) && mDials.get(vm).mLink == null);
@@ -98,7 +101,9 @@
         }
         dial.get().mFailures = 0;
         Message.Load unknown = new Message.Load(0, 0, 1, WeightVersion.NONE, false);
-        mTargets.put(link, new TargetLink(link, hello, unknown));
+        TargetLink target = new TargetLink(link, hello, unknown);
+        mTargets.put(link, target);
+        dial.get().apply(target);
         sLog.atInfo().log("target %s (%s) is connected", hello.target(), hello.service());
         return true;
     }
@@ -140,7 +145,8 @@
         List<TargetLink> usable = new ArrayList<>();
         for (TargetLink target : mTargets.values()) {
             boolean isOfService = target.service().equals(service);
-            if (isOfService && target.isUsable() && !isListedLeaving(target)) {
+            boolean isRouted = target.isRouted() && target.isUsable();
+            if (isOfService && isRouted && !isListedLeaving(target)) {
                 usable.add(target);
             }
         }
@@ -172,10 +178,26 @@
         return mVms.stream().filter(v -> v.role() == VmRecord.Role.ENTRY && v.isLive()).toList();
     }
 
+    /** A target that this entry connects to, for requests or for a duty alone. */
     private static final class Dial {
         private VmRecord mVm;
         private Link mLink;
+        private boolean mIsRouted = true;
         private int mFailures;
         private long mNextMs;
+
+        void route(boolean isRouted, Optional<TargetLink> target) {
+            if (isRouted != mIsRouted) {
+                mIsRouted = isRouted;
+                target.ifPresent(this::apply);
+            }
+        }
+
+        /** A link for a duty alone gets no requests, and reports less often. */
+        void apply(TargetLink target) {
+            target.routed(mIsRouted);
+            long intervalMs = mIsRouted ? 0 : DUTY_REPORT_MS;
+            target.link().send(new Message.ReportEvery(intervalMs));
+        }
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TargetLink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TargetLink.java
@@ -15,6 +15,7 @@
     private final Map<Long, PendingRequest> mStreams = new HashMap<>();
     private Message.Load mLoad;
     private int mOtherRequests;
+    private boolean mIsRouted = true;
     private long mNextStream = 1;
 
     TargetLink(Link link, Message.SideHello hello, Message.Load load) {
@@ -42,6 +43,15 @@
         mOtherRequests = Math.max(0, load.inFlight() + load.queued() - mStreams.size());
     }
 
+    /** Sets whether requests go over the link. */
+    void routed(boolean isRouted) {
+        mIsRouted = isRouted;
+    }
+
+    boolean isRouted() {
+        return mIsRouted;
+    }
+
     boolean isUsable() {
         return !mLoad.leaving();
     }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/UsageMeter.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/UsageMeter.java
@@ -23,7 +23,7 @@
     /** Keys that entries write their totals to. */
     static final int SHARDS = 16;
 
-    private static final long FLUSH_MS = 2_000;
+    private static final long FLUSH_MS = 5_000;
 
     private final KeyValueService mKeyValues;
     private final Executor mThread;
--- a/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
@@ -17,8 +17,8 @@
 import dev.cactusspan.wire.Message;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -39,11 +39,10 @@
     private final OrderGuard mOrders;
     private final AdminServer mAdmin;
     private final long mIncarnation = System.nanoTime();
-    private final Set<Link> mEntries = new HashSet<>();
+    private final Map<Link, ReportTimes> mEntries = new HashMap<>();
     private final AtomicReference<Revision> mRevision = new AtomicReference<>(Revision.NONE);
     private final AtomicReference<Message.Load> mLastLoad;
     private final CountDownLatch mDrained = new CountDownLatch(1);
-    private long mNextLoadMs;
     private boolean mIsLeaving;
 
     /**
@@ -139,16 +138,18 @@
         }
     }
 
+    /** Reports load to each entry at its interval, and at once when weights or state change. */
     private void report(boolean isUrgent) {
         Message.Load load = mDesk.load();
         boolean isSwap = !load.version().equals(mLastLoad.get().version());
-        boolean isDue = nowMs() >= mNextLoadMs && !load.equals(mLastLoad.get());
-        if (!isUrgent && !isSwap && !isDue) {
-            return;
-        }
-        mNextLoadMs = nowMs() + LOAD_MS;
         mLastLoad.set(load);
-        mEntries.forEach(link -> link.send(load));
+        long nowMs = nowMs();
+        mEntries.forEach(
+                (link, times) -> {
+                    if (times.take(load, nowMs, isUrgent || isSwap)) {
+                        link.send(load);
+                    }
+                });
     }
 
     private void handle(Link link, Frame frame) {
@@ -158,7 +159,7 @@
             greet(link, hello);
             return;
         }
-        if (!mEntries.contains(link)) {
+        if (!mEntries.containsKey(link)) {
             link.close("expected a greeting first");
             return;
         }
@@ -166,6 +167,8 @@
             mDesk.submit(link, submit);
         } else if (message instanceof Message.Cancel cancel) {
             mDesk.cancel(link, cancel.stream());
+        } else if (message instanceof Message.ReportEvery every) {
+            mEntries.put(link, new ReportTimes(Math.max(LOAD_MS, every.intervalMs())));
         } else if (message instanceof Message.WantedWeights wanted) {
             want(wanted);
         } else if (message instanceof Message.Leave leave) {
@@ -180,7 +183,7 @@
             link.close("entry serves environment " + hello.environment());
             return;
         }
-        mEntries.add(link);
+        mEntries.put(link, new ReportTimes(LOAD_MS));
         link.send(
                 new Message.SideHello(
                         mSettings.environment(),
--- a/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
@@ -25,6 +25,7 @@
     @JsonSubTypes.Type(value = Message.SideHello.class, name = "sh"),
     @JsonSubTypes.Type(value = Message.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = Message.Load.class, name = "ld"),
+    @JsonSubTypes.Type(value = Message.ReportEvery.class, name = "rv"),
     @JsonSubTypes.Type(value = Message.WantedWeights.class, name = "ww"),
     @JsonSubTypes.Type(value = Message.Leave.class, name = "le"),
     @JsonSubTypes.Type(value = Message.News.class, name = "ne"),
@@ -88,6 +89,13 @@
     record Load(int inFlight, int queued, int slots, WeightVersion version, boolean leaving)
             implements Message {}
 
+    /**
+     * Asks a side process for reports of load at another interval.
+     *
+     * @param intervalMs shortest time between two reports
+     */
+    record ReportEvery(long intervalMs) implements Message {}
+
     /**
      * Weight versions that a target should hold.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/claim/ClaimServiceTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/claim/ClaimServiceTest.java
@@ -44,8 +44,9 @@
         return new StoredAnswer(200, "", text.getBytes(StandardCharsets.UTF_8), false);
     }
 
-    private static void settle(FakeKeyValues keyValues, ClaimService... services) {
+    private void settle(FakeKeyValues keyValues, ClaimService... services) {
         for (int i = 0; i < 100; i++) {
+            mNowMs += 5;
             while (keyValues.step()) {
                 // Each step carries out one call.
             }
