Ask the other root of the region too before serving an over-age document

Cause: read as a newcomer: a root counted the platform as down for all when all other regions were stale, and with one region there is none to ask; so with two entries in one region, one that was cut off from the platform and from the other went on serving.

Change: the other root of the own region counts like those of other regions. The outage test now has three entries in two regions. Lanes are bounded. Shared parts for chart positions and drains; qualified names became imports; shares in one expression. The overhead tool times calls that the entry refuses, to tell its HTTP side from the rest.

--- a/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/Samples.java
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/Samples.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.benchmark;
 
+import java.util.Arrays;
 import java.util.SplittableRandom;
 
 /** Draws and summaries that the experiments share. */
@@ -13,7 +14,7 @@
 
     void add(double value) {
         if (mSize == mValues.length) {
-            mValues = java.util.Arrays.copyOf(mValues, mSize * 2);
+            mValues = Arrays.copyOf(mValues, mSize * 2);
         }
         mValues[mSize++] = value;
     }
@@ -26,8 +27,8 @@
         if (mSize == 0) {
             return Double.NaN;
         }
-        double[] sorted = java.util.Arrays.copyOf(mValues, mSize);
-        java.util.Arrays.sort(sorted);
+        double[] sorted = Arrays.copyOf(mValues, mSize);
+        Arrays.sort(sorted);
         return sorted[(int) Math.min(mSize - 1, Math.floor(mSize * percent / 100))];
     }
 }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/OverheadCommand.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/OverheadCommand.java
@@ -12,7 +12,10 @@
 import org.HdrHistogram.Histogram;
 import org.kohsuke.args4j.Option;
 
-/** Measures calls through the system against calls of the target itself, in turn, in one run. */
+/**
+ * Measures, in turn and in one run, calls through the system, calls of the target itself, and calls
+ * that the entry refuses for want of a key.
+ */
 public final class OverheadCommand implements Command {
     private static final long MAX_MICROS = 60_000_000;
     private static final int WARM_UP = 2_000;
@@ -43,20 +46,25 @@
         URI direct = mService.resolve("/queries");
         Histogram throughMicros = new Histogram(MAX_MICROS, 3);
         Histogram directMicros = new Histogram(MAX_MICROS, 3);
+        Histogram refusedMicros = new Histogram(MAX_MICROS, 3);
         int failed = 0;
         for (int i = 0; i < WARM_UP + mRequests; i++) {
             failed += time(client, through, headers, i, throughMicros);
             failed += time(client, direct, Map.of(), i, directMicros);
+            // Without a key the entry refuses at once: what is left is its HTTP side alone.
+            int refused = time(client, through, Map.of(), i, refusedMicros);
+            failed += 1 - refused;
         }
         out.printf("%-10s %10s %10s%n", "", "p50 us", "p99 us");
         print(out, "through", throughMicros);
         print(out, "direct", directMicros);
+        print(out, "refused", refusedMicros);
         out.printf(
                 "%-10s %10.2f %10.2f%n",
                 "ratio",
                 ratio(throughMicros, directMicros, 50),
                 ratio(throughMicros, directMicros, 99));
-        out.println("failed " + failed + " of " + 2 * (WARM_UP + mRequests));
+        out.println("unexpected " + failed + " of " + 3 * (WARM_UP + mRequests));
         return failed == 0 ? ExitCode.OK : ExitCode.FAILED;
     }
 
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/JvmProcess.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/JvmProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,7 +37,7 @@
         try {
             new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
@@ -123,11 +123,16 @@
         try (Deployment deployment = new Deployment()) {
             ServiceStandIn service = deployment.service("dar-a");
             deployment.entry("dar-a");
+            deployment.entry("dar-a");
+            deployment.entry("arusha-a");
             deployment.awaitTargets(1);
+            Deployment.pause(5_000);
             assertThat(deployment.post(0, HOLDS, OFFICE, "k1", "x").status(), is(200));
             deployment.platform().faults(PlatformStandIn.Faults.DOWN);
             Deployment.pause(9_000);
-            assertThat(deployment.post(0, QUERIES, OFFICE, "", "x").status(), is(200));
+            for (int entry = 0; entry < 3; entry++) {
+                assertThat(deployment.post(entry, QUERIES, OFFICE, "", "x").status(), is(200));
+            }
             DemoClient.Reply refused = deployment.post(0, HOLDS, OFFICE, "k2", "x");
             assertThat(refused.kind(), is("claim_unavailable"));
             assertThat(refused.isNotRun(), is(true));
--- a/cactusspan/src/main/java/dev/cactusspan/command/Command.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/Command.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.command;
 
+import java.io.IOException;
 import java.io.PrintStream;
 
 /** A command of the command line, with its options and arguments as fields. */
@@ -13,5 +14,5 @@
      * @return the exit code
      * @throws java.io.IOException if a process cannot start
      */
-    ExitCode run(PrintStream out, PrintStream err) throws java.io.IOException;
+    ExitCode run(PrintStream out, PrintStream err) throws IOException;
 }
--- a/cactusspan/src/main/java/dev/cactusspan/config/Configuration.java
+++ b/cactusspan/src/main/java/dev/cactusspan/config/Configuration.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -97,7 +98,7 @@
                 .filter(r -> r.service().equals(service))
                 .filter(r -> r.methods().isEmpty() || r.methods().contains(method))
                 .filter(r -> isPrefix(r.path(), path))
-                .max(java.util.Comparator.comparingInt(r -> r.path().length()));
+                .max(Comparator.comparingInt(r -> r.path().length()));
     }
 
     private static boolean isPrefix(String prefix, String path) {
--- a/cactusspan/src/main/java/dev/cactusspan/config/DocumentDiff.java
+++ b/cactusspan/src/main/java/dev/cactusspan/config/DocumentDiff.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /** Compares two documents by path. */
@@ -69,7 +70,7 @@
 
     /** Labels an item by its name, or by its text if it has none, so that order does not matter. */
     private static Map<String, JsonNode> byLabel(JsonNode array) {
-        Map<String, JsonNode> items = new java.util.TreeMap<>();
+        Map<String, JsonNode> items = new TreeMap<>();
         for (Iterator<JsonNode> it = array.elements(); it.hasNext(); ) {
             JsonNode item = it.next();
             items.put(item.has("name") ? item.get("name").asText() : item.toString(), item);
--- a/cactusspan/src/main/java/dev/cactusspan/config/EnvironmentDocument.java
+++ b/cactusspan/src/main/java/dev/cactusspan/config/EnvironmentDocument.java
@@ -9,6 +9,7 @@
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TrainerId;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -139,7 +140,7 @@
          * @return the name in lower case
          */
         public String word() {
-            return name().toLowerCase(java.util.Locale.ROOT);
+            return name().toLowerCase(Locale.ROOT);
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/entry/DutyDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/DutyDesk.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import dev.cactusspan.id.DutyId;
 import dev.cactusspan.id.EnvironmentId;
+import dev.cactusspan.id.FencingNumber;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.lease.DutyLease;
 import dev.cactusspan.lease.LeaseRecord;
@@ -141,7 +142,7 @@
             mLease = lease;
         }
 
-        Optional<dev.cactusspan.id.FencingNumber> now() {
+        Optional<FencingNumber> now() {
             return mLease.held(mNowMs.getAsLong());
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -12,6 +12,7 @@
 import dev.cactusspan.lease.LeaseTimes;
 import dev.cactusspan.limit.AccountLimiter;
 import dev.cactusspan.limit.DemandShares;
+import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.DutyThread;
 import dev.cactusspan.link.LinkReactor;
 import dev.cactusspan.link.LinkSettings;
@@ -40,8 +41,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /** The entry process: wires its parts and carries events to their thread. */
 public final class EntryProcess implements AutoCloseable {
@@ -74,7 +73,7 @@
     private final Undertow mServer;
     private final AdminServer mAdmin;
     private final long mIncarnation = System.nanoTime();
-    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private final DrainLatch mDrained = new DrainLatch();
     private volatile boolean mIsFresh;
     private volatile boolean mIsDraining;
     private volatile int mTargetCount;
@@ -249,13 +248,7 @@
                     mDesk.drain();
                     mDuties.release();
                 });
-        try {
-            if (!mDrained.await(mSettings.drainMs(), TimeUnit.MILLISECONDS)) {
-                sLog.atWarning().log("drain took longer than %d ms", mSettings.drainMs());
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        mDrained.await(mSettings.drainMs());
     }
 
     private void tick() {
@@ -278,7 +271,7 @@
         mDesk.tick();
         mSteps.tick();
         if (mIsDraining && mDesk.isIdle() && mMeter.isFlushed()) {
-            mDrained.countDown();
+            mDrained.drained();
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/entry/HttpAnswers.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/HttpAnswers.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.result.ErrorTable;
 import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Ran;
 import dev.cactusspan.text.JsonText;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -72,6 +73,5 @@
 
     private record ErrorBody(ErrorDetail error) {}
 
-    private record ErrorDetail(
-            String kind, dev.cactusspan.result.Ran ran, ErrorTable.Retry retry, String message) {}
+    private record ErrorDetail(String kind, Ran ran, ErrorTable.Retry retry, String message) {}
 }
--- a/cactusspan/src/main/java/dev/cactusspan/entry/PeerDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/PeerDirectory.java
@@ -92,7 +92,7 @@
         mIsRoot = nearRoots.isEmpty() || nearRoots.contains(mSettings.vm());
         mRoots = new TreeMap<>();
         byRegion.forEach((region, vms) -> mRoots.put(region, new HashSet<>(FanOutTree.roots(vms))));
-        own.ifPresent(mRoots::remove);
+        own.ifPresent(this::leaveOutSelf);
         Set<VmId> wanted = new HashSet<>(mParents);
         if (mIsRoot) {
             mRoots.values().forEach(wanted::addAll);
@@ -102,6 +102,15 @@
         drop(wanted);
     }
 
+    /** The other root of the own region counts like those of other regions; this entry does not. */
+    private void leaveOutSelf(RegionId own) {
+        Set<VmId> roots = mRoots.getOrDefault(own, new HashSet<>());
+        roots.remove(mSettings.vm());
+        if (roots.isEmpty()) {
+            mRoots.remove(own);
+        }
+    }
+
     private static Optional<RegionId> region(Configuration configuration, AvailabilityZoneId zone) {
         return configuration.document().availabilityZones().stream()
                 .filter(z -> z.name().equals(zone))
--- a/cactusspan/src/main/java/dev/cactusspan/entry/PendingRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/PendingRequest.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.entry;
 
+import dev.cactusspan.chart.ChartPosition;
 import dev.cactusspan.chart.StateChart;
 import dev.cactusspan.id.TargetId;
 import java.util.HashSet;
@@ -18,7 +19,7 @@
     private final long mDeadlineMs;
     private final boolean mIsLimited;
     private final Set<TargetId> mTried = new HashSet<>();
-    private RequestState mState = CHART.initial();
+    private final ChartPosition<RequestState, RequestEvent> mPosition = ChartPosition.of(CHART);
     private Optional<TargetLink> mTarget = Optional.empty();
     private long mStream;
     private int mAttempts;
@@ -43,9 +44,7 @@
 
     /** Applies an event and tells whether the chart allows it. */
     boolean apply(RequestEvent event) {
-        Optional<RequestState> next = CHART.next(mState, event);
-        next.ifPresent(state -> mState = state);
-        return next.isPresent();
+        return mPosition.apply(event);
     }
 
     void dispatchedTo(TargetLink target, long stream, long nowMs) {
@@ -88,7 +87,7 @@
 
     /** Tells whether it is time to ask for the claim again, and if so resets that time. */
     boolean isAskAgainDue(long nowMs) {
-        boolean isDue = mState == RequestState.CLAIMING && nowMs >= mAskAgainAtMs;
+        boolean isDue = mPosition.state() == RequestState.CLAIMING && nowMs >= mAskAgainAtMs;
         if (isDue) {
             mAskAgainAtMs = Long.MAX_VALUE;
         }
@@ -115,11 +114,11 @@
     }
 
     RequestState state() {
-        return mState;
+        return mPosition.state();
     }
 
     boolean isOver() {
-        return CHART.isFinal(mState);
+        return mPosition.isFinal();
     }
 
     Optional<TargetLink> target() {
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StatusCheck.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StatusCheck.java
@@ -9,6 +9,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /** Asks a target whether a request with a given idempotency key has run. */
@@ -38,7 +39,7 @@
                 RequestClass.INTERACTIVE,
                 "GET",
                 pathTemplate.replace("{key}", key),
-                java.util.Map.of(),
+                Map.of(),
                 new byte[0],
                 0,
                 asked.deadlineMs(),
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepDesk.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.config.KeyHash;
 import dev.cactusspan.id.EnvironmentId;
 import dev.cactusspan.id.RequestId;
+import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Telemetry;
@@ -24,6 +25,7 @@
 import dev.cactusspan.text.JsonText;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -198,7 +200,7 @@
 
     private static EnvironmentDocument.Route rolloutRoute(EnvironmentDocument.Trainer trainer) {
         return new EnvironmentDocument.Route(
-                dev.cactusspan.id.RouteId.of("rollout-" + trainer.name()),
+                RouteId.of("rollout-" + trainer.name()),
                 EnvironmentDocument.RouteKind.COMPLETIONS,
                 trainer.model(),
                 List.of(),
@@ -387,7 +389,7 @@
         if (entry.version() == step.version()) {
             return;
         }
-        boolean isOurs = java.util.Arrays.equals(entry.value(), JsonText.write(plan.ledger()));
+        boolean isOurs = Arrays.equals(entry.value(), JsonText.write(plan.ledger()));
         if (isOurs && entry.version() == step.version() + 1) {
             step.writing(false, 0);
             confirmed(lane, step, entry.version());
--- a/cactusspan/src/main/java/dev/cactusspan/entry/TrainerApi.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/TrainerApi.java
@@ -29,6 +29,7 @@
     private static final long MAX_WAIT_MS = 30_000;
     private static final long DEFAULT_WAIT_MS = 10_000;
     private static final long PARTIAL_MS = 500;
+    private static final int MAX_LANES = 64;
 
     private final Gate mGate;
     private final DutyThread mThread;
@@ -201,7 +202,13 @@
                     Failure.of(ErrorKind.FORBIDDEN, account.get() + " may not act for " + id));
             return Optional.empty();
         }
-        Lane lane = new Lane(id, (int) Gate.number(exchange, "lane", 0));
+        long number = Gate.number(exchange, "lane", 0);
+        if (number < 0 || number >= MAX_LANES) {
+            String detail = "lane: expected 0 to " + (MAX_LANES - 1);
+            answer(exchange, Failure.of(ErrorKind.BAD_REQUEST, detail));
+            return Optional.empty();
+        }
+        Lane lane = new Lane(id, (int) number);
         return Optional.of(
                 new Call(exchange, configuration.get(), trainer.get(), lane, KeyHash.ofKey(key)));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -165,8 +166,7 @@
         return true;
     }
 
-    private ClientCallback<ClientExchange> callback(
-            java.util.function.Consumer<ClientExchange> onCompleted) {
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> onCompleted) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange result) {
--- a/cactusspan/src/main/java/dev/cactusspan/limit/DemandShares.java
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/DemandShares.java
@@ -137,7 +137,8 @@
 
     /**
      * Returns the part of an account's limit that this entry holds. Each entry keeps a little more
-     * than its demand asks for, so that a new caller is not refused before its demand is known.
+     * than its demand asks for, so that a new caller is not refused before its demand is known; the
+     * shares of all entries add up to 1.5 at most while demand is known.
      *
      * @param account the client account
      * @return 0 to 1
@@ -145,10 +146,9 @@
     public double share(AccountId account) {
         double own = mOwnPerS.getOrDefault(account, 0.0);
         double total = mTotalPerS.getOrDefault(account, 0.0);
-        if (total < HEADROOM_PER_S) {
-            return Math.max(mEqualShare, total == 0 ? mEqualShare : Math.min(1, own / total));
-        }
-        return Math.min(1, Math.max(mEqualShare / 2, own / Math.max(own, total)));
+        double demanded = total > 0 ? own / Math.max(own, total) : 0;
+        double floor = total < HEADROOM_PER_S ? mEqualShare : mEqualShare / 2;
+        return Math.max(floor, demanded);
     }
 
     private record Demand(Map<AccountId, Double> perS, long heardMs) {}
--- a/cactusspan/src/main/java/dev/cactusspan/result/Ran.java
+++ b/cactusspan/src/main/java/dev/cactusspan/result/Ran.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.result;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Locale;
 
 /** Whether a failed request has run at its target. */
 public enum Ran {
@@ -20,6 +21,6 @@
      * @return {@code no}, {@code maybe} or {@code yes}
      */
     public String word() {
-        return name().toLowerCase(java.util.Locale.ROOT);
+        return name().toLowerCase(Locale.ROOT);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/routing/CostRouter.java
+++ b/cactusspan/src/main/java/dev/cactusspan/routing/CostRouter.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -86,7 +87,7 @@
 
     /** Finds the target that a prefix belongs to by rendezvous hashing. */
     private static Optional<Candidate> owner(List<Candidate> candidates, long affinity) {
-        return candidates.stream().max(java.util.Comparator.comparingLong(c -> score(c, affinity)));
+        return candidates.stream().max(Comparator.comparingLong(c -> score(c, affinity)));
     }
 
     private static long score(Candidate candidate, long affinity) {
--- a/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/SideProcess.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.limit.FairQueue;
+import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.DutyThread;
 import dev.cactusspan.link.Link;
 import dev.cactusspan.link.LinkListener;
@@ -19,8 +20,6 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** The process beside a target: the only way to it. */
@@ -42,7 +41,7 @@
     private final Map<Link, ReportTimes> mEntries = new HashMap<>();
     private final AtomicReference<Revision> mRevision = new AtomicReference<>(Revision.NONE);
     private final AtomicReference<Message.Load> mLastLoad;
-    private final CountDownLatch mDrained = new CountDownLatch(1);
+    private final DrainLatch mDrained = new DrainLatch();
     private boolean mIsLeaving;
 
     /**
@@ -118,13 +117,7 @@
                     mDesk.leave();
                     report(true);
                 });
-        try {
-            if (!mDrained.await(mSettings.drainMs(), TimeUnit.MILLISECONDS)) {
-                sLog.atWarning().log("drain took longer than %d ms", mSettings.drainMs());
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        mDrained.await(mSettings.drainMs());
     }
 
     private void tick() {
@@ -134,7 +127,7 @@
         }
         report(false);
         if (mIsLeaving && mDesk.isIdle()) {
-            mDrained.countDown();
+            mDrained.drained();
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/side/TargetRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/TargetRequest.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.side;
 
+import dev.cactusspan.chart.ChartPosition;
 import dev.cactusspan.chart.StateChart;
 import dev.cactusspan.link.Link;
 import dev.cactusspan.wire.Message;
@@ -16,7 +17,8 @@
     private final Link mLink;
     private final Message.Submit mSubmit;
     private final Optional<EngineEvents> mEvents;
-    private TargetRequestState mState = CHART.initial();
+    private final ChartPosition<TargetRequestState, TargetRequestEvent> mPosition =
+            ChartPosition.of(CHART);
     private Runnable mCancel = () -> {};
     private int mChunks;
     private long mAnswerBytes;
@@ -30,9 +32,7 @@
 
     /** Applies an event and tells whether the chart allows it. */
     boolean apply(TargetRequestEvent event) {
-        Optional<TargetRequestState> next = CHART.next(mState, event);
-        next.ifPresent(state -> mState = state);
-        return next.isPresent();
+        return mPosition.apply(event);
     }
 
     Message.Chunk chunk(byte[] data) {
@@ -57,11 +57,11 @@
     }
 
     boolean isOver() {
-        return CHART.isFinal(mState);
+        return mPosition.isFinal();
     }
 
     boolean isAnswering() {
-        return mState == TargetRequestState.ANSWERING;
+        return mPosition.state() == TargetRequestState.ANSWERING;
     }
 
     Link link() {
--- a/cactusspan/src/test/java/dev/cactusspan/command/CommandLineTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/command/CommandLineTest.java
@@ -4,12 +4,14 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+import dev.cactusspan.config.KeyHash;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,7 +33,7 @@
     void shouldShowHelpAndVersionOfEachCommand() {
         for (CommandLine.Entry command : Main.commands()) {
             String[] words = command.name().split(" ", -1);
-            String[] help = java.util.Arrays.copyOf(words, words.length + 1);
+            String[] help = Arrays.copyOf(words, words.length + 1);
             help[words.length] = "--help";
             assertThat(command.name(), run(help), is(ExitCode.OK));
             help[words.length] = "--version";
@@ -73,6 +75,6 @@
         assertThat(run("key", "new"), is(ExitCode.OK));
         String out = mOut.toString(StandardCharsets.UTF_8);
         String key = out.lines().findFirst().orElseThrow().substring("key  ".length());
-        assertThat(out, containsString(dev.cactusspan.config.KeyHash.ofKey(key).text()));
+        assertThat(out, containsString(KeyHash.ofKey(key).text()));
     }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/config/DocumentReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/config/DocumentReaderTest.java
@@ -7,9 +7,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.cactusspan.id.Revision;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.text.JsonText;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,7 +31,7 @@
         try {
             return Files.readString(SAMPLES.resolve(name));
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
     }
 
@@ -99,8 +101,7 @@
         }
         Result<EnvironmentDocument> read = DocumentReader.read("doc", JsonText.line(tree));
         if (read.isOk()) {
-            StoredDocument stored =
-                    new StoredDocument(dev.cactusspan.id.Revision.of(1), JsonText.line(tree));
+            StoredDocument stored = new StoredDocument(Revision.of(1), JsonText.line(tree));
             assertThat(Configuration.of(stored).isOk(), is(true));
         }
     }
--- a/cactusspan/src/test/java/dev/cactusspan/config/DocumentStoreTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/config/DocumentStoreTest.java
@@ -7,10 +7,12 @@
 import dev.cactusspan.id.EnvironmentId;
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.platform.FakeKeyValues;
+import dev.cactusspan.platform.KeyValueService;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.routing.Backoff;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -34,7 +36,7 @@
                             "samples",
                             "kilimanjaro.json"));
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
     }
 
@@ -116,7 +118,7 @@
             }
             if (random.nextInt(10) == 0 && !seen.isEmpty()) {
                 long older = seen.get(random.nextInt(seen.size()));
-                watcher.take(new dev.cactusspan.platform.KeyValueService.Entry(older, new byte[0]));
+                watcher.take(new KeyValueService.Entry(older, new byte[0]));
             }
             watcher.tick();
             keyValues.step();
--- a/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/EntryHarness.java
@@ -27,6 +27,7 @@
 import dev.cactusspan.settings.EntrySettings;
 import dev.cactusspan.text.JsonText;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -148,7 +149,7 @@
                     DocumentStore.key(ENVIRONMENT, Stage.PRODUCTION),
                     JsonText.write(Map.of("text", text)));
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         }
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/entry/FakeSides.java
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/FakeSides.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -186,8 +187,8 @@
             String text = submit.labelled() ? events(submit) : expected(body(submit));
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
             int half = bytes.length / 2;
-            byte[] one = java.util.Arrays.copyOf(bytes, half);
-            byte[] two = java.util.Arrays.copyOfRange(bytes, half, bytes.length);
+            byte[] one = Arrays.copyOf(bytes, half);
+            byte[] two = Arrays.copyOfRange(bytes, half, bytes.length);
             long stream = submit.stream();
             mInbox.add(() -> receive(new Message.Head(stream, 200, "text/plain")));
             mInbox.add(() -> receive(new Message.Chunk(stream, 0, one)));
--- a/cactusspan/src/test/java/dev/cactusspan/platform/FakeKeyValues.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/FakeKeyValues.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 /**
  * A key-value service whose calls take effect, and are answered, when a test says so: in any order,
@@ -124,8 +125,7 @@
         return future;
     }
 
-    private <T> void add(
-            CompletableFuture<Result<T>> future, java.util.function.Supplier<Runnable> effect) {
+    private <T> void add(CompletableFuture<Result<T>> future, Supplier<Runnable> effect) {
         Runnable fail =
                 () -> future.complete(Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, "no reply"));
         mCalls.add(new Call(effect, fail));
@@ -143,5 +143,5 @@
         return mReads;
     }
 
-    private record Call(java.util.function.Supplier<Runnable> effect, Runnable fail) {}
+    private record Call(Supplier<Runnable> effect, Runnable fail) {}
 }
--- a/cactusspan/src/test/java/dev/cactusspan/wire/FrameDecoderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/wire/FrameDecoderTest.java
@@ -7,6 +7,7 @@
 import dev.cactusspan.result.Result;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
@@ -90,9 +91,8 @@
     @Test
     void shouldRefuseAnUnknownType() {
         byte[] good = FrameCodec.encode(new Frame(Revision.NONE, new Message.Cancel(1))).array();
-        String text = new String(good, java.nio.charset.StandardCharsets.ISO_8859_1);
-        byte[] bad =
-                text.replace("ca", "zz").getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+        String text = new String(good, StandardCharsets.ISO_8859_1);
+        byte[] bad = text.replace("ca", "zz").getBytes(StandardCharsets.ISO_8859_1);
         assertThat(new FrameDecoder(MAX_BYTES).feed(ByteBuffer.wrap(bad)).isOk(), is(false));
     }
 }
