Let an entry that restarts in an outage take the document from a peer

Cause: an entry without a document knows no regions, so it linked to no other entry and stayed without one until the platform answered.

Change: without a document an entry links to two others.

--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
@@ -143,6 +143,23 @@
         }
     }
 
+    @Test
+    void shouldTakeTheDocumentFromAPeerAfterARestartInAnOutage() throws Exception {
+        try (Deployment deployment = new Deployment()) {
+            deployment.service("dar-a");
+            deployment.entry("dar-a");
+            deployment.awaitTargets(1);
+            deployment.setKey(OFFICE, "csk-replaced");
+            deployment.put();
+            Deployment.await(() -> deployment.post(0, QUERIES, OFFICE, "", "x").status() == 401);
+            deployment.platform().faults(PlatformStandIn.Faults.DOWN);
+            deployment.entry("dar-a");
+            assertThat(deployment.post(1, QUERIES, OFFICE, "", "x").isNotRun(), is(true));
+            Deployment.await(() -> deployment.post(1, QUERIES, "kiosks", "", "x").status() == 200);
+            assertThat(deployment.post(1, QUERIES, OFFICE, "", "x").status(), is(401));
+        }
+    }
+
     @Test
     void shouldRunAHoldOnceWhenRepliesOfThePlatformAreLost() throws Exception {
         try (Deployment deployment = new Deployment()) {
--- a/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/EntryProcess.java
@@ -260,6 +260,8 @@
         mTargetCount = mTargets.targets().size();
         Optional<Configuration> configuration = mFollower.configuration();
         if (configuration.isEmpty()) {
+            mPeers.bootstrap(mTargets.entries());
+            mPeers.tick();
             return;
         }
         apply(configuration.get());
--- a/cactusspan/src/main/java/dev/cactusspan/entry/PeerDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/PeerDirectory.java
@@ -10,6 +10,7 @@
 import dev.cactusspan.link.Link;
 import dev.cactusspan.membership.FanOutTree;
 import dev.cactusspan.membership.FreshnessRule;
+import dev.cactusspan.membership.Rendezvous;
 import dev.cactusspan.membership.VmRecord;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.settings.EntrySettings;
@@ -35,6 +36,7 @@
     private static final long BEAT_MS = 1_000;
     private static final long HEARD_MS = 5_000;
     private static final double MS_PER_S = 1_000.0;
+    private static final int BOOTSTRAP_PEERS = 2;
 
     private final EntrySettings mSettings;
     private final Dialer mDialer;
@@ -102,6 +104,20 @@
         drop(wanted);
     }
 
+    /**
+     * Links to two other entries while this one has no document: the platform may be down, and
+     * without a document the trees are not known.
+     */
+    void bootstrap(List<VmRecord> entries) {
+        List<VmRecord> others =
+                entries.stream().filter(e -> !e.vm().equals(mSettings.vm())).toList();
+        Set<VmId> wanted =
+                Rendezvous.order(mSettings.vm().value(), others).stream()
+                        .limit(BOOTSTRAP_PEERS)
+                        .collect(Collectors.toSet());
+        others.stream().filter(e -> wanted.contains(e.vm())).forEach(this::want);
+    }
+
     /** The other root of the own region counts like those of other regions; this entry does not. */
     private void leaveOutSelf(RegionId own) {
         Set<VmId> roots = mRoots.getOrDefault(own, new HashSet<>());
