Check lengths inside a frame before it is decoded

One bad frame could end a process.

Change: a frame's value is skipped over once, which allocates nothing and fails on such a length, before it is decoded; a test sends lengths near 2^31 of five types.

--- a/cactusspan/src/main/java/dev/cactusspan/wire/FrameCodec.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/FrameCodec.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Frames as bytes: a length of four bytes, big-endian, then MessagePack. */
@@ -59,6 +61,7 @@
      */
     public static Result<Frame> decode(byte[] payload) {
         try {
+            checkLengths(payload);
             Frame frame = MAPPER.readValue(payload, Frame.class);
             if (frame == null) {
                 return Result.fail(ErrorKind.BAD_REQUEST, "frame is nil");
@@ -68,4 +71,13 @@
             return Result.fail(ErrorKind.BAD_REQUEST, "bad frame: " + e.getClass().getSimpleName());
         }
     }
+
+    /**
+     * Skips over the value, which allocates nothing: a length in it may be longer than all of it.
+     */
+    private static void checkLengths(byte[] payload) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+            unpacker.skipValue();
+        }
+    }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/wire/FrameDecoderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/wire/FrameDecoderTest.java
@@ -95,4 +95,16 @@
         byte[] bad = text.replace("ca", "zz").getBytes(StandardCharsets.ISO_8859_1);
         assertThat(new FrameDecoder(MAX_BYTES).feed(ByteBuffer.wrap(bad)).isOk(), is(false));
     }
+
+    @Test
+    void shouldAllocateNothingForALengthThatTheFrameDoesNotHold() {
+        byte[] good = FrameCodec.encode(new Frame(Revision.NONE, new Message.Cancel(1))).array();
+        for (int type : new int[] {0xc6, 0xdb, 0xdd, 0xdf, 0xc9}) {
+            byte[] bad = good.clone();
+            int last = FrameCodec.LENGTH_BYTES;
+            bad[last] = (byte) type;
+            ByteBuffer.wrap(bad).putInt(last + 1, Integer.MAX_VALUE - 16);
+            assertThat(new FrameDecoder(MAX_BYTES).feed(ByteBuffer.wrap(bad)).isOk(), is(false));
+        }
+    }
 }
