--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
@@ -0,0 +1,222 @@
+package dev.cactusspan.batch;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.id.BatchId;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.store.Transaction;
+import dev.cactusspan.store.Transaction.Expectation;
+import dev.cactusspan.store.Transaction.Write;
+import dev.cactusspan.text.Gzip;
+import dev.cactusspan.text.JsonText;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The durable records of batches. A batch is the parts of what was submitted, parts of results
+ * under the position of their first result, and the key of its owner. Each append expects that key
+ * unchanged, so that a former owner cannot append.
+ */
+public final class BatchStore {
+    /** Prefix of the owners' keys; the batch follows. */
+    public static final String OWNER_PREFIX = "cs/control/owner/";
+
+    private static final String DATA_PREFIX = "cs/batch/";
+
+    /** Well below the platform's bound on a value, which counts it in base64. */
+    private static final int PART_BYTES = 512 << 10;
+
+    private static final int MAX_EXPANDED_BYTES = 64 << 20;
+    private static final int MAX_KEYS = 32;
+
+    private final KeyStore mStore;
+
+    /**
+     * Creates the records.
+     *
+     * @param store the store
+     */
+    public BatchStore(KeyStore store) {
+        mStore = store;
+    }
+
+    // Operations
+
+    /**
+     * Creates a batch.
+     *
+     * @param batch what was submitted
+     * @param ownership its first owner
+     * @return revision of the owner's key; {@code conflict} if the batch exists
+     */
+    public CompletableFuture<Result<Long>> create(Batch batch, BatchOwnership ownership) {
+        byte[] packed = Gzip.compress(JsonText.write(batch));
+        List<Write> writes = new ArrayList<>();
+        for (int from = 0; from < packed.length; from += PART_BYTES) {
+            byte[] part =
+                    Arrays.copyOfRange(packed, from, Math.min(packed.length, from + PART_BYTES));
+            writes.add(new Write(partKey(batch.id(), writes.size()), part, 0));
+        }
+        if (writes.size() >= MAX_KEYS) {
+            return CompletableFuture.completedFuture(
+                    Result.fail(ErrorKind.PAYLOAD_TOO_LARGE, "the batch has too many parts"));
+        }
+        writes.add(new Write(ownerKey(batch.id()), JsonText.write(ownership), 0));
+        return mStore.commit(
+                Transaction.of(List.of(new Expectation(ownerKey(batch.id()), 0)), writes));
+    }
+
+    /**
+     * Appends results.
+     *
+     * @param batch the batch
+     * @param ownerRevision revision of the owner's key that must still hold
+     * @param position position of the first result
+     * @param results the results
+     * @return revision of the change; {@code conflict} if the owner is another
+     */
+    public CompletableFuture<Result<Long>> append(
+            BatchId batch, long ownerRevision, int position, List<ItemResult> results) {
+        String key = resultKey(batch, position);
+        return mStore.commit(
+                Transaction.of(
+                        List.of(
+                                new Expectation(ownerKey(batch), ownerRevision),
+                                new Expectation(key, 0)),
+                        List.of(new Write(key, Gzip.compress(JsonText.write(results)), 0))));
+    }
+
+    /**
+     * Changes the owner's key.
+     *
+     * @param ownership what it is to hold
+     * @param expectedRevision revision that must still hold
+     * @return revision of the change, or {@code conflict}
+     */
+    public CompletableFuture<Result<Long>> putOwnership(
+            BatchOwnership ownership, long expectedRevision) {
+        String key = ownerKey(ownership.id());
+        return mStore.commit(
+                Transaction.of(
+                        List.of(new Expectation(key, expectedRevision)),
+                        List.of(new Write(key, JsonText.write(ownership), 0))));
+    }
+
+    /**
+     * Reads the owner's key.
+     *
+     * @param batch the batch
+     * @return the key's item, empty if there is no such batch
+     */
+    public CompletableFuture<Result<Optional<StoredItem>>> owner(BatchId batch) {
+        return mStore.get(ownerKey(batch));
+    }
+
+    /**
+     * Reads a batch and its results.
+     *
+     * @param batch the batch
+     * @return the batch; {@code not_found} if there is none
+     */
+    public CompletableFuture<Result<StoredBatch>> load(BatchId batch) {
+        return loadPage(dataPrefix(batch), "", new ArrayList<>())
+                .thenApply(r -> r.flatMap(items -> assemble(batch, items)));
+    }
+
+    private CompletableFuture<Result<List<StoredItem>>> loadPage(
+            String prefix, String after, List<StoredItem> items) {
+        return mStore.range(prefix, after)
+                .thenCompose(
+                        result ->
+                                result.fold(
+                                        f -> CompletableFuture.completedFuture(Result.fail(f)),
+                                        page -> {
+                                            items.addAll(page.items());
+                                            if (!page.hasMore() || page.items().isEmpty()) {
+                                                return CompletableFuture.completedFuture(
+                                                        Result.of(items));
+                                            }
+                                            String last = items.get(items.size() - 1).key();
+                                            return loadPage(prefix, last, items);
+                                        }));
+    }
+
+    private static Result<StoredBatch> assemble(BatchId id, List<StoredItem> items) {
+        ByteArrayOutputStream packed = new ByteArrayOutputStream();
+        List<ItemResult> results = new ArrayList<>();
+        for (StoredItem item : items) {
+            if (item.key().startsWith(dataPrefix(id) + "part/")) {
+                packed.writeBytes(item.value());
+                continue;
+            }
+            Result<List<ItemResult>> part = results(item.value());
+            if (!part.isOk()) {
+                return part.map(r -> new StoredBatch(null, r));
+            }
+            results.addAll(part.get());
+        }
+        if (packed.size() == 0) {
+            return Result.fail(ErrorKind.NOT_FOUND, "no batch " + id);
+        }
+        return Gzip.expand(packed.toByteArray(), MAX_EXPANDED_BYTES)
+                .flatMap(bytes -> JsonText.read(bytes, Batch.class))
+                .map(batch -> new StoredBatch(batch, results));
+    }
+
+    private static Result<List<ItemResult>> results(byte[] packed) {
+        return Gzip.expand(packed, MAX_EXPANDED_BYTES)
+                .flatMap(bytes -> JsonText.read(bytes, JsonNode.class))
+                .map(
+                        node -> {
+                            List<ItemResult> results = new ArrayList<>();
+                            node.forEach(
+                                    n ->
+                                            results.add(
+                                                    JsonText.mapper()
+                                                            .convertValue(n, ItemResult.class)));
+                            return results;
+                        });
+    }
+
+    /**
+     * Reads an owner's key.
+     *
+     * @param item the key's item
+     * @return what it holds, or {@code bad_request}
+     */
+    public static Result<BatchOwnership> ownership(StoredItem item) {
+        return JsonText.read(item.value(), BatchOwnership.class);
+    }
+
+    /**
+     * Returns the batch of an owner's key.
+     *
+     * @param key the key
+     * @return the batch
+     */
+    public static BatchId batchOf(String key) {
+        return BatchId.of(key.substring(OWNER_PREFIX.length()));
+    }
+
+    private static String ownerKey(BatchId batch) {
+        return OWNER_PREFIX + batch.value();
+    }
+
+    private static String dataPrefix(BatchId batch) {
+        return DATA_PREFIX + batch.value() + "/";
+    }
+
+    private static String partKey(BatchId batch, int number) {
+        return String.format("%spart/%04d", dataPrefix(batch), number);
+    }
+
+    private static String resultKey(BatchId batch, int position) {
+        return String.format("%sresult/%08d", dataPrefix(batch), position);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemResult.java
@@ -0,0 +1,28 @@
+package dev.cactusspan.batch;
+
+import dev.cactusspan.id.ItemId;
+import dev.cactusspan.id.WeightVersion;
+import java.util.List;
+
+/**
+ * The final result of an item.
+ *
+ * @param id the item
+ * @param isCompleted false if the item was given up
+ * @param text its text, empty if it was given up
+ * @param versions weight versions that produced the text
+ * @param score score of the text, empty if it has none
+ */
+public record ItemResult(
+        ItemId id, boolean isCompleted, String text, List<WeightVersion> versions, String score) {
+
+    /**
+     * Returns the result of an item that was given up.
+     *
+     * @param id the item
+     * @return the result
+     */
+    public static ItemResult dead(ItemId id) {
+        return new ItemResult(id, false, "", List.of(), "");
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -0,0 +1,176 @@
+package dev.cactusspan.batch;
+
+import dev.cactusspan.chart.ChartPosition;
+import dev.cactusspan.chart.StateChart;
+import dev.cactusspan.fleet.TargetState;
+import dev.cactusspan.fleet.TextEvent;
+import dev.cactusspan.id.WeightVersion;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * An item on its way to a result. Its text is the events so far, which a later run goes on from;
+ * the versions that produced them are kept with them.
+ */
+final class ItemRun {
+    private static final StateChart<ItemState, ItemEvent> CHART =
+            StateChart.load("/dev/cactusspan/chart/item.json", ItemState.class, ItemEvent.class);
+
+    private final BatchItem mItem;
+    private final int mIndex;
+    private final ChartPosition<ItemState, ItemEvent> mPosition = ChartPosition.of(CHART);
+    private final List<String> mTexts = new ArrayList<>();
+    private final Set<WeightVersion> mVersions = new LinkedHashSet<>();
+    private OptionalLong mLastEvent = OptionalLong.empty();
+    private WeightVersion mVersion = WeightVersion.NONE;
+    private int mFailures;
+    private int mScoreFailures;
+    private int mSends;
+    private long mNextMs;
+    private long mProgressMs;
+    private Optional<TargetState> mTarget = Optional.empty();
+    private Runnable mBreakOff = () -> {};
+
+    /** Counts runs, so that what a former run still says is told apart. */
+    private int mRunNumber;
+
+    ItemRun(BatchItem item, int index) {
+        mItem = item;
+        mIndex = index;
+    }
+
+    // Operations
+
+    boolean apply(ItemEvent event) {
+        return mPosition.apply(event);
+    }
+
+    /** Begins a run or a scoring call at a target; returns its number. */
+    int begin(TargetState target, long nowMs) {
+        mTarget = Optional.of(target);
+        target.sent();
+        mSends++;
+        mProgressMs = nowMs;
+        return ++mRunNumber;
+    }
+
+    void breakOffWith(Runnable breakOff) {
+        mBreakOff = breakOff;
+    }
+
+    /** Ends the present run or scoring call; what it still says is ignored. */
+    void release() {
+        mTarget.ifPresent(TargetState::ended);
+        mTarget = Optional.empty();
+        mRunNumber++;
+        mBreakOff = () -> {};
+    }
+
+    /** Breaks the present run or scoring call off. */
+    void breakOff() {
+        Runnable breakOff = mBreakOff;
+        release();
+        breakOff.run();
+    }
+
+    void startsWith(WeightVersion version) {
+        mVersion = version;
+    }
+
+    /** Takes an event; returns false if it does not follow the last one. */
+    boolean take(TextEvent event, long nowMs) {
+        if (mLastEvent.isPresent() && event.id() != mLastEvent.getAsLong() + 1) {
+            return false;
+        }
+        if (!event.version().equals(WeightVersion.NONE)) {
+            mVersion = event.version();
+        }
+        mLastEvent = OptionalLong.of(event.id());
+        mTexts.add(event.data());
+        mVersions.add(mVersion);
+        mProgressMs = nowMs;
+        return true;
+    }
+
+    /** Drops the text so far, so that the next run begins anew. */
+    void restart() {
+        mTexts.clear();
+        mVersions.clear();
+        mLastEvent = OptionalLong.empty();
+    }
+
+    int failed() {
+        return ++mFailures;
+    }
+
+    int scoreFailed() {
+        return ++mScoreFailures;
+    }
+
+    void retryAt(long atMs) {
+        mNextMs = atMs;
+    }
+
+    // Accessors
+
+    ItemResult result(String score) {
+        return new ItemResult(
+                mItem.id(),
+                true,
+                String.join("\n", mTexts),
+                mVersions.stream().sorted().toList(),
+                score);
+    }
+
+    boolean isWithin(WeightVersion bound) {
+        return mVersions.stream().noneMatch(bound::isAfter);
+    }
+
+    BatchItem item() {
+        return mItem;
+    }
+
+    int index() {
+        return mIndex;
+    }
+
+    ItemState state() {
+        return mPosition.state();
+    }
+
+    boolean isRun(int number) {
+        return mRunNumber == number;
+    }
+
+    OptionalLong lastEvent() {
+        return mLastEvent;
+    }
+
+    int events() {
+        return mTexts.size();
+    }
+
+    Set<WeightVersion> versions() {
+        return mVersions;
+    }
+
+    long nextMs() {
+        return mNextMs;
+    }
+
+    long progressMs() {
+        return mProgressMs;
+    }
+
+    int sends() {
+        return mSends;
+    }
+
+    Optional<TargetState> target() {
+        return mTarget;
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
@@ -1,9 +1,11 @@
 package dev.cactusspan.command;
 
 import dev.cactusspan.entry.EntryProcess;
+import dev.cactusspan.gateway.GatewayProcess;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.settings.EntrySettings;
+import dev.cactusspan.settings.GatewaySettings;
 import dev.cactusspan.settings.SettingsReader;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -12,11 +14,18 @@
 
 /** Runs an entry process until it is told to stop. */
 public final class EntryCommand implements DaemonCommand {
-    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of the entry")
+    @Option(
+            name = "--settings",
+            metaVar = "FILE",
+            usage = "settings of the entry; without it, those of a platform in CACTUSSPAN_CONFIG")
     private Path mSettings;
 
     @Override
     public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        return mSettings == null ? runOnPlatform(err) : runAlone(err);
+    }
+
+    private ExitCode runAlone(PrintStream err) throws IOException {
         Result<EntrySettings> settings = SettingsReader.entry(mSettings);
         if (!settings.isOk()) {
             return settings.fold(f -> Reports.failed(err, f), s -> ExitCode.OK);
@@ -26,4 +35,16 @@
         Shutdown.onSignal(process::drain, process);
         return ExitCode.OK;
     }
+
+    private static ExitCode runOnPlatform(PrintStream err) throws IOException {
+        Result<GatewaySettings> settings = PlatformSettings.read();
+        if (!settings.isOk()) {
+            return settings.fold(f -> Reports.failed(err, f), s -> ExitCode.OK);
+        }
+        GatewayProcess process = new GatewayProcess(settings.get(), Telemetry.create());
+        process.start();
+        Shutdown.onSignal(process::drain, process);
+        Reload.onSignal(PlatformSettings::read);
+        return ExitCode.OK;
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/command/Main.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/Main.java
@@ -8,6 +8,7 @@
     private static final List<CommandLine.Entry> COMMANDS =
             List.of(
                     entry("entry", "runs an entry process", EntryCommand::new),
+                    entry("storage", "runs the process of a VM with a disk", StorageCommand::new),
                     entry("side", "runs the side process of a target", SideCommand::new),
                     entry("config check", "checks a document", ConfigCheckCommand::new),
                     entry("config show", "shows a stored document", ConfigShowCommand::new),
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/command/StorageCommand.java
@@ -0,0 +1,25 @@
+package dev.cactusspan.command;
+
+import dev.cactusspan.gateway.StorageProcess;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.settings.GatewaySettings;
+import java.io.IOException;
+import java.io.PrintStream;
+
+/** Runs the process of a VM with a disk until it is told to stop. */
+public final class StorageCommand implements DaemonCommand {
+
+    @Override
+    public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        Result<GatewaySettings> settings = PlatformSettings.read();
+        if (!settings.isOk()) {
+            return settings.fold(f -> Reports.failed(err, f), s -> ExitCode.OK);
+        }
+        StorageProcess process = new StorageProcess(settings.get(), Telemetry.create());
+        process.start();
+        Shutdown.onSignal(() -> {}, process);
+        Reload.onSignal(PlatformSettings::read);
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/UsageBook.java
@@ -0,0 +1,36 @@
+package dev.cactusspan.duty;
+
+import dev.cactusspan.id.AccountId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Requests of each client account by the window of the wall clock in which they began to run. */
+final class UsageBook {
+    private final long mWindowMs;
+    private final TreeMap<Long, Map<AccountId, Long>> mCounts = new TreeMap<>();
+
+    UsageBook(long windowMs) {
+        mWindowMs = windowMs;
+    }
+
+    void count(AccountId account, long wallMs) {
+        mCounts.computeIfAbsent(window(wallMs), w -> new HashMap<>()).merge(account, 1L, Long::sum);
+    }
+
+    long window(long wallMs) {
+        return Math.floorDiv(wallMs, mWindowMs);
+    }
+
+    long endMs(long window) {
+        return (window + 1) * mWindowMs;
+    }
+
+    Map<AccountId, Long> counts(long window) {
+        return Map.copyOf(mCounts.getOrDefault(window, Map.of()));
+    }
+
+    void forgetUpTo(long window) {
+        mCounts.headMap(window, true).clear();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
@@ -0,0 +1,314 @@
+package dev.cactusspan.duty;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.peer.NodeDirectory;
+import dev.cactusspan.peer.NodeRecord;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.store.Transaction;
+import dev.cactusspan.store.Transaction.Expectation;
+import dev.cactusspan.store.Transaction.Write;
+import dev.cactusspan.text.JsonText;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * Reports usage window by window. Each process writes its own counts of a window after its end; the
+ * holder of the duty adds them up, seals the sum in the store, and sends what is sealed until it is
+ * taken.
+ */
+public final class UsageReporter {
+    private static final String COUNTS_PREFIX = "cs/usage/";
+    private static final String SEALED_PREFIX = "cs/sealed/";
+
+    /** Requests that began in a window are counted by then, in milliseconds after its end. */
+    private static final long FLUSH_AFTER_MS = 200;
+
+    /** The sum is sealed no later than this after the end of a window. */
+    private static final long SEAL_BY_MS = 7_000;
+
+    /** Windows that a new holder looks back at. */
+    private static final long LOOK_BACK_WINDOWS = 4;
+
+    /** Pause between tries, in milliseconds. */
+    private static final long RETRY_MS = 400;
+
+    private final KeyStore mStore;
+    private final DutyHolder mDuty;
+    private final NodeDirectory mNodes;
+    private final NodeRecord mSelf;
+    private final UsagePort mPort;
+    private final Executor mThread;
+    private final LongSupplier mNowMs;
+    private final LongSupplier mWallMs;
+    private final UsageBook mBook;
+    private long mFlushed;
+    private boolean mIsFlushing;
+    private long mNextFlushMs;
+    private long mReported;
+    private boolean mIsReporting;
+    private long mNextReportMs;
+
+    /**
+     * Creates a reporter; it works when it is ticked.
+     *
+     * @param store the store
+     * @param duty the duty of reporting
+     * @param nodes the processes that are alive
+     * @param self this process
+     * @param port sends reports
+     * @param windowMs length of a window
+     * @param thread the thread on which everything happens
+     * @param nowMs steady clock in milliseconds
+     * @param wallMs wall clock in milliseconds
+     */
+    public UsageReporter(
+            KeyStore store,
+            DutyHolder duty,
+            NodeDirectory nodes,
+            NodeRecord self,
+            UsagePort port,
+            long windowMs,
+            Executor thread,
+            LongSupplier nowMs,
+            LongSupplier wallMs) {
+        mStore = store;
+        mDuty = duty;
+        mNodes = nodes;
+        mSelf = self;
+        mPort = port;
+        mThread = thread;
+        mNowMs = nowMs;
+        mWallMs = wallMs;
+        mBook = new UsageBook(windowMs);
+        mFlushed = mBook.window(wallMs.getAsLong()) - 1;
+        mReported = mFlushed - LOOK_BACK_WINDOWS;
+    }
+
+    // Operations
+
+    /**
+     * Counts a request that begins to run now.
+     *
+     * @param account the client account
+     */
+    public void count(AccountId account) {
+        mBook.count(account, mWallMs.getAsLong());
+    }
+
+    /** Writes own counts and reports windows, as they are due. */
+    public void tick() {
+        long wallMs = mWallMs.getAsLong();
+        if (!mIsFlushing
+                && mNowMs.getAsLong() >= mNextFlushMs
+                && wallMs >= mBook.endMs(mFlushed + 1) + FLUSH_AFTER_MS) {
+            flush(mFlushed + 1);
+        }
+        if (mIsReporting || mNowMs.getAsLong() < mNextReportMs || mDuty.fencing().isEmpty()) {
+            return;
+        }
+        if (wallMs >= mBook.endMs(mReported + 1) + FLUSH_AFTER_MS) {
+            report(mReported + 1, wallMs);
+        }
+    }
+
+    // Own counts
+
+    private void flush(long window) {
+        mIsFlushing = true;
+        byte[] counts = JsonText.write(mBook.counts(window));
+        String key = countsPrefix(window) + mSelf.owner();
+        Replies.on(
+                mStore.commit(Transaction.of(List.of(), List.of(new Write(key, counts, 0)))),
+                mThread,
+                r ->
+                        r.fold(
+                                f -> {
+                                    mIsFlushing = false;
+                                    mNextFlushMs = mNowMs.getAsLong() + RETRY_MS;
+                                    return null;
+                                },
+                                revision -> {
+                                    mIsFlushing = false;
+                                    mFlushed = window;
+                                    mBook.forgetUpTo(window);
+                                    return null;
+                                }));
+    }
+
+    // Reports
+
+    private void report(long window, long wallMs) {
+        mIsReporting = true;
+        Replies.on(
+                mStore.range(countsPrefix(window), ""),
+                mThread,
+                (Result<KeyStore.Page> r) ->
+                        r.fold(this::failed, page -> counted(window, wallMs, page.items())));
+    }
+
+    private Void counted(long window, long wallMs, List<StoredItem> items) {
+        Set<String> written = new HashSet<>();
+        TreeMap<String, Long> sum = new TreeMap<>();
+        for (StoredItem item : items) {
+            written.add(item.key().substring(countsPrefix(window).length()));
+            JsonText.read(item.value(), JsonNode.class)
+                    .map(
+                            counts -> {
+                                counts.fields()
+                                        .forEachRemaining(
+                                                e ->
+                                                        sum.merge(
+                                                                e.getKey(),
+                                                                e.getValue().asLong(),
+                                                                Long::sum));
+                                return counts;
+                            });
+        }
+        boolean isComplete = mNodes.all().stream().allMatch(node -> written.contains(node.owner()));
+        if (!isComplete && wallMs < mBook.endMs(window) + SEAL_BY_MS) {
+            retryLater();
+            return null;
+        }
+        seal(window, sum, items);
+        return null;
+    }
+
+    private void seal(long window, Map<String, Long> sum, List<StoredItem> items) {
+        String key = sealedKey(window);
+        byte[] value = JsonText.write(sum);
+        Transaction seal =
+                new Transaction(
+                        List.of(new Expectation(key, 0)),
+                        List.of(new Write(key, value, 0)),
+                        items.stream().limit(30).map(StoredItem::key).toList());
+        Replies.on(
+                mStore.commit(seal),
+                mThread,
+                r ->
+                        r.fold(
+                                f -> {
+                                    if (f.kind() == ErrorKind.PLATFORM_UNAVAILABLE) {
+                                        return failed(f);
+                                    }
+                                    readSealed(window);
+                                    return null;
+                                },
+                                revision -> {
+                                    send(window, sum);
+                                    return null;
+                                }));
+    }
+
+    private void readSealed(long window) {
+        Replies.on(
+                mStore.get(sealedKey(window)),
+                mThread,
+                (Result<Optional<StoredItem>> r) ->
+                        r.fold(
+                                this::failed,
+                                item -> {
+                                    if (item.isEmpty()) {
+                                        retryLater();
+                                        return null;
+                                    }
+                                    send(window, sums(item.get()));
+                                    return null;
+                                }));
+    }
+
+    private static Map<String, Long> sums(StoredItem item) {
+        return JsonText.mapper()
+                .convertValue(
+                        JsonText.read(item.value(), JsonNode.class).get(),
+                        new TypeReference<TreeMap<String, Long>>() {});
+    }
+
+    private void send(long window, Map<String, Long> sum) {
+        Optional<FencingNumber> fencing = mDuty.fencing();
+        if (sum.isEmpty()) {
+            reported(window);
+            return;
+        }
+        if (fencing.isEmpty()) {
+            retryLater();
+            return;
+        }
+        mDuty.acted();
+        Replies.on(
+                mPort.report(window, sum, mSelf.vm(), fencing.get()),
+                mThread,
+                r ->
+                        r.fold(
+                                this::failed,
+                                outcome -> {
+                                    sent(window, outcome, sum, fencing.get());
+                                    return null;
+                                }));
+    }
+
+    private void sent(
+            long window, UsagePort.Outcome outcome, Map<String, Long> sum, FencingNumber fencing) {
+        Decision.of("usage_sent")
+                .with("window", window)
+                .with("counts", sum)
+                .with("fencing", fencing.number())
+                .with("outcome", outcome.name())
+                .info();
+        switch (outcome) {
+            case TAKEN -> reported(window);
+            case FENCED -> {
+                mDuty.refused();
+                retryLater();
+            }
+            default -> retryLater();
+        }
+    }
+
+    private void reported(long window) {
+        mIsReporting = false;
+        mReported = window;
+    }
+
+    private Void failed(Failure failure) {
+        Decision.of("usage_failed").with("reason", failure.toString()).warn();
+        retryLater();
+        return null;
+    }
+
+    private void retryLater() {
+        mIsReporting = false;
+        mNextReportMs = mNowMs.getAsLong() + RETRY_MS;
+    }
+
+    private static String countsPrefix(long window) {
+        return COUNTS_PREFIX + window + "/";
+    }
+
+    private static String sealedKey(long window) {
+        return SEALED_PREFIX + window;
+    }
+
+    /**
+     * Tells whether all own counts are in the store.
+     *
+     * @return true if nothing would be lost by a stop now
+     */
+    public boolean isFlushed() {
+        return !mIsFlushing && mBook.counts(mBook.window(mWallMs.getAsLong())).isEmpty();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -0,0 +1,130 @@
+package dev.cactusspan.fleet;
+
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.id.ServiceId;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The routes, services, client accounts and limits that operators want; immutable. */
+public final class DesiredState {
+    private final Revision mRevision;
+    private final List<FleetRoute> mRoutes;
+    private final Map<ServiceId, FleetService> mServices = new HashMap<>();
+    private final Map<String, AccountId> mAccountByKey = new HashMap<>();
+    private final ClientLimits mLimits;
+    private final boolean mHasAccounts;
+
+    private DesiredState(
+            Revision revision,
+            List<FleetRoute> routes,
+            List<FleetService> services,
+            List<FleetAccount> accounts,
+            ClientLimits limits) {
+        mRevision = revision;
+        mRoutes = List.copyOf(routes);
+        services.forEach(s -> mServices.put(s.name(), s));
+        accounts.forEach(a -> a.keys().forEach(key -> mAccountByKey.put(key, a.name())));
+        mLimits = limits;
+        mHasAccounts = !accounts.isEmpty();
+    }
+
+    /**
+     * Returns a desired state.
+     *
+     * @param revision its version, which only rises
+     * @param routes routes
+     * @param services services
+     * @param accounts client accounts; without any, no request needs a key
+     * @param limits bounds on what clients send
+     * @return the desired state
+     */
+    public static DesiredState of(
+            Revision revision,
+            List<FleetRoute> routes,
+            List<FleetService> services,
+            List<FleetAccount> accounts,
+            ClientLimits limits) {
+        return new DesiredState(revision, routes, services, accounts, limits);
+    }
+
+    /**
+     * Finds the route of a request: the longest prefix of its host that begins the path.
+     *
+     * @param host host of the request
+     * @param path path of the request
+     * @return the route, if there is one
+     */
+    public Optional<FleetRoute> route(String host, String path) {
+        FleetRoute best = null;
+        for (FleetRoute route : mRoutes) {
+            boolean isMatch = route.host().equals(host) && path.startsWith(route.prefix());
+            boolean isLonger = best == null || route.prefix().length() > best.prefix().length();
+            if (isMatch && isLonger) {
+                best = route;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Finds the client account that holds a key.
+     *
+     * @param key the key
+     * @return the account, empty if no account holds the key
+     */
+    public Optional<AccountId> account(String key) {
+        return Optional.ofNullable(mAccountByKey.get(key));
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, if there is one of that name
+     */
+    public Optional<FleetService> service(ServiceId name) {
+        return Optional.ofNullable(mServices.get(name));
+    }
+
+    /**
+     * Tells whether a service holds a model.
+     *
+     * @param service the service
+     * @param model the model
+     * @return true if its engines hold the model
+     */
+    public boolean holds(ServiceId service, ModelId model) {
+        return service(service).map(s -> s.models().contains(model)).orElse(false);
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version
+     */
+    public Revision revision() {
+        return mRevision;
+    }
+
+    /**
+     * Tells whether requests on routes that are not open need a key.
+     *
+     * @return true if there are client accounts
+     */
+    public boolean hasAccounts() {
+        return mHasAccounts;
+    }
+
+    /**
+     * Returns the bounds on what clients send.
+     *
+     * @return the limits
+     */
+    public ClientLimits limits() {
+        return mLimits;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetHead.java
@@ -0,0 +1,38 @@
+package dev.cactusspan.fleet;
+
+import dev.cactusspan.id.WeightVersion;
+import java.util.Map;
+
+/**
+ * Status and headers of a target's answer.
+ *
+ * @param status HTTP status
+ * @param headers headers that pass on to the client
+ * @param stamp the target's digest of the answer, empty if there is none
+ * @param isNotRun true if the target says that it has not run the request
+ * @param isOtherTarget true if another target answers at the address
+ * @param isOwnAnswer false if the answer belongs to another request
+ * @param version weight version that begins the answer, {@link WeightVersion#NONE} if none
+ * @param isEvents true if the body is a stream of events
+ */
+public record TargetHead(
+        int status,
+        Map<String, String> headers,
+        String stamp,
+        boolean isNotRun,
+        boolean isOtherTarget,
+        boolean isOwnAnswer,
+        WeightVersion version,
+        boolean isEvents) {
+    private static final int SUCCESS_FROM = 200;
+    private static final int SUCCESS_TO = 299;
+
+    /**
+     * Tells whether the answer is a success that carries the target's digest.
+     *
+     * @return true for a stamped 2xx
+     */
+    public boolean isStampedSuccess() {
+        return status >= SUCCESS_FROM && status <= SUCCESS_TO && !stamp.isEmpty();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -0,0 +1,121 @@
+package dev.cactusspan.fleet;
+
+/** What this process knows of a target besides its entry. */
+public final class TargetState {
+    /** A failure keeps a target out of the choice this long, doubled for each one in a row. */
+    private static final long AVOID_MS = 250;
+
+    private static final int MAX_DOUBLINGS = 4;
+
+    /** Weight of the newest observation in the mean pace. */
+    private static final double PACE_WEIGHT = 0.2;
+
+    private TargetRecord mRecord;
+    private int mInFlight;
+    private int mFailures;
+    private long mAvoidUntilMs;
+    private double mPaceMs;
+    private long mMissingSinceMs = -1;
+
+    TargetState(TargetRecord record) {
+        mRecord = record;
+    }
+
+    void update(TargetRecord record) {
+        mRecord = record;
+        mMissingSinceMs = -1;
+    }
+
+    void missing(long nowMs) {
+        mMissingSinceMs = nowMs;
+    }
+
+    /** Notes that a request was sent. */
+    public void sent() {
+        mInFlight++;
+    }
+
+    /** Notes that a request has ended in any way. */
+    public void ended() {
+        mInFlight--;
+    }
+
+    /** Notes that the target answered. */
+    public void answered() {
+        mFailures = 0;
+        mAvoidUntilMs = 0;
+    }
+
+    /**
+     * Notes that the target failed.
+     *
+     * @param nowMs steady clock in milliseconds
+     */
+    public void failed(long nowMs) {
+        mAvoidUntilMs = nowMs + (AVOID_MS << Math.min(MAX_DOUBLINGS, mFailures));
+        mFailures++;
+    }
+
+    /**
+     * Notes that the target has no room or changes its weights.
+     *
+     * @param untilMs steady clock in milliseconds until which it is left out
+     */
+    public void avoid(long untilMs) {
+        mAvoidUntilMs = Math.max(mAvoidUntilMs, untilMs);
+    }
+
+    /**
+     * Notes how long a unit of work took: a request, or the gap between two events.
+     *
+     * @param tookMs the time in milliseconds
+     */
+    public void pace(long tookMs) {
+        mPaceMs = mPaceMs == 0 ? tookMs : mPaceMs + PACE_WEIGHT * (tookMs - mPaceMs);
+    }
+
+    /**
+     * Returns the mean time of a unit of work.
+     *
+     * @return milliseconds, zero if not known
+     */
+    public double paceMs() {
+        return mPaceMs;
+    }
+
+    /**
+     * Returns the entry.
+     *
+     * @return what the target says of itself
+     */
+    public TargetRecord record() {
+        return mRecord;
+    }
+
+    /**
+     * Returns how many requests of this process are at the target.
+     *
+     * @return requests in flight
+     */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /**
+     * Tells whether the target failed a short time ago.
+     *
+     * @param nowMs steady clock in milliseconds
+     * @return true if it is to be left out
+     */
+    public boolean isAvoided(long nowMs) {
+        return nowMs < mAvoidUntilMs;
+    }
+
+    boolean isMissingFor(long nowMs, long boundMs) {
+        return mMissingSinceMs >= 0 && nowMs - mMissingSinceMs >= boundMs;
+    }
+
+    boolean isMissing() {
+        return mMissingSinceMs >= 0;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -0,0 +1,144 @@
+package dev.cactusspan.forward;
+
+import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.result.Failure;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** A client's request on its way through targets. */
+final class ForwardedRequest {
+    private final ClientRequest mRequest;
+    private final ClientSink mSink;
+    private final FleetRoute mRoute;
+    private final ServiceId mService;
+    private final Optional<AccountId> mAccount;
+    private final long mArrivedMs;
+    private final long mGiveUpMs;
+    private final Set<TargetId> mTried = new HashSet<>();
+    private final List<Attempt> mAttempts = new ArrayList<>();
+    private int mSends;
+    private int mRuns;
+    private boolean mIsStreaming;
+    private boolean mIsOver;
+    private long mNextMs;
+    private Optional<Failure> mLastFailure = Optional.empty();
+
+    ForwardedRequest(
+            ClientRequest request,
+            ClientSink sink,
+            FleetRoute route,
+            ServiceId service,
+            Optional<AccountId> account,
+            long arrivedMs,
+            long giveUpMs) {
+        mRequest = request;
+        mSink = sink;
+        mRoute = route;
+        mService = service;
+        mAccount = account;
+        mArrivedMs = arrivedMs;
+        mGiveUpMs = giveUpMs;
+    }
+
+    Attempt begin(Attempt attempt) {
+        mAttempts.add(attempt);
+        mTried.add(attempt.target().record().id());
+        mSends++;
+        mRuns++;
+        return attempt;
+    }
+
+    /** Notes proof that a send did not run. */
+    void notRun() {
+        mRuns--;
+    }
+
+    void over() {
+        mIsOver = true;
+        mAttempts.forEach(Attempt::cancel);
+    }
+
+    boolean hasActiveAttempt() {
+        return mAttempts.stream().anyMatch(a -> !a.isOver());
+    }
+
+    void retryAt(long atMs) {
+        mNextMs = atMs;
+    }
+
+    void failedWith(Failure failure) {
+        mLastFailure = Optional.of(failure);
+    }
+
+    void streaming() {
+        mIsStreaming = true;
+    }
+
+    ClientRequest request() {
+        return mRequest;
+    }
+
+    ClientSink sink() {
+        return mSink;
+    }
+
+    FleetRoute route() {
+        return mRoute;
+    }
+
+    ServiceId service() {
+        return mService;
+    }
+
+    Optional<AccountId> account() {
+        return mAccount;
+    }
+
+    long arrivedMs() {
+        return mArrivedMs;
+    }
+
+    long giveUpMs() {
+        return mGiveUpMs;
+    }
+
+    Set<TargetId> tried() {
+        return mTried;
+    }
+
+    /** Sends so far, those that were refused among them. */
+    int sends() {
+        return mSends;
+    }
+
+    /** Sends that may have run. */
+    int runs() {
+        return mRuns;
+    }
+
+    long nextMs() {
+        return mNextMs;
+    }
+
+    long lastSentMs() {
+        return mAttempts.isEmpty() ? 0 : mAttempts.get(mAttempts.size() - 1).startedMs();
+    }
+
+    Optional<Failure> lastFailure() {
+        return mLastFailure;
+    }
+
+    boolean isStreaming() {
+        return mIsStreaming;
+    }
+
+    boolean isOver() {
+        return mIsOver;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -0,0 +1,210 @@
+package dev.cactusspan.gateway;
+
+import dev.cactusspan.batch.BatchStore;
+import dev.cactusspan.duty.DutyHolder;
+import dev.cactusspan.fleet.DesiredState;
+import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.peer.NodeDirectory;
+import dev.cactusspan.platform.PlatformReader;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.PrefixMirror;
+import dev.cactusspan.store.StoredItem;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * What this process believes of the fleet, as the store tells it: the desired state, the targets,
+ * the other processes, owners of batches and holders of duties.
+ */
+final class FleetView {
+    private static final String CONTROL_PREFIX = "cs/control/";
+
+    /** A list of processes that was confirmed within this time can be relied on. */
+    private static final long CURRENT_MS = 5_000;
+
+    /** The store counts as well again this long after an outage, in milliseconds. */
+    private static final long WELL_AFTER_MS = 2_500;
+
+    private final NodeDirectory mNodes;
+    private final LongSupplier mNowMs;
+    private final TargetTable mTargets = new TargetTable();
+    private final PrefixMirror mOperator;
+    private final PrefixMirror mServers;
+    private final PrefixMirror mControl;
+    private Optional<DesiredState> mDesired = Optional.empty();
+    private BiConsumer<String, Optional<StoredItem>> mOnOwner = (key, item) -> {};
+    private Consumer<Optional<StoredItem>> mOnUsageDuty = item -> {};
+    private Consumer<Optional<StoredItem>> mOnWeightDuty = item -> {};
+    private BiConsumer<ModelId, WeightVersion> mOnVersion = (model, version) -> {};
+
+    FleetView(
+            KeyStore store,
+            NodeDirectory nodes,
+            Executor thread,
+            Supplier<Backoff> backoffs,
+            LongSupplier nowMs) {
+        mNodes = nodes;
+        mNowMs = nowMs;
+        mOperator =
+                new PrefixMirror(
+                        store,
+                        PlatformReader.OPERATOR_PREFIX,
+                        thread,
+                        backoffs.get(),
+                        nowMs,
+                        this::operatorChanged);
+        mServers =
+                new PrefixMirror(
+                        store,
+                        PlatformReader.TARGET_PREFIX,
+                        thread,
+                        backoffs.get(),
+                        nowMs,
+                        this::targetChanged);
+        mControl =
+                new PrefixMirror(
+                        store, CONTROL_PREFIX, thread, backoffs.get(), nowMs, this::controlChanged);
+    }
+
+    void listen(
+            BiConsumer<String, Optional<StoredItem>> onOwner,
+            Consumer<Optional<StoredItem>> onUsageDuty,
+            Consumer<Optional<StoredItem>> onWeightDuty,
+            BiConsumer<ModelId, WeightVersion> onVersion) {
+        mOnOwner = onOwner;
+        mOnUsageDuty = onUsageDuty;
+        mOnWeightDuty = onWeightDuty;
+        mOnVersion = onVersion;
+    }
+
+    void tick() {
+        mOperator.tick();
+        mServers.tick();
+        mControl.tick();
+        mTargets.tick(mNowMs.getAsLong());
+    }
+
+    // Changes
+
+    private void operatorChanged(String key, Optional<StoredItem> item) {
+        if (key.equals(PlatformReader.DESIRED_STATE_KEY) && item.isPresent()) {
+            read(key, PlatformReader.desiredState(item.get().value()), this::desire);
+        } else if (key.startsWith(PlatformReader.VERSION_PREFIX) && item.isPresent()) {
+            ModelId model = ModelId.of(key.substring(PlatformReader.VERSION_PREFIX.length()));
+            read(
+                    key,
+                    PlatformReader.namedVersion(item.get().value()),
+                    version -> mOnVersion.accept(model, version));
+        }
+    }
+
+    private void desire(DesiredState desired) {
+        boolean isNewer = mDesired.map(d -> desired.revision().isAfter(d.revision())).orElse(true);
+        if (!isNewer) {
+            return;
+        }
+        mDesired = Optional.of(desired);
+        Decision.of("desired_state_in_force").with("revision", desired.revision().number()).info();
+    }
+
+    private void targetChanged(String key, Optional<StoredItem> item) {
+        if (item.isEmpty()) {
+            TargetId id = TargetId.of(key.substring(PlatformReader.TARGET_PREFIX.length()));
+            gone(id);
+            return;
+        }
+        Result<TargetRecord> record = PlatformReader.target(key, item.get().value());
+        record.fold(
+                f -> {
+                    unreadable(key, f);
+                    gone(TargetId.of(key.substring(PlatformReader.TARGET_PREFIX.length())));
+                    return null;
+                },
+                r -> {
+                    seen(r);
+                    return null;
+                });
+    }
+
+    private void seen(TargetRecord record) {
+        mTargets.put(record);
+        Decision.of("target_seen")
+                .with("target", record.id().value())
+                .with("service", record.service().value())
+                .with("is_leaving", record.isLeaving())
+                .with("versions", record.versions().toString())
+                .info();
+    }
+
+    private void gone(TargetId id) {
+        boolean isWell =
+                mServers.isHealthy() && mNowMs.getAsLong() - mServers.recoveredMs() > WELL_AFTER_MS;
+        if (mTargets.find(id).isEmpty()) {
+            return;
+        }
+        mTargets.remove(id, mNowMs.getAsLong(), isWell);
+        Decision.of("target_gone").with("target", id.value()).with("is_store_well", isWell).info();
+    }
+
+    private void controlChanged(String key, Optional<StoredItem> item) {
+        if (key.startsWith(NodeDirectory.PREFIX)) {
+            mNodes.changed(key, item);
+        } else if (key.startsWith(BatchStore.OWNER_PREFIX)) {
+            mOnOwner.accept(key, item);
+        } else if (key.equals(DutyHolder.PREFIX + "usage")) {
+            mOnUsageDuty.accept(item);
+        } else if (key.equals(DutyHolder.PREFIX + "weights")) {
+            mOnWeightDuty.accept(item);
+        }
+    }
+
+    private static <T> void read(String key, Result<T> result, Consumer<T> taker) {
+        result.fold(
+                f -> {
+                    unreadable(key, f);
+                    return null;
+                },
+                value -> {
+                    taker.accept(value);
+                    return null;
+                });
+    }
+
+    private static void unreadable(String key, Failure failure) {
+        Decision.of("unreadable_value").with("key", key).with("reason", failure.detail()).warn();
+    }
+
+    // Accessors
+
+    Optional<DesiredState> desired() {
+        return mDesired;
+    }
+
+    TargetTable targets() {
+        return mTargets;
+    }
+
+    boolean isLoaded() {
+        return mDesired.isPresent() && mServers.isLoaded() && mControl.isLoaded();
+    }
+
+    long recoveredMs() {
+        return mControl.recoveredMs();
+    }
+
+    boolean isControlCurrent() {
+        return mControl.isHealthy() && mNowMs.getAsLong() - mControl.confirmedMs() < CURRENT_MS;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -0,0 +1,279 @@
+package dev.cactusspan.gateway;
+
+import dev.cactusspan.batch.BatchDesk;
+import dev.cactusspan.batch.BatchDesks;
+import dev.cactusspan.batch.BatchStore;
+import dev.cactusspan.duty.DutyHolder;
+import dev.cactusspan.duty.UsageReporter;
+import dev.cactusspan.duty.WeightMover;
+import dev.cactusspan.fleet.TargetChooser;
+import dev.cactusspan.fleet.TargetPort;
+import dev.cactusspan.forward.ForwardDesk;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.link.DrainLatch;
+import dev.cactusspan.link.DutyThread;
+import dev.cactusspan.observe.AdminServer;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.peer.NodeDirectory;
+import dev.cactusspan.peer.NodeRecord;
+import dev.cactusspan.peer.NodeSession;
+import dev.cactusspan.peer.PeerCalls;
+import dev.cactusspan.platform.PlatformBatches;
+import dev.cactusspan.platform.PlatformServer;
+import dev.cactusspan.platform.PlatformStore;
+import dev.cactusspan.platform.PlatformTargets;
+import dev.cactusspan.platform.PlatformUsage;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.routing.ZoneDistance;
+import dev.cactusspan.settings.GatewaySettings;
+import dev.cactusspan.store.KeyStore;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** An entry on a hosting platform: serves clients and trainers, and holds duties. */
+public final class GatewayProcess implements AutoCloseable {
+    private static final int RING_TASKS = 8_192;
+    private static final long TICK_MS = 10;
+    private static final long MS_PER_S = 1_000;
+
+    /** Bounds of the delay after a failed call to the store, in milliseconds. */
+    private static final long BACKOFF_BASE_MS = 60;
+
+    private static final long BACKOFF_MAX_MS = 600;
+
+    /** Readiness is asked once a second and two misses take a process out, in milliseconds. */
+    private static final long LEAVE_ROTATION_MS = 2_500;
+
+    /** Time kept for closing before the kill, in milliseconds. */
+    private static final long CLOSE_MS = 1_500;
+
+    private final GatewaySettings mSettings;
+    private final HttpCaller mHttp;
+    private final DutyThread mThread = new DutyThread("gateway", RING_TASKS, TICK_MS);
+    private final SplittableRandom mRandom = new SplittableRandom();
+    private final NodeDirectory mNodes = new NodeDirectory();
+    private final NodeSession mSession;
+    private final PeerCalls mPeers;
+    private final FleetView mFleet;
+    private final DutyHolder mUsageDuty;
+    private final DutyHolder mWeightDuty;
+    private final UsageReporter mUsage;
+    private final WeightMover mWeights;
+    private final ForwardDesk mForward;
+    private final BatchDesk mBatches;
+    private final BatchReader mReader;
+    private final Gateway mGateway;
+    private final PlatformServer mServer;
+    private final AdminServer mAdmin;
+    private final DrainLatch mDrained = new DrainLatch();
+    private volatile boolean mIsReady;
+    private volatile boolean mIsLeaving;
+    private volatile boolean mIsStopping;
+
+    /**
+     * Creates an entry; {@link #start} starts it.
+     *
+     * @param settings its settings
+     * @param telemetry its metrics
+     * @throws IOException if its threads cannot be started
+     */
+    public GatewayProcess(GatewaySettings settings, Telemetry telemetry) throws IOException {
+        mSettings = settings;
+        mHttp = HttpCaller.create();
+        NodeRecord self =
+                new NodeRecord(
+                        settings.vm(),
+                        Long.toString(System.currentTimeMillis(), Character.MAX_RADIX),
+                        settings.zone(),
+                        settings.ip(),
+                        settings.linkPort());
+        KeyStore store = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
+        mSession = new NodeSession(store, self, mThread, backoff(), GatewayProcess::nowMs);
+        mPeers = new PeerCalls(self, mThread, GatewayProcess::nowMs);
+        mUsageDuty = duty(store, "usage");
+        mWeightDuty = duty(store, "weights");
+        mUsage =
+                new UsageReporter(
+                        store,
+                        mUsageDuty,
+                        mNodes,
+                        self,
+                        new PlatformUsage(mHttp, uri(settings.usageAddress())),
+                        settings.usageWindowS() * MS_PER_S,
+                        mThread,
+                        GatewayProcess::nowMs,
+                        System::currentTimeMillis);
+        BatchStore batches = new BatchStore(store);
+        TargetPort targets = new PlatformTargets(mHttp, mThread);
+        mFleet = new FleetView(store, mNodes, mThread, this::backoff, GatewayProcess::nowMs);
+        TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
+        mWeights =
+                new WeightMover(
+                        mWeightDuty,
+                        mFleet.targets(),
+                        targets,
+                        mFleet::desired,
+                        settings.vm(),
+                        mThread,
+                        GatewayProcess::nowMs);
+        mForward =
+                new ForwardDesk(
+                        mFleet.targets(),
+                        targets,
+                        chooser,
+                        mFleet::desired,
+                        mUsage::count,
+                        telemetry,
+                        mRandom.split(),
+                        GatewayProcess::nowMs);
+        mBatches =
+                BatchDesks.create(
+                        new BatchDesks.Needs(
+                                batches,
+                                mNodes,
+                                self.owner(),
+                                mThread,
+                                mFleet.targets(),
+                                targets,
+                                chooser,
+                                mFleet::desired,
+                                telemetry,
+                                backoff(),
+                                GatewayProcess::nowMs,
+                                System::currentTimeMillis));
+        mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mThread);
+        mGateway =
+                new Gateway(
+                        mFleet::desired,
+                        mForward,
+                        mBatches,
+                        mReader,
+                        new PlatformBatches(),
+                        () -> mIsStopping,
+                        telemetry,
+                        GatewayProcess::nowMs,
+                        System::currentTimeMillis);
+        mServer =
+                new PlatformServer(
+                        address(settings.clientAddress()),
+                        address(settings.readyAddress()),
+                        mGateway,
+                        mThread,
+                        () -> mIsReady && !mIsLeaving);
+        mAdmin =
+                new AdminServer(
+                        settings.ip(), settings.metricsPort(), telemetry, () -> mIsReady, List::of);
+        mFleet.listen(
+                mBatches::changed, mUsageDuty::changed, mWeightDuty::changed, mWeights::named);
+    }
+
+    private DutyHolder duty(KeyStore store, String name) {
+        return new DutyHolder(
+                store, mSession, mNodes, name, mSettings.turnMs(), mThread, GatewayProcess::nowMs);
+    }
+
+    private Backoff backoff() {
+        return new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, mRandom.split());
+    }
+
+    private static URI uri(String address) {
+        return URI.create("http://" + address);
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(
+                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    // Operations
+
+    /**
+     * Starts the entry.
+     *
+     * @throws IOException if an address cannot be bound
+     */
+    public void start() throws IOException {
+        mPeers.start(mReader::answer);
+        mAdmin.start();
+        mServer.start();
+        mThread.start(this::tick);
+        Decision.of("started")
+                .with("node", mSession.self().owner())
+                .with("zone", mSettings.zone().value())
+                .info();
+    }
+
+    private void tick() {
+        mFleet.tick();
+        mSession.tick();
+        mPeers.tick();
+        mUsageDuty.tick();
+        mWeightDuty.tick();
+        mUsage.tick();
+        mWeights.tick();
+        mBatches.tick(mFleet.recoveredMs(), mFleet.isControlCurrent());
+        mGateway.tick();
+        mIsReady = mFleet.isLoaded();
+        if (mIsStopping && mForward.size() == 0 && mBatches.openBatches() == 0) {
+            mDrained.drained();
+        }
+    }
+
+    /**
+     * Stops gracefully: leaves the balancer's rotation while it still serves, hands its batches
+     * over, then refuses what comes and finishes what runs.
+     */
+    public void drain() {
+        Decision.of("stopping").with("node", mSession.self().owner()).info();
+        mIsLeaving = true;
+        mThread.execute(
+                () -> {
+                    mBatches.drain();
+                    mSession.close();
+                });
+        pause(LEAVE_ROTATION_MS);
+        mIsStopping = true;
+        mDrained.await(mSettings.stopS() * MS_PER_S - LEAVE_ROTATION_MS - CLOSE_MS);
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private ZoneDistance distance(AvailabilityZoneId zone) {
+        if (zone.equals(mSettings.zone())) {
+            return ZoneDistance.SAME_ZONE;
+        }
+        boolean isSameRegion =
+                mSettings.zones().containsKey(zone)
+                        && mSettings
+                                .zones()
+                                .get(zone)
+                                .equals(mSettings.zones().get(mSettings.zone()));
+        return isSameRegion ? ZoneDistance.SAME_REGION : ZoneDistance.OTHER_REGION;
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public void close() {
+        Decision.of("stopped").with("node", mSession.self().owner()).info();
+        mServer.close();
+        mAdmin.close();
+        mPeers.close();
+        mThread.close();
+        mHttp.close();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/StorageProcess.java
@@ -0,0 +1,113 @@
+package dev.cactusspan.gateway;
+
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.link.DutyThread;
+import dev.cactusspan.observe.AdminServer;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.PlatformReader;
+import dev.cactusspan.platform.PlatformStore;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.settings.GatewaySettings;
+import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.PrefixMirror;
+import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.store.Transaction;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** A process on a VM with a disk. It keeps nothing there, so it can always be emptied at once. */
+public final class StorageProcess implements AutoCloseable {
+    private static final int RING_TASKS = 256;
+    private static final long TICK_MS = 200;
+
+    /** Bounds of the delay after a failed call, in milliseconds. */
+    private static final long BACKOFF_BASE_MS = 100;
+
+    private static final long BACKOFF_MAX_MS = 1_000;
+
+    private final GatewaySettings mSettings;
+    private final HttpCaller mHttp;
+    private final DutyThread mThread = new DutyThread("storage", RING_TASKS, TICK_MS);
+    private final KeyStore mStore;
+    private final PrefixMirror mRequests;
+    private final AdminServer mAdmin;
+    private boolean mIsAsked;
+    private boolean mIsAnswering;
+
+    /**
+     * Creates a process; {@link #start} starts it.
+     *
+     * @param settings its settings
+     * @param telemetry its metrics
+     * @throws IOException if its threads cannot be started
+     */
+    public StorageProcess(GatewaySettings settings, Telemetry telemetry) throws IOException {
+        mSettings = settings;
+        mHttp = HttpCaller.create();
+        URI store = URI.create("http://" + settings.storeAddress());
+        mStore = new PlatformStore(mHttp, store, telemetry);
+        mRequests =
+                new PrefixMirror(
+                        mStore,
+                        PlatformReader.RETIRE_PREFIX + settings.vm().value(),
+                        mThread,
+                        new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, new SplittableRandom()),
+                        StorageProcess::nowMs,
+                        this::asked);
+        mAdmin =
+                new AdminServer(
+                        settings.ip(), settings.metricsPort(), telemetry, () -> true, List::of);
+    }
+
+    /** Starts the process. */
+    public void start() {
+        mAdmin.start();
+        mThread.start(this::tick);
+        Decision.of("started").with("vm", mSettings.vm().value()).info();
+    }
+
+    private void asked(String key, Optional<StoredItem> item) {
+        mIsAsked = item.isPresent();
+    }
+
+    private void tick() {
+        mRequests.tick();
+        if (!mIsAsked || mIsAnswering) {
+            return;
+        }
+        mIsAnswering = true;
+        String key = PlatformReader.RETIRED_PREFIX + mSettings.vm().value();
+        Transaction write =
+                Transaction.of(
+                        List.of(),
+                        List.of(new Transaction.Write(key, PlatformReader.retired(), 0)));
+        Replies.on(
+                mStore.commit(write),
+                mThread,
+                r -> {
+                    mIsAnswering = false;
+                    mIsAsked = !r.isOk();
+                    Decision.of("retired")
+                            .with("vm", mSettings.vm().value())
+                            .with("is_written", r.isOk())
+                            .info();
+                });
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    @Override
+    public void close() {
+        Decision.of("stopped").with("vm", mSettings.vm().value()).info();
+        mThread.close();
+        mAdmin.close();
+        mHttp.close();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpCall.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpCall.java
@@ -9,7 +9,7 @@
  * @param method HTTP method
  * @param server scheme, IP and port
  * @param path path and query
- * @param headers headers without host and length
+ * @param headers headers without length; the server's address is the host if none is given
  * @param body body, empty if none
  * @param timeoutMs time for the whole answer
  * @param fresh true to use a new connection, so that a failure to connect proves "not run"
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpCaller.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpCaller.java
@@ -82,6 +82,29 @@
         return future;
     }
 
+    /**
+     * Sends a request that changes something and keeps its answer whole.
+     *
+     * @param call the request
+     * @param maxBytes size of the answer at most
+     * @return the answer; {@code platform_unavailable} is proof that nothing was sent, {@code
+     *     outcome_unknown} leaves open whether the request took effect
+     */
+    public CompletableFuture<Result<HttpAnswer>> collectEffect(HttpCall call, int maxBytes) {
+        CompletableFuture<Result<HttpAnswer>> future = new CompletableFuture<>();
+        send(
+                call,
+                new Collector(future, maxBytes) {
+                    @Override
+                    public void onFailure(boolean sent, String reason) {
+                        ErrorKind kind =
+                                sent ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.PLATFORM_UNAVAILABLE;
+                        future.complete(Result.fail(kind, reason));
+                    }
+                });
+        return future;
+    }
+
     private void begin(HttpExchange exchange) {
         exchange.startTimer(mWorker.getIoThread());
         ClientConnection idle = exchange.call().fresh() ? null : takeIdle(exchange.call().server());
@@ -142,7 +165,7 @@
     private record Idle(ClientConnection connection, long sinceMs) {}
 
     /** Keeps an answer whole. */
-    private static final class Collector implements AnswerListener {
+    private static class Collector implements AnswerListener {
         private final CompletableFuture<Result<HttpAnswer>> mFuture;
         private final int mMaxBytes;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -63,7 +63,9 @@
         request.setMethod(new HttpString(mCall.method())).setPath(mCall.path());
         HeaderMap headers = request.getRequestHeaders();
         mCall.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
-        headers.put(Headers.HOST, mCall.server().getAuthority());
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, mCall.server().getAuthority());
+        }
         headers.put(Headers.CONTENT_LENGTH, mCall.body().length);
         connection.sendRequest(request, callback(this::started));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
@@ -83,7 +83,9 @@
         if (!mChannel.finishConnect()) {
             return false;
         }
-        mKey.interestOps(SelectionKey.OP_READ);
+        boolean isWaiting = !mSendQueue.isEmpty();
+        mKey.interestOps(
+                isWaiting ? SelectionKey.OP_READ | SelectionKey.OP_WRITE : SelectionKey.OP_READ);
         connected(nowMs);
         return true;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/observe/Telemetry.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/Telemetry.java
@@ -82,6 +82,18 @@
         histogram.update(value);
     }
 
+    /**
+     * Records a value.
+     *
+     * @param name metric name with its unit
+     * @param label label name
+     * @param labelValue label value
+     * @param value the value
+     */
+    public void record(String name, String label, String labelValue, long value) {
+        mRegistry.histogram(registryName(name, label, labelValue)).update(value);
+    }
+
     /**
      * Shows a value whenever metrics are read.
      *
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
@@ -0,0 +1,83 @@
+package dev.cactusspan.peer;
+
+import com.google.common.hash.Hashing;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.text.JsonText;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The processes of the system that hold a lease, this one among them. */
+public final class NodeDirectory {
+
+    /** Prefix of the keys under which processes register; the VM follows. */
+    public static final String PREFIX = "cs/control/node/";
+
+    private final Map<String, NodeRecord> mNodes = new HashMap<>();
+
+    /**
+     * Takes a change of a process's key.
+     *
+     * @param key the key
+     * @param item what it holds, empty if it is gone
+     */
+    public void changed(String key, Optional<StoredItem> item) {
+        Optional<NodeRecord> node =
+                item.flatMap(
+                        i ->
+                                JsonText.read(i.value(), NodeRecord.class)
+                                        .fold(f -> Optional.empty(), Optional::of));
+        node.ifPresentOrElse(n -> mNodes.put(key, n), () -> mNodes.remove(key));
+        Decision.of(node.isPresent() ? "node_seen" : "node_gone")
+                .with("node", node.map(NodeRecord::owner).orElse(key))
+                .with("nodes", mNodes.size())
+                .info();
+    }
+
+    /**
+     * Finds a process by the name it goes by as an owner.
+     *
+     * @param owner VM and boot
+     * @return the process, empty if it holds no lease
+     */
+    public Optional<NodeRecord> find(String owner) {
+        return mNodes.values().stream().filter(n -> n.owner().equals(owner)).findFirst();
+    }
+
+    /**
+     * Chooses one process for a subject; all that see the same processes choose the same one.
+     *
+     * @param subject the subject
+     * @return the owner's name, empty if no process is known
+     */
+    public Optional<String> chosen(String subject) {
+        String best = "";
+        long bestScore = Long.MIN_VALUE;
+        for (NodeRecord node : mNodes.values()) {
+            long score = score(subject, node.owner());
+            if (best.isEmpty() || score > bestScore) {
+                best = node.owner();
+                bestScore = score;
+            }
+        }
+        return best.isEmpty() ? Optional.empty() : Optional.of(best);
+    }
+
+    private static long score(String subject, String owner) {
+        return Hashing.murmur3_128()
+                .hashString(subject + "/" + owner, StandardCharsets.UTF_8)
+                .asLong();
+    }
+
+    /**
+     * Lists the processes.
+     *
+     * @return all processes that hold a lease
+     */
+    public Collection<NodeRecord> all() {
+        return mNodes.values();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeRecord.java
@@ -0,0 +1,25 @@
+package dev.cactusspan.peer;
+
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.VmId;
+
+/**
+ * A process of the system as it registers itself.
+ *
+ * @param vm its VM
+ * @param boot differs after each start of the process
+ * @param zone its availability zone
+ * @param ip its address
+ * @param linkPort port for links from other processes
+ */
+public record NodeRecord(VmId vm, String boot, AvailabilityZoneId zone, String ip, int linkPort) {
+
+    /**
+     * Returns the name that this start of the process goes by as an owner.
+     *
+     * @return VM and boot
+     */
+    public String owner() {
+        return vm.value() + "#" + boot;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeSession.java
@@ -0,0 +1,179 @@
+package dev.cactusspan.peer;
+
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.Transaction;
+import dev.cactusspan.text.JsonText;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * This process's lease and its key in the directory. Time is counted from before each renewal was
+ * sent, so that the lease is never thought to last longer than it does.
+ */
+public final class NodeSession {
+
+    /** A dead process is noticed after this long; the platform's shortest lease is 1 s. */
+    private static final long TTL_MS = 3_000;
+
+    private static final long RENEW_MS = TTL_MS / 3;
+
+    private final KeyStore mStore;
+    private final NodeRecord mSelf;
+    private final Executor mThread;
+    private final Backoff mBackoff;
+    private final LongSupplier mNowMs;
+    private long mLease;
+    private boolean mIsRegistered;
+    private boolean mIsBusy;
+    private boolean mIsClosed;
+    private long mNextMs;
+    private long mHeldUntilMs;
+    private int mFailures;
+
+    /**
+     * Creates a session; it works when it is ticked.
+     *
+     * @param store the store
+     * @param self what to register
+     * @param thread the thread on which everything happens
+     * @param backoff delays after failures
+     * @param nowMs steady clock in milliseconds
+     */
+    public NodeSession(
+            KeyStore store, NodeRecord self, Executor thread, Backoff backoff, LongSupplier nowMs) {
+        mStore = store;
+        mSelf = self;
+        mThread = thread;
+        mBackoff = backoff;
+        mNowMs = nowMs;
+    }
+
+    // Operations
+
+    /** Starts the next call, if one is due. */
+    public void tick() {
+        long nowMs = mNowMs.getAsLong();
+        if (mIsBusy || mIsClosed || nowMs < mNextMs) {
+            return;
+        }
+        mIsBusy = true;
+        if (mLease == 0) {
+            Replies.on(
+                    mStore.grantLease(TTL_MS),
+                    mThread,
+                    r -> r.fold(this::failed, lease -> granted(lease, nowMs)));
+        } else if (!mIsRegistered) {
+            register(nowMs);
+        } else {
+            Replies.on(
+                    mStore.renewLease(mLease),
+                    mThread,
+                    r -> r.fold(this::failed, ttlMs -> renewed(nowMs, ttlMs)));
+        }
+    }
+
+    private Void granted(long lease, long sentMs) {
+        mLease = lease;
+        succeeded(sentMs, TTL_MS);
+        mNextMs = mNowMs.getAsLong();
+        return null;
+    }
+
+    private void register(long sentMs) {
+        String key = NodeDirectory.PREFIX + mSelf.vm().value();
+        Transaction write =
+                Transaction.of(
+                        List.of(),
+                        List.of(new Transaction.Write(key, JsonText.write(mSelf), mLease)));
+        Replies.on(
+                mStore.commit(write),
+                mThread,
+                r ->
+                        r.fold(
+                                this::failed,
+                                revision -> {
+                                    mIsRegistered = true;
+                                    mIsBusy = false;
+                                    mNextMs = sentMs + RENEW_MS;
+                                    Decision.of("registered")
+                                            .with("node", mSelf.owner())
+                                            .with("lease", mLease)
+                                            .info();
+                                    return null;
+                                }));
+    }
+
+    private Void renewed(long sentMs, long ttlMs) {
+        succeeded(sentMs, ttlMs);
+        mNextMs = sentMs + RENEW_MS;
+        return null;
+    }
+
+    private void succeeded(long sentMs, long ttlMs) {
+        mIsBusy = false;
+        mFailures = 0;
+        mHeldUntilMs = sentMs + ttlMs;
+    }
+
+    private Void failed(Failure failure) {
+        mIsBusy = false;
+        if (failure.kind() == ErrorKind.NOT_FOUND) {
+            Decision.of("lease_lost").with("lease", mLease).warn();
+            mLease = 0;
+            mIsRegistered = false;
+            mHeldUntilMs = 0;
+            return null;
+        }
+        mFailures++;
+        mNextMs = mNowMs.getAsLong() + mBackoff.delayMs(mFailures);
+        return null;
+    }
+
+    /** Ends the lease, so that others take over at once. */
+    public void close() {
+        mIsClosed = true;
+        mHeldUntilMs = 0;
+        if (mLease != 0) {
+            Replies.on(
+                    mStore.endLease(mLease),
+                    mThread,
+                    r -> Decision.of("lease_ended").with("lease", mLease).info());
+        }
+    }
+
+    // Accessors
+
+    /**
+     * Tells whether the lease surely lasts for a while.
+     *
+     * @param marginMs how long it must last at least
+     * @return true if it does
+     */
+    public boolean isHeld(long marginMs) {
+        return mIsRegistered && mNowMs.getAsLong() + marginMs < mHeldUntilMs;
+    }
+
+    /**
+     * Returns the lease.
+     *
+     * @return its number, zero if there is none
+     */
+    public long lease() {
+        return mLease;
+    }
+
+    /**
+     * Returns what this process registers.
+     *
+     * @return the record
+     */
+    public NodeRecord self() {
+        return mSelf;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/ClientWatch.java
@@ -0,0 +1,63 @@
+package dev.cactusspan.platform;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import org.xnio.IoUtils;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Notices that a client closes its connection while its request is in progress. Undertow reads
+ * nothing in that time, so this reads; bytes of a next request are given back.
+ */
+final class ClientWatch {
+    private ClientWatch() {}
+
+    /** Watches until the answer begins; call on the I/O thread. */
+    static void start(HttpServerExchange exchange, Runnable onGone) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)
+                || exchange.isResponseStarted()
+                || exchange.isComplete()) {
+            return;
+        }
+        connection
+                .getChannel()
+                .getSourceChannel()
+                .setReadListener(channel -> read(connection, onGone));
+        connection.getOriginalSourceConduit().resumeReads();
+    }
+
+    /** Stops watching; Undertow reads again after the answer. Call on the I/O thread. */
+    static void stop(HttpServerExchange exchange) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection) {
+            connection.getOriginalSourceConduit().suspendReads();
+        }
+    }
+
+    private static void read(HttpServerConnection connection, Runnable onGone) {
+        StreamSourceConduit source = connection.getOriginalSourceConduit();
+        PooledByteBuffer buffer = connection.getByteBufferPool().allocate();
+        boolean isKept = false;
+        try {
+            int count = source.read(buffer.getBuffer());
+            if (count > 0) {
+                source.suspendReads();
+                buffer.getBuffer().flip();
+                connection.ungetRequestBytes(buffer);
+                isKept = true;
+            } else if (count < 0) {
+                IoUtils.safeClose(connection);
+                onGone.run();
+            }
+        } catch (IOException e) {
+            // A reset connection is as gone as a closed one.
+            IoUtils.safeClose(connection);
+            onGone.run();
+        } finally {
+            if (!isKept) {
+                buffer.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -0,0 +1,73 @@
+package dev.cactusspan.platform;
+
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** The headers of the users' platform. */
+final class PlatformHeaders {
+    static final String REQUEST_ID = "Attempt-Id";
+
+    /** Milliseconds that are left, not a point in time. */
+    static final String TIME_LEFT = "Deadline-Ms";
+
+    static final String EXPECTED_TARGET = "Expect-Instance";
+    static final String ACCOUNT = "Tenant";
+    static final String KEY = "X-Api-Key";
+    static final String LAST_EVENT = "Last-Event-Id";
+
+    /** The target's digest of its answer. */
+    static final String STAMP = "Server-Stamp";
+
+    static final String NOT_RUN = "Not-Executed";
+
+    /** One version, the one that begins the answer. */
+    static final String WEIGHT_VERSION = "Weight-Versions";
+
+    static final String HOLDER = "Duty-Holder";
+    static final String FENCING = "Fencing-Token";
+    static final String WAIT = "Wait-Ms";
+
+    /** Headers of one connection, and those that only the system sets; in lower case. */
+    private static final Set<String> OWN =
+            Set.of(
+                    "host",
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "transfer-encoding",
+                    "te",
+                    "trailer",
+                    "upgrade",
+                    "expect",
+                    "content-length",
+                    "tenant",
+                    "x-api-key",
+                    "expect-instance",
+                    "expect-version",
+                    "deadline-ms",
+                    "request-priority",
+                    "kv-hold",
+                    "kv-from",
+                    "kv-fetch",
+                    "kv-backup",
+                    "pin-ms");
+
+    private PlatformHeaders() {}
+
+    static String get(Map<String, String> lowerCase, String name) {
+        return lowerCase.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+    }
+
+    static Map<String, String> passedOn(Map<String, String> headers) {
+        Map<String, String> passed = new LinkedHashMap<>();
+        headers.forEach(
+                (name, value) -> {
+                    if (!OWN.contains(name.toLowerCase(Locale.ROOT))) {
+                        passed.put(name, value);
+                    }
+                });
+        return passed;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -0,0 +1,222 @@
+package dev.cactusspan.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.fleet.ClientLimits;
+import dev.cactusspan.fleet.DesiredState;
+import dev.cactusspan.fleet.FleetAccount;
+import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.FleetService;
+import dev.cactusspan.fleet.RouteKind;
+import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.id.RouteId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads what operators, trainers and targets write to the store into the product's types. */
+public final class PlatformReader {
+    /** Key of the newest desired state. */
+    public static final String DESIRED_STATE_KEY = "op/config";
+
+    /** Prefix of all that operators and trainers write. */
+    public static final String OPERATOR_PREFIX = "op/";
+
+    /** Prefix of the named weight versions; the model follows. */
+    public static final String VERSION_PREFIX = "op/version/";
+
+    /** Prefix of requests to empty a VM; its name follows. */
+    public static final String RETIRE_PREFIX = "op/retire/";
+
+    /** Prefix of the answers to requests to empty a VM; its name follows. */
+    public static final String RETIRED_PREFIX = "status/retire/";
+
+    /** Prefix of the entries of targets; the id follows. */
+    public static final String TARGET_PREFIX = "servers/";
+
+    private static final long MS_PER_S = 1_000;
+    private static final int DEFAULT_HEADER_BYTES = 16_384;
+    private static final int DEFAULT_BODY_BYTES = 32 << 20;
+    private static final int DEFAULT_HEADER_MS = 3_000;
+    private static final int DEFAULT_IDLE_MS = 15_000;
+
+    private PlatformReader() {}
+
+    /**
+     * Reads a desired state.
+     *
+     * @param bytes JSON in UTF-8
+     * @return the desired state, or {@code bad_request}
+     */
+    public static Result<DesiredState> desiredState(byte[] bytes) {
+        return JsonText.read(bytes, JsonNode.class).flatMap(PlatformReader::desiredState);
+    }
+
+    private static Result<DesiredState> desiredState(JsonNode node) {
+        if (!node.path("version").isIntegralNumber() || !node.path("routes").isArray()) {
+            return Result.fail(ErrorKind.BAD_REQUEST, "no version or no routes");
+        }
+        List<FleetRoute> routes = new ArrayList<>();
+        node.path("routes").forEach(n -> routes.add(route(n)));
+        List<FleetService> services = new ArrayList<>();
+        node.path("services").forEach(n -> services.add(service(n)));
+        List<FleetAccount> accounts = new ArrayList<>();
+        node.path("tenants").forEach(n -> accounts.add(account(n)));
+        return Result.of(
+                DesiredState.of(
+                        Revision.of(node.path("version").asLong()),
+                        routes,
+                        services,
+                        accounts,
+                        limits(node.path("limits"))));
+    }
+
+    private static FleetRoute route(JsonNode node) {
+        List<FleetRoute.Share> shares = new ArrayList<>();
+        node.path("backends")
+                .forEach(
+                        n ->
+                                shares.add(
+                                        new FleetRoute.Share(
+                                                ServiceId.of(n.path("service").asText()),
+                                                n.path("weight").asDouble(1))));
+        if (shares.isEmpty()) {
+            shares.add(new FleetRoute.Share(ServiceId.of(node.path("service").asText()), 1));
+        }
+        return new FleetRoute(
+                RouteId.of(node.path("name").asText()),
+                node.path("host").asText(),
+                node.path("prefix").asText(),
+                kind(node.path("type").asText()),
+                node.path("timeout_ms").asLong(0),
+                node.path("slo_ms").asLong(0),
+                node.path("priority").asInt(0),
+                List.copyOf(shares),
+                Math.max(1, node.path("max_attempts").asInt(1)),
+                node.path("public").asBoolean(false),
+                node.path("resumable").asBoolean(false),
+                new FleetRoute.BatchBounds(
+                        node.path("run_slo_ms").asLong(0),
+                        (long) (node.path("retention_s").asDouble(0) * MS_PER_S),
+                        node.path("single_version").asBoolean(false)));
+    }
+
+    /** A kind that is not known is handled as the most careful one. */
+    private static RouteKind kind(String word) {
+        return switch (word) {
+            case "idempotent" -> RouteKind.IDEMPOTENT;
+            case "streaming" -> RouteKind.STREAMING;
+            case "rollout", "batch" -> RouteKind.BATCH;
+            default -> RouteKind.NON_IDEMPOTENT;
+        };
+    }
+
+    private static FleetService service(JsonNode node) {
+        List<ModelId> models = new ArrayList<>();
+        node.path("engine")
+                .path("models")
+                .forEach(n -> models.add(ModelId.of(n.path("name").asText())));
+        return new FleetService(
+                ServiceId.of(node.path("name").asText()),
+                node.path("max_connections").asInt(0),
+                List.copyOf(models));
+    }
+
+    private static FleetAccount account(JsonNode node) {
+        Set<String> keys = new HashSet<>();
+        node.path("api_keys").forEach(n -> keys.add(n.asText()));
+        return new FleetAccount(AccountId.of(node.path("name").asText()), Set.copyOf(keys));
+    }
+
+    private static ClientLimits limits(JsonNode node) {
+        return new ClientLimits(
+                node.path("max_header_bytes").asInt(DEFAULT_HEADER_BYTES),
+                node.path("max_body_bytes").asLong(DEFAULT_BODY_BYTES),
+                node.path("header_timeout_ms").asInt(DEFAULT_HEADER_MS),
+                node.path("idle_timeout_ms").asInt(DEFAULT_IDLE_MS));
+    }
+
+    /**
+     * Reads the entry of a target. An entry that is not wholly readable names no target.
+     *
+     * @param key its key in the store
+     * @param bytes JSON in UTF-8
+     * @return the target, or {@code bad_request}
+     */
+    public static Result<TargetRecord> target(String key, byte[] bytes) {
+        TargetId id = TargetId.of(key.substring(TARGET_PREFIX.length()));
+        return JsonText.read(bytes, JsonNode.class).flatMap(node -> target(id, node));
+    }
+
+    private static Result<TargetRecord> target(TargetId id, JsonNode node) {
+        String state = node.path("state").asText();
+        boolean isState = state.equals("ready") || state.equals("draining");
+        String[] address = node.path("address").asText().split(":", -1);
+        boolean isAddress = address.length == 2 && address[1].matches("[0-9]{1,5}");
+        boolean isWhole =
+                node.path("service").isTextual()
+                        && node.path("zone").isTextual()
+                        && node.path("state").isTextual()
+                        && node.path("address").isTextual()
+                        && node.path("slots").isIntegralNumber()
+                        && node.path("sequence").isIntegralNumber();
+        if (!isState || !isAddress || !isWhole) {
+            return Result.fail(ErrorKind.BAD_REQUEST, "no usable entry of a target");
+        }
+        Map<ModelId, WeightVersion> versions = new HashMap<>();
+        for (JsonNode model : node.path("models")) {
+            long version = model.path("version").asLong(0);
+            if (version > 0) {
+                versions.put(ModelId.of(model.path("name").asText()), WeightVersion.of(version));
+            }
+        }
+        return Result.of(
+                new TargetRecord(
+                        id,
+                        ServiceId.of(node.path("service").asText()),
+                        URI.create("http://" + address[0] + ":" + address[1]),
+                        AvailabilityZoneId.of(node.path("zone").asText()),
+                        Math.max(1, node.path("slots").asInt()),
+                        state.equals("draining"),
+                        node.path("sequence").asLong(),
+                        node.path("born").asLong(0),
+                        Map.copyOf(versions)));
+    }
+
+    /**
+     * Reads a named weight version.
+     *
+     * @param bytes JSON in UTF-8
+     * @return the version, or {@code bad_request}
+     */
+    public static Result<WeightVersion> namedVersion(byte[] bytes) {
+        return JsonText.read(bytes, JsonNode.class)
+                .flatMap(
+                        node ->
+                                node.path("version").isIntegralNumber()
+                                        ? Result.of(WeightVersion.of(node.path("version").asLong()))
+                                        : Result.fail(ErrorKind.BAD_REQUEST, "no version"));
+    }
+
+    /**
+     * Writes the answer to a request to empty a VM that holds nothing.
+     *
+     * @return JSON in UTF-8
+     */
+    public static byte[] retired() {
+        return JsonText.write(Map.of("state", "completed"));
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -0,0 +1,176 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.forward.ClientSink;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import org.xnio.IoUtils;
+
+/**
+ * Writes an answer to a client of the users' platform. The statuses 429 and 503 promise that the
+ * request has not run; 502 and 504 promise nothing.
+ */
+final class PlatformSink implements ClientSink {
+    private static final double MS_PER_S = 1_000.0;
+
+    private final HttpServerExchange mExchange;
+    private final Deque<byte[]> mUnsent = new ArrayDeque<>();
+    private boolean mIsSending;
+    private boolean mIsEnding;
+
+    private PlatformSink(HttpServerExchange exchange) {
+        mExchange = exchange;
+    }
+
+    static PlatformSink of(HttpServerExchange exchange) {
+        return new PlatformSink(exchange);
+    }
+
+    /** Runs a task on a thread when the client has closed its connection before the answer. */
+    void onClientGone(Executor thread, Runnable task) {
+        onIoThread(() -> ClientWatch.start(mExchange, () -> thread.execute(task)));
+    }
+
+    @Override
+    public void answer(int status, Map<String, String> headers, byte[] body) {
+        onIoThread(() -> send(status, headers, body));
+    }
+
+    private void send(int status, Map<String, String> headers, byte[] body) {
+        if (mExchange.isResponseStarted() || !mExchange.getConnection().isOpen()) {
+            return;
+        }
+        ClientWatch.stop(mExchange);
+        mExchange.setStatusCode(status);
+        headers.forEach((n, v) -> mExchange.getResponseHeaders().put(new HttpString(n), v));
+        mExchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        if (body.length == 0) {
+            mExchange.endExchange();
+            return;
+        }
+        mExchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
+    /** Answers with bytes or with the failure. */
+    void whole(Result<byte[]> result, String contentType) {
+        result.fold(
+                f -> {
+                    refuse(f, 0);
+                    return null;
+                },
+                body -> {
+                    answer(
+                            200,
+                            contentType.isEmpty() ? Map.of() : Map.of("Content-Type", contentType),
+                            body);
+                    return null;
+                });
+    }
+
+    @Override
+    public void begin(int status, Map<String, String> headers) {
+        onIoThread(
+                () -> {
+                    mExchange.setStatusCode(status);
+                    headers.forEach(
+                            (n, v) -> mExchange.getResponseHeaders().put(new HttpString(n), v));
+                    mExchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+                });
+    }
+
+    @Override
+    public void data(byte[] data) {
+        onIoThread(
+                () -> {
+                    mUnsent.add(data);
+                    sendNext();
+                });
+    }
+
+    @Override
+    public void end() {
+        onIoThread(
+                () -> {
+                    mIsEnding = true;
+                    sendNext();
+                });
+    }
+
+    private void sendNext() {
+        if (mIsSending) {
+            return;
+        }
+        byte[] next = mUnsent.poll();
+        if (next == null) {
+            if (mIsEnding) {
+                mExchange.endExchange();
+            }
+            return;
+        }
+        mIsSending = true;
+        mExchange
+                .getResponseSender()
+                .send(
+                        ByteBuffer.wrap(next),
+                        new IoCallback() {
+                            @Override
+                            public void onComplete(HttpServerExchange exchange, Sender sender) {
+                                mIsSending = false;
+                                sendNext();
+                            }
+
+                            @Override
+                            public void onException(
+                                    HttpServerExchange exchange, Sender sender, IOException e) {
+                                mUnsent.clear();
+                                IoUtils.safeClose(exchange.getConnection());
+                            }
+                        });
+    }
+
+    @Override
+    public void abort() {
+        onIoThread(() -> IoUtils.safeClose(mExchange.getConnection()));
+    }
+
+    @Override
+    public void refuse(Failure failure, long retryAfterMs) {
+        Map<String, String> headers =
+                retryAfterMs > 0
+                        ? Map.of(
+                                "Retry-After",
+                                String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S))
+                        : Map.of();
+        byte[] body =
+                (failure.kind().word() + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        answer(status(failure), headers, body);
+    }
+
+    private static int status(Failure failure) {
+        return switch (failure.kind()) {
+            case BAD_REQUEST -> 400;
+            case UNAUTHENTICATED -> 401;
+            case FORBIDDEN -> 403;
+            case NOT_FOUND -> 404;
+            case PAYLOAD_TOO_LARGE -> 413;
+            case OVER_LIMIT -> 429;
+            case DEADLINE_EXCEEDED -> 504;
+            default -> failure.isNotRun() ? 503 : 502;
+        };
+    }
+
+    private void onIoThread(Runnable task) {
+        mExchange.getIoThread().execute(task);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformStore.java
@@ -0,0 +1,200 @@
+package dev.cactusspan.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.http.HttpAnswer;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.store.Transaction;
+import dev.cactusspan.text.JsonText;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/** The metadata store of the users' platform over HTTP. */
+public final class PlatformStore implements KeyStore {
+    /** Answers of ranges and watches hold about 1 MB of values, encoded in base64 and JSON. */
+    private static final int MAX_ANSWER_BYTES = 24 << 20;
+
+    /** The store answers in 4 ms; in an outage it may take sixty times as long. */
+    private static final long TIMEOUT_MS = 1_500;
+
+    /** How much later than its wait a watch may answer, in milliseconds. */
+    private static final long WATCH_SLACK_MS = 1_000;
+
+    private static final int NOT_FOUND = 404;
+    private static final int CONDITION_FAILED = 412;
+    private static final int HISTORY_GONE = 410;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+
+    private final HttpCaller mHttp;
+    private final URI mServer;
+    private final Telemetry mTelemetry;
+
+    /**
+     * Creates a client.
+     *
+     * @param http sends the requests
+     * @param server scheme, IP and port of the store
+     * @param telemetry counts the calls by purpose
+     */
+    public PlatformStore(HttpCaller http, URI server, Telemetry telemetry) {
+        mHttp = http;
+        mServer = server;
+        mTelemetry = telemetry;
+    }
+
+    @Override
+    public CompletableFuture<Result<Optional<StoredItem>>> get(String key) {
+        return read("get", "/-/kv-key?key=" + encode(key), TIMEOUT_MS)
+                .thenApply(
+                        r ->
+                                r.flatMap(
+                                        answer ->
+                                                answer.status() == NOT_FOUND
+                                                        ? Result.of(Optional.empty())
+                                                        : body(answer, n -> Optional.of(item(n)))));
+    }
+
+    @Override
+    public CompletableFuture<Result<Page>> range(String prefix, String after) {
+        String path = "/-/kv-range?prefix=" + encode(prefix);
+        String page = after.isEmpty() ? path : path + "&after=" + encode(after);
+        return read("range", page, TIMEOUT_MS)
+                .thenApply(r -> r.flatMap(a -> body(a, PlatformStore::page)));
+    }
+
+    @Override
+    public CompletableFuture<Result<Changes>> watch(
+            String prefix, long afterRevision, long waitMs) {
+        String path =
+                "/-/kv-watch?prefix="
+                        + encode(prefix)
+                        + "&after="
+                        + afterRevision
+                        + "&wait_ms="
+                        + waitMs;
+        return read("watch", path, waitMs + WATCH_SLACK_MS)
+                .thenApply(
+                        r ->
+                                r.flatMap(
+                                        a ->
+                                                a.status() == HISTORY_GONE
+                                                        ? Result.fail(
+                                                                ErrorKind.CONFLICT,
+                                                                "the history is gone")
+                                                        : body(a, PlatformStore::changes)));
+    }
+
+    @Override
+    public CompletableFuture<Result<Long>> commit(Transaction transaction) {
+        List<Map<String, Object>> expected = new ArrayList<>();
+        transaction
+                .expected()
+                .forEach(e -> expected.add(Map.of("key", e.key(), "revision", e.revision())));
+        List<Map<String, Object>> writes = new ArrayList<>();
+        transaction.writes().forEach(w -> writes.add(write(w)));
+        Map<String, Object> body =
+                Map.of("expected", expected, "writes", writes, "deletes", transaction.deletes());
+        return effect("commit", "POST", "/-/kv-txn", body)
+                .thenApply(r -> r.flatMap(a -> body(a, n -> n.path("revision").asLong())));
+    }
+
+    private static Map<String, Object> write(Transaction.Write write) {
+        String value = Base64.getEncoder().encodeToString(write.value());
+        return write.lease() == 0
+                ? Map.of("key", write.key(), "value", value)
+                : Map.of("key", write.key(), "value", value, "lease", write.lease());
+    }
+
+    @Override
+    public CompletableFuture<Result<Long>> grantLease(long ttlMs) {
+        return effect("lease_grant", "POST", "/-/kv-lease", Map.of("ttl_ms", ttlMs))
+                .thenApply(r -> r.flatMap(a -> body(a, n -> n.path("lease").asLong())));
+    }
+
+    @Override
+    public CompletableFuture<Result<Long>> renewLease(long lease) {
+        return effect("lease_renew", "POST", "/-/kv-keep/" + lease, Map.of())
+                .thenApply(r -> r.flatMap(a -> body(a, n -> n.path("ttl_ms").asLong())));
+    }
+
+    @Override
+    public CompletableFuture<Result<Boolean>> endLease(long lease) {
+        return effect("lease_end", "DELETE", "/-/kv-lease-end/" + lease, Map.of())
+                .thenApply(r -> r.map(HttpAnswer::isSuccess));
+    }
+
+    private CompletableFuture<Result<HttpAnswer>> read(String purpose, String path, long waitMs) {
+        mTelemetry.count("store_calls_total", "purpose", purpose);
+        return mHttp.collect(HttpCall.get(mServer, path, waitMs), MAX_ANSWER_BYTES);
+    }
+
+    private CompletableFuture<Result<HttpAnswer>> effect(
+            String purpose, String method, String path, Object body) {
+        mTelemetry.count("store_calls_total", "purpose", purpose);
+        HttpCall call = HttpCall.json(method, mServer, path, JsonText.write(body), TIMEOUT_MS);
+        return mHttp.collectEffect(call, MAX_ANSWER_BYTES);
+    }
+
+    /** Reads a successful answer; any other answer becomes a failure of the right kind. */
+    private static <T> Result<T> body(HttpAnswer answer, Function<JsonNode, T> reader) {
+        if (!answer.isSuccess()) {
+            return Result.fail(failure(answer.status()));
+        }
+        return JsonText.read(answer.body(), JsonNode.class).map(reader);
+    }
+
+    private static Failure failure(int status) {
+        String detail = "the store answered " + status;
+        return switch (status) {
+            case NOT_FOUND -> Failure.of(ErrorKind.NOT_FOUND, detail);
+            case CONDITION_FAILED -> Failure.of(ErrorKind.CONFLICT, detail);
+            case TOO_MANY, UNAVAILABLE -> Failure.of(ErrorKind.PLATFORM_UNAVAILABLE, detail);
+            default -> Failure.of(ErrorKind.OUTCOME_UNKNOWN, detail);
+        };
+    }
+
+    private static Page page(JsonNode node) {
+        List<StoredItem> items = new ArrayList<>();
+        node.path("items").forEach(n -> items.add(item(n)));
+        return new Page(items, node.path("has_more").asBoolean(), node.path("as_of").asLong());
+    }
+
+    private static Changes changes(JsonNode node) {
+        List<Change> changes = new ArrayList<>();
+        node.path("events").forEach(n -> changes.add(change(n)));
+        return new Changes(changes, node.path("as_of").asLong());
+    }
+
+    private static Change change(JsonNode node) {
+        Optional<StoredItem> item =
+                node.path("deleted").asBoolean() ? Optional.empty() : Optional.of(item(node));
+        return new Change(node.path("key").asText(), item, node.path("revision").asLong());
+    }
+
+    private static StoredItem item(JsonNode node) {
+        return new StoredItem(
+                node.path("key").asText(),
+                Base64.getDecoder().decode(node.path("value").asText()),
+                node.path("revision").asLong(),
+                node.path("lease").asLong());
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -0,0 +1,168 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.fleet.TargetHead;
+import dev.cactusspan.fleet.TargetListener;
+import dev.cactusspan.fleet.TargetPort;
+import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.fleet.TargetRequest;
+import dev.cactusspan.http.AnswerListener;
+import dev.cactusspan.http.HttpAnswer;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+
+/** Speaks with targets of the users' platform. */
+public final class PlatformTargets implements TargetPort {
+    private static final int MISDIRECTED = 421;
+
+    /** An order is answered at once; a lost answer is noticed after this long, in milliseconds. */
+    private static final long ORDER_TIMEOUT_MS = 1_000;
+
+    private static final int MAX_ORDER_ANSWER_BYTES = 16 << 10;
+
+    private final HttpCaller mHttp;
+    private final Executor mThread;
+
+    /**
+     * Creates the port.
+     *
+     * @param http sends the requests
+     * @param thread the thread on which answers are taken
+     */
+    public PlatformTargets(HttpCaller http, Executor thread) {
+        mHttp = http;
+        mThread = thread;
+    }
+
+    @Override
+    public Runnable send(TargetRecord target, TargetRequest request, TargetListener listener) {
+        HttpCall call =
+                new HttpCall(
+                        request.method(),
+                        target.address(),
+                        request.path(),
+                        headers(target, request),
+                        request.body(),
+                        request.timeLeftMs(),
+                        false);
+        return mHttp.send(call, new Relay(request.id(), listener));
+    }
+
+    private static Map<String, String> headers(TargetRecord target, TargetRequest request) {
+        Map<String, String> headers = new LinkedHashMap<>(request.headers());
+        headers.put("Host", request.host());
+        headers.put(PlatformHeaders.REQUEST_ID, request.id());
+        headers.put(PlatformHeaders.TIME_LEFT, Long.toString(Math.max(1, request.timeLeftMs())));
+        headers.put(PlatformHeaders.EXPECTED_TARGET, target.id().value());
+        request.account().ifPresent(a -> headers.put(PlatformHeaders.ACCOUNT, a.value()));
+        request.resumeAfter()
+                .ifPresent(n -> headers.put(PlatformHeaders.LAST_EVENT, Long.toString(n)));
+        return headers;
+    }
+
+    @Override
+    public EventDecoder newDecoder() {
+        return new PlatformEvents();
+    }
+
+    @Override
+    public CompletableFuture<Result<OrderOutcome>> orderVersion(
+            TargetRecord target,
+            ModelId model,
+            WeightVersion version,
+            VmId holder,
+            FencingNumber fencing) {
+        Map<String, Object> order = new LinkedHashMap<>();
+        order.put("op", "version");
+        order.put("model", model.value());
+        order.put("version", version.number());
+        order.put("mode", "retain");
+        order.put("holder", holder.value());
+        order.put("fence", fencing.number());
+        Map<String, String> headers =
+                Map.of(
+                        "Content-Type",
+                        "application/json",
+                        PlatformHeaders.EXPECTED_TARGET,
+                        target.id().value());
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        target.address(),
+                        "/-/order",
+                        headers,
+                        JsonText.write(order),
+                        ORDER_TIMEOUT_MS,
+                        false);
+        return mHttp.collectEffect(call, MAX_ORDER_ANSWER_BYTES)
+                .thenApply(r -> r.map(PlatformTargets::outcome));
+    }
+
+    private static OrderOutcome outcome(HttpAnswer answer) {
+        return switch (answer.status()) {
+            case 202 -> OrderOutcome.ACCEPTED;
+            case 200 -> OrderOutcome.HOLDS;
+            case 409 -> OrderOutcome.BUSY;
+            case 412 -> OrderOutcome.FENCED;
+            default -> OrderOutcome.REFUSED;
+        };
+    }
+
+    /** Decodes the head of an answer and hands everything to the thread of the decisions. */
+    private final class Relay implements AnswerListener {
+        private final String mId;
+        private final TargetListener mListener;
+
+        Relay(String id, TargetListener listener) {
+            mId = id;
+            mListener = listener;
+        }
+
+        @Override
+        public void onHead(int status, Map<String, String> headers) {
+            TargetHead head = head(status, headers);
+            mThread.execute(() -> mListener.onHead(head));
+        }
+
+        private TargetHead head(int status, Map<String, String> headers) {
+            String echoed = PlatformHeaders.get(headers, PlatformHeaders.REQUEST_ID);
+            String version = PlatformHeaders.get(headers, PlatformHeaders.WEIGHT_VERSION);
+            return new TargetHead(
+                    status,
+                    PlatformHeaders.passedOn(headers),
+                    PlatformHeaders.get(headers, PlatformHeaders.STAMP),
+                    !PlatformHeaders.get(headers, PlatformHeaders.NOT_RUN).isEmpty()
+                            || status == MISDIRECTED,
+                    status == MISDIRECTED,
+                    echoed.isEmpty() || echoed.equals(mId),
+                    version.matches("[0-9]{1,18}")
+                            ? WeightVersion.of(Long.parseLong(version))
+                            : WeightVersion.NONE,
+                    headers.getOrDefault("content-type", "").startsWith("text/event-stream"));
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            mThread.execute(() -> mListener.onData(data));
+        }
+
+        @Override
+        public void onEnd() {
+            mThread.execute(mListener::onEnd);
+        }
+
+        @Override
+        public void onFailure(boolean sent, String reason) {
+            mThread.execute(() -> mListener.onFailure(sent, reason));
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformUsage.java
@@ -0,0 +1,65 @@
+package dev.cactusspan.platform;
+
+import dev.cactusspan.duty.UsagePort;
+import dev.cactusspan.http.HttpAnswer;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** The usage interface of the users' platform. */
+public final class PlatformUsage implements UsagePort {
+    /** The platform may be slow; a report is sent again unchanged, in milliseconds. */
+    private static final long TIMEOUT_MS = 1_500;
+
+    private static final int MAX_ANSWER_BYTES = 16 << 10;
+    private static final int FENCED = 409;
+
+    private final HttpCaller mHttp;
+    private final URI mServer;
+
+    /**
+     * Creates the port.
+     *
+     * @param http sends the requests
+     * @param server scheme, IP and port of the platform's interface
+     */
+    public PlatformUsage(HttpCaller http, URI server) {
+        mHttp = http;
+        mServer = server;
+    }
+
+    @Override
+    public CompletableFuture<Result<Outcome>> report(
+            long window, Map<String, Long> counts, VmId holder, FencingNumber fencing) {
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        mServer,
+                        "/usage",
+                        Map.of(
+                                "Content-Type",
+                                "application/json",
+                                PlatformHeaders.HOLDER,
+                                holder.value(),
+                                PlatformHeaders.FENCING,
+                                Long.toString(fencing.number())),
+                        JsonText.write(Map.of("window_id", window, "counts", counts)),
+                        TIMEOUT_MS,
+                        false);
+        return mHttp.collectEffect(call, MAX_ANSWER_BYTES)
+                .thenApply(r -> r.map(PlatformUsage::outcome));
+    }
+
+    private static Outcome outcome(HttpAnswer answer) {
+        if (answer.isSuccess()) {
+            return Outcome.TAKEN;
+        }
+        return answer.status() == FENCED ? Outcome.FENCED : Outcome.REFUSED;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -0,0 +1,85 @@
+package dev.cactusspan.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.RegionId;
+import dev.cactusspan.id.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Settings of a process on a hosting platform.
+ *
+ * @param vm its VM
+ * @param zone its availability zone
+ * @param zones region of each availability zone
+ * @param ip its address
+ * @param clientAddress IP and port towards clients, empty if it serves none
+ * @param readyAddress IP and port where readiness is asked, empty if it is not asked
+ * @param linkPort port for links from other processes
+ * @param metricsPort port of the metrics
+ * @param storeAddress IP and port of the platform's store
+ * @param usageAddress IP and port of the platform's interface for usage reports
+ * @param usageWindowS length of a usage window in seconds
+ * @param turnMs two holders of a duty may not take turns within this time
+ * @param stopS time between the request to stop and the kill, in seconds
+ */
+public record GatewaySettings(
+        VmId vm,
+        AvailabilityZoneId zone,
+        Map<AvailabilityZoneId, RegionId> zones,
+        String ip,
+        String clientAddress,
+        String readyAddress,
+        int linkPort,
+        int metricsPort,
+        String storeAddress,
+        String usageAddress,
+        int usageWindowS,
+        long turnMs,
+        int stopS) {
+    private static final List<String> TEXTS =
+            List.of("vm", "zone", "ip", "store_address", "usage_address");
+    private static final List<String> NUMBERS =
+            List.of("link_port", "metrics_port", "usage_window_s", "turn_ms", "stop_s");
+    private static final List<String> ADDRESSES =
+            List.of("client_address", "ready_address", "store_address", "usage_address");
+    private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
+
+    /** Fills in the values of absent fields. */
+    public GatewaySettings {
+        clientAddress = clientAddress == null ? "" : clientAddress;
+        readyAddress = readyAddress == null ? "" : readyAddress;
+        zones = zones == null ? Map.of() : Map.copyOf(zones);
+    }
+
+    /**
+     * Checks settings as they are written. No schema is loaded for it, as each start of a process
+     * is paid for.
+     *
+     * @param tree the settings
+     * @return each problem with the path of its field
+     */
+    public static List<String> problems(JsonNode tree) {
+        List<String> problems = new ArrayList<>();
+        for (String field : TEXTS) {
+            if (!tree.path(field).isTextual() || tree.path(field).asText().isEmpty()) {
+                problems.add("$." + field + ": expected a text that is not empty");
+            }
+        }
+        for (String field : NUMBERS) {
+            if (!tree.path(field).canConvertToInt() || tree.path(field).asInt() <= 0) {
+                problems.add("$." + field + ": expected a whole number above 0");
+            }
+        }
+        for (String field : ADDRESSES) {
+            boolean isGiven = tree.path(field).isTextual() && !tree.path(field).asText().isEmpty();
+            if (isGiven && !ADDRESS.matcher(tree.path(field).asText()).matches()) {
+                problems.add("$." + field + ": expected IP:PORT");
+            }
+        }
+        return problems;
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/settings/SettingsReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/SettingsReader.java
@@ -34,6 +34,26 @@
         return read(file, "/dev/cactusspan/settings/side.schema.json", SideSettings.class);
     }
 
+    /**
+     * Reads settings of a process on a hosting platform. Unknown fields are ignored.
+     *
+     * @param file the file
+     * @return the settings, or {@code bad_request} with one problem a line
+     */
+    public static Result<GatewaySettings> gateway(Path file) {
+        return text(file)
+                .flatMap(text -> JsonText.parse(file.toString(), text))
+                .flatMap(
+                        tree -> {
+                            List<String> problems = GatewaySettings.problems(tree);
+                            return problems.isEmpty()
+                                    ? Result.of(
+                                            JsonText.mapper()
+                                                    .convertValue(tree, GatewaySettings.class))
+                                    : failed(file, problems);
+                        });
+    }
+
     /**
      * Reads a text file.
      *
@@ -57,11 +77,13 @@
                             if (problems.isEmpty()) {
                                 return Result.of(JsonText.mapper().convertValue(tree, type));
                             }
-                            String lines =
-                                    problems.stream()
-                                            .map(p -> file + ": " + p)
-                                            .collect(Collectors.joining("\n"));
-                            return Result.fail(ErrorKind.BAD_REQUEST, lines);
+                            return failed(file, problems);
                         });
     }
+
+    private static <T> Result<T> failed(Path file, List<String> problems) {
+        String lines =
+                problems.stream().map(p -> file + ": " + p).collect(Collectors.joining("\n"));
+        return Result.fail(ErrorKind.BAD_REQUEST, lines);
+    }
 }
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -0,0 +1,250 @@
+package dev.cactusspan.store;
+
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.Replies;
+import dev.cactusspan.routing.Backoff;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * A copy of all keys with a prefix that follows the store. It reads the keys page by page, watches
+ * them from the first page's revision on, and reads them again when the history is gone. An item
+ * never goes back to an older revision. All calls come on one thread.
+ */
+public final class PrefixMirror {
+
+    /** How long a watch waits; a silent connection is noticed after it, in milliseconds. */
+    private static final long WATCH_MS = 3_500;
+
+    /** Pause after an answer, so that changes in quick succession share a call, in milliseconds. */
+    private static final long GATHER_MS = 150;
+
+    private final KeyStore mStore;
+    private final String mPrefix;
+    private final Executor mThread;
+    private final Backoff mBackoff;
+    private final LongSupplier mNowMs;
+    private final Listener mListener;
+    private final Map<String, StoredItem> mItems = new HashMap<>();
+    private final Map<String, Long> mRemovedAt = new HashMap<>();
+    private State mState = State.LISTING;
+    private boolean mIsBusy;
+    private boolean mIsLoaded;
+    private long mNextMs;
+    private int mFailures;
+    private long mAsOf;
+    private long mConfirmedMs = Long.MIN_VALUE / 2;
+    private long mRecoveredMs = Long.MIN_VALUE / 2;
+    private String mPageAfter = "";
+    private final Set<String> mListed = new HashSet<>();
+
+    /**
+     * Creates a mirror; it works when it is ticked.
+     *
+     * @param store the store
+     * @param prefix the prefix
+     * @param thread the thread on which everything happens
+     * @param backoff delays after failures
+     * @param nowMs steady clock in milliseconds
+     * @param listener receives changes
+     */
+    public PrefixMirror(
+            KeyStore store,
+            String prefix,
+            Executor thread,
+            Backoff backoff,
+            LongSupplier nowMs,
+            Listener listener) {
+        mStore = store;
+        mPrefix = prefix;
+        mThread = thread;
+        mBackoff = backoff;
+        mNowMs = nowMs;
+        mListener = listener;
+    }
+
+    /** Receives changes of the mirror. */
+    public interface Listener {
+        /**
+         * An item changed or went.
+         *
+         * @param key its key
+         * @param item what it is now, empty if it is gone
+         */
+        void onChange(String key, Optional<StoredItem> item);
+    }
+
+    private enum State {
+        LISTING,
+        WATCHING
+    }
+
+    // Operations
+
+    /** Starts the next call, if one is due. */
+    public void tick() {
+        long nowMs = mNowMs.getAsLong();
+        if (mIsBusy || nowMs < mNextMs) {
+            return;
+        }
+        mIsBusy = true;
+        if (mState == State.LISTING) {
+            Replies.on(
+                    mStore.range(mPrefix, mPageAfter),
+                    mThread,
+                    result -> result.fold(this::failed, this::listed));
+            return;
+        }
+        Replies.on(
+                mStore.watch(mPrefix, mAsOf, WATCH_MS),
+                mThread,
+                result -> result.fold(this::failed, this::changed));
+    }
+
+    private Void listed(KeyStore.Page page) {
+        succeeded();
+        if (mPageAfter.isEmpty()) {
+            mListed.clear();
+            mAsOf = page.asOf();
+        }
+        for (StoredItem item : page.items()) {
+            mListed.add(item.key());
+            put(item);
+            mPageAfter = item.key();
+        }
+        if (page.hasMore() && !page.items().isEmpty()) {
+            return null;
+        }
+        List<String> gone = new ArrayList<>(mItems.keySet());
+        gone.removeIf(key -> mListed.contains(key) || mItems.get(key).revision() > mAsOf);
+        gone.forEach(key -> remove(key, mAsOf));
+        mPageAfter = "";
+        mState = State.WATCHING;
+        mIsLoaded = true;
+        Decision.of("mirror_loaded")
+                .with("prefix", mPrefix)
+                .with("items", mItems.size())
+                .with("as_of", mAsOf)
+                .info();
+        return null;
+    }
+
+    private Void changed(KeyStore.Changes changes) {
+        succeeded();
+        for (KeyStore.Change change : changes.changes()) {
+            change.item().ifPresentOrElse(this::put, () -> remove(change.key(), change.revision()));
+        }
+        mAsOf = Math.max(mAsOf, changes.asOf());
+        if (!changes.changes().isEmpty()) {
+            mNextMs = mNowMs.getAsLong() + GATHER_MS;
+        }
+        return null;
+    }
+
+    private void put(StoredItem item) {
+        StoredItem held = mItems.get(item.key());
+        long newest = held == null ? mRemovedAt.getOrDefault(item.key(), 0L) : held.revision();
+        if (item.revision() <= newest) {
+            return;
+        }
+        mItems.put(item.key(), item);
+        mRemovedAt.remove(item.key());
+        mListener.onChange(item.key(), Optional.of(item));
+    }
+
+    private void remove(String key, long revision) {
+        StoredItem held = mItems.get(key);
+        if (held == null || held.revision() > revision) {
+            return;
+        }
+        mItems.remove(key);
+        mRemovedAt.put(key, revision);
+        mListener.onChange(key, Optional.empty());
+    }
+
+    private void succeeded() {
+        long nowMs = mNowMs.getAsLong();
+        if (mFailures > 0) {
+            mRecoveredMs = nowMs;
+            Decision.of("store_regained").with("prefix", mPrefix).info();
+        }
+        mIsBusy = false;
+        mFailures = 0;
+        mNextMs = nowMs;
+        mConfirmedMs = nowMs;
+    }
+
+    private Void failed(Failure failure) {
+        mIsBusy = false;
+        if (failure.kind() == ErrorKind.CONFLICT) {
+            Decision.of("history_gone").with("prefix", mPrefix).with("as_of", mAsOf).info();
+            mState = State.LISTING;
+            mPageAfter = "";
+            return null;
+        }
+        if (mFailures++ == 0) {
+            Decision.of("store_lost")
+                    .with("prefix", mPrefix)
+                    .with("reason", failure.detail())
+                    .warn();
+        }
+        mNextMs = mNowMs.getAsLong() + mBackoff.delayMs(mFailures);
+        return null;
+    }
+
+    // Accessors
+
+    /**
+     * Returns the items.
+     *
+     * @return items by key
+     */
+    public Map<String, StoredItem> items() {
+        return mItems;
+    }
+
+    /**
+     * Tells whether all keys were read once.
+     *
+     * @return true once the mirror is complete
+     */
+    public boolean isLoaded() {
+        return mIsLoaded;
+    }
+
+    /**
+     * Tells whether the last call succeeded.
+     *
+     * @return false while the store does not answer
+     */
+    public boolean isHealthy() {
+        return mIsLoaded && mFailures == 0;
+    }
+
+    /**
+     * Returns when the store answered last.
+     *
+     * @return steady clock in milliseconds
+     */
+    public long confirmedMs() {
+        return mConfirmedMs;
+    }
+
+    /**
+     * Returns when the store answered again after failures.
+     *
+     * @return steady clock in milliseconds, far in the past if it never failed
+     */
+    public long recoveredMs() {
+        return mRecoveredMs;
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/text/JsonText.java
+++ b/cactusspan/src/main/java/dev/cactusspan/text/JsonText.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import java.io.IOException;
@@ -33,6 +34,7 @@
                         .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                         .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                         .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                        .addModule(new Jdk8Module())
                         .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
                         .build();
         mapper.getFactory()
--- a/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
@@ -5,9 +5,11 @@
 import dev.cactusspan.config.EnvironmentDocument.RequestClass;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.DutyId;
 import dev.cactusspan.id.EnvironmentId;
 import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
@@ -36,6 +38,10 @@
     @JsonSubTypes.Type(value = Message.Chunk.class, name = "ch"),
     @JsonSubTypes.Type(value = Message.End.class, name = "en"),
     @JsonSubTypes.Type(value = Message.Refused.class, name = "re"),
+    @JsonSubTypes.Type(value = Message.PeerHello.class, name = "ph"),
+    @JsonSubTypes.Type(value = Message.AskResults.class, name = "ar"),
+    @JsonSubTypes.Type(value = Message.AskItem.class, name = "ai"),
+    @JsonSubTypes.Type(value = Message.Reply.class, name = "rp"),
 })
 public sealed interface Message {
 
@@ -213,4 +219,50 @@
      * @param detail one line for a person
      */
     record Refused(long stream, ErrorKind kind, String detail) implements Message {}
+
+    /**
+     * First frame from a process that opens a link to another of its kind.
+     *
+     * @param system names the system, so that a stranger is not answered
+     * @param owner VM and boot of the sender
+     */
+    record PeerHello(String system, String owner) implements Message {}
+
+    /**
+     * Asks the owner of a batch for results.
+     *
+     * @param ask number of the question on this link
+     * @param batch the batch
+     * @param after first position
+     * @param waitMs how long to wait for a result
+     */
+    record AskResults(long ask, BatchId batch, int after, long waitMs) implements Message {}
+
+    /**
+     * Asks the owner of a batch for the body of an item that is not listed.
+     *
+     * @param ask number of the question on this link
+     * @param batch the batch
+     * @param item the item
+     */
+    record AskItem(long ask, BatchId batch, ItemId item) implements Message {}
+
+    /**
+     * Answers a question.
+     *
+     * @param ask number of the question
+     * @param outcome how it was answered
+     * @param body what was asked for, as JSON or bytes
+     */
+    record Reply(long ask, Outcome outcome, byte[] body) implements Message {
+        /** How a question was answered. */
+        public enum Outcome {
+            /** The body holds what was asked for. */
+            FOUND,
+            /** There is no such thing. */
+            ABSENT,
+            /** The asked process does not own the batch. */
+            NOT_OWNER
+        }
+    }
 }
