--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
@@ -107,7 +107,14 @@
             done.accept(Result.fail(ErrorKind.SHUTTING_DOWN, "the process is stopping"));
             return;
         }
-        create(batch, done, true);
+        mTaking.add(batch.id());
+        create(
+                batch,
+                result -> {
+                    mTaking.remove(batch.id());
+                    done.accept(result);
+                },
+                true);
     }
 
     private void create(Batch batch, Consumer<Result<Boolean>> done, boolean isFirst) {
@@ -258,12 +265,16 @@
         for (Map.Entry<BatchId, Known> entry : mKnown.entrySet()) {
             BatchOwnership ownership = entry.getValue().ownership();
             BatchId id = entry.getKey();
-            boolean isOrphan =
-                    !ownership.isEnded()
-                            && !mOwned.containsKey(id)
-                            && !mTaking.contains(id)
-                            && mNodes.find(ownership.owner()).isEmpty();
-            if (isOrphan && mNodes.chosen(id.value()).equals(Optional.of(mOwner))) {
+            boolean isTakenCareOf =
+                    ownership.isEnded() || mOwned.containsKey(id) || mTaking.contains(id);
+            if (isTakenCareOf) {
+                continue;
+            }
+            boolean isOrphan = mNodes.find(ownership.owner()).isEmpty();
+            if (ownership.owner().equals(mOwner)) {
+                mTaking.add(id);
+                loadTaken(id, entry.getValue().revision());
+            } else if (isOrphan && mNodes.chosen(id.value()).equals(Optional.of(mOwner))) {
                 take(entry.getValue());
             }
         }
@@ -330,7 +341,7 @@
                                 },
                                 stored -> {
                                     mTaking.remove(id);
-                                    if (isMine(id)) {
+                                    if (isMine(id) && !mOwned.containsKey(id)) {
                                         own(stored, revision);
                                     }
                                     return null;
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
@@ -0,0 +1,275 @@
+package dev.cactusspan.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import dev.cactusspan.fleet.FakeTargets;
+import dev.cactusspan.id.BatchId;
+import dev.cactusspan.id.ItemId;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.store.FakeKeyStore;
+import dev.cactusspan.store.ManualThread;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Batches under lost answers, dead owners, failing targets and a store that is away. */
+final class BatchDeskTest {
+    private static final BatchId ID = BatchId.of("b");
+    private static final long TICK_MS = 10;
+
+    private final ManualThread mThread = new ManualThread();
+    private final FakeKeyStore mStore = new FakeKeyStore(mThread);
+    private final List<BatchNode> mNodes = new ArrayList<>();
+
+    private BatchNode node(String name) {
+        BatchNode node = new BatchNode(name, mStore, mThread);
+        mNodes.add(node);
+        return node;
+    }
+
+    private void run(long ms) {
+        for (long i = 0; i < ms; i += TICK_MS) {
+            mThread.advance(TICK_MS);
+            mStore.step();
+            mThread.settle();
+            mNodes.forEach(BatchNode::tick);
+        }
+    }
+
+    private void runAnswering(long ms) {
+        for (long i = 0; i < ms; i += TICK_MS) {
+            run(TICK_MS);
+            mNodes.stream()
+                    .filter(BatchNode::isAlive)
+                    .forEach(n -> n.answerAll(BatchNode::succeed));
+        }
+    }
+
+    private List<Result<Boolean>> submit(BatchNode node, int groups, int size) {
+        List<Result<Boolean>> outcomes = new ArrayList<>();
+        node.desk()
+                .submit(BatchNode.batch(ID.value(), groups, size, mThread.nowMs()), outcomes::add);
+        mThread.settle();
+        return outcomes;
+    }
+
+    private List<ItemResult> stored() {
+        return new BatchStore(mStore).load(ID).join().get().results();
+    }
+
+    @Test
+    void shouldListAllItemsOnceWithTextAndScore() {
+        BatchNode node = node("n1");
+        run(100);
+        List<Result<Boolean>> outcomes = submit(node, 3, 2);
+        assertThat(outcomes.get(0).isOk(), is(true));
+        runAnswering(2_000);
+        List<ItemResult> results = stored();
+        assertThat(results, hasSize(6));
+        assertThat(results.stream().map(ItemResult::text).toList(), everyItem(is("t1\nt2\nt3")));
+        assertThat(results.stream().map(ItemResult::score).toList(), everyItem(not(is(""))));
+    }
+
+    @Test
+    void shouldRefuseTruthfullyWhileTheStoreIsAway() {
+        BatchNode node = node("n1");
+        run(100);
+        mStore.down(true);
+        List<Result<Boolean>> outcomes = submit(node, 1, 1);
+        assertThat(
+                outcomes.get(0).<Object>fold(f -> f.kind(), v -> v),
+                is(ErrorKind.PLATFORM_UNAVAILABLE));
+        mStore.down(false);
+        runAnswering(1_000);
+        assertThat(node.port().sent(), is(empty()));
+    }
+
+    @Test
+    void shouldFindOutWhatBecameOfAWriteWithALostAnswer() {
+        BatchNode node = node("n1");
+        run(100);
+        mStore.faults(new Random(1), 1.0, 0);
+        List<Result<Boolean>> outcomes = submit(node, 1, 2);
+        assertThat(outcomes, is(empty()));
+        mStore.faults(new Random(1), 0, 0);
+        runAnswering(1_000);
+        assertThat(outcomes, hasSize(1));
+        assertThat(outcomes.get(0).isOk(), is(true));
+        assertThat(stored(), hasSize(2));
+    }
+
+    @Test
+    void shouldGoOnAfterTheLastEventElsewhere() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 1, 1);
+        run(50);
+        FakeTargets.Sent first = node.port().last();
+        first.begin(1);
+        first.events(2);
+        first.cut();
+        run(100);
+        FakeTargets.Sent second = node.port().last();
+        assertThat(second.request().resumeAfter().getAsLong(), is(2L));
+        second.begin(1);
+        second.events(3);
+        second.end();
+        run(50);
+        runAnswering(1_000);
+        assertThat(stored().get(0).text(), is("t1\nt2\nt3"));
+    }
+
+    @Test
+    void shouldMoveARunWhoseEventsStop() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 1, 1);
+        run(50);
+        FakeTargets.Sent first = node.port().last();
+        first.begin(1);
+        first.events(1);
+        run(2_000);
+        assertThat(first.isBrokenOff(), is(true));
+        assertThat(node.port().last().request().resumeAfter().getAsLong(), is(1L));
+    }
+
+    @Test
+    void shouldNotTakeEventsThatDoNotFollow() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 1, 1);
+        run(50);
+        FakeTargets.Sent first = node.port().last();
+        first.begin(1);
+        first.events(1);
+        first.event(3, "t3");
+        assertThat(first.isBrokenOff(), is(true));
+        runAnswering(2_000);
+        assertThat(stored().get(0).text(), is("t1\nt2\nt3"));
+    }
+
+    @Test
+    void shouldGiveUpAnItemThatFailsAtEachRun() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 1, 1);
+        for (int i = 0; i < 200; i++) {
+            run(TICK_MS);
+            node.answerAll(s -> s.answer(500, "x", false));
+        }
+        assertThat(stored().get(0).isCompleted(), is(false));
+        assertThat(node.port().sent(), hasSize(3));
+    }
+
+    @Test
+    void shouldStopRunsWhenTheBatchEnds() {
+        BatchNode node = node("n1");
+        BatchNode other = node("n2");
+        run(100);
+        submit(node, 2, 2);
+        run(300);
+        List<Result<Boolean>> ended = new ArrayList<>();
+        other.desk().end(ID, ended::add);
+        mThread.settle();
+        assertThat(ended.get(0).isOk(), is(true));
+        run(500);
+        int sent = node.port().sent().size();
+        assertThat(node.port().sent().stream().allMatch(FakeTargets.Sent::isBrokenOff), is(true));
+        run(1_000);
+        assertThat(node.port().sent(), hasSize(sent));
+    }
+
+    @Test
+    void shouldTakeOverFromADeadOwner() {
+        BatchNode node = node("n1");
+        BatchNode other = node("n2");
+        run(100);
+        submit(node, 2, 2);
+        run(300);
+        node.kill();
+        runAnswering(3_000);
+        assertThat(stored(), hasSize(4));
+        assertThat(other.desk().known(ID).orElseThrow().ownership().owner(), is(other.owner()));
+    }
+
+    @Test
+    void shouldNotAppendAsAFormerOwner() {
+        BatchNode node = node("n1");
+        node("n2");
+        run(100);
+        submit(node, 1, 2);
+        run(300);
+        node.kill();
+        runAnswering(3_000);
+        List<ItemResult> before = stored();
+        node.answerAll(BatchNode::succeed);
+        node.desk().tick(Long.MIN_VALUE / 2, true);
+        mThread.settle();
+        assertThat(stored(), is(before));
+    }
+
+    /** Each position keeps its content, and no item stands at two positions. */
+    @Property(seed = "41", tries = 60)
+    void shouldKeepPositionsUnderLostAnswersAndDeadOwners(@ForAll long seed) {
+        BatchDeskTest fresh = new BatchDeskTest();
+        fresh.play(new Random(seed));
+    }
+
+    private void play(Random random) {
+        BatchNode first = node("n1");
+        node("n2");
+        node("n3");
+        run(100);
+        List<Result<Boolean>> outcomes = submit(first, 4, 3);
+        mStore.faults(random, 0.15, 0.15);
+        List<ItemResult> seen = List.of();
+        for (int i = 0; i < 400; i++) {
+            run(TICK_MS);
+            if (i == 30 + random.nextInt(5) && random.nextBoolean()) {
+                first.kill();
+            }
+            for (BatchNode node : mNodes) {
+                if (node.isAlive()) {
+                    node.answerAll(sent -> answer(sent, random));
+                }
+            }
+            Result<StoredBatch> now = new BatchStore(mStore).load(ID).join();
+            if (now.isOk()) {
+                List<ItemResult> results = now.get().results();
+                assertThat(results.subList(0, seen.size()), is(seen));
+                seen = results;
+            }
+        }
+        mStore.faults(random, 0, 0);
+        runAnswering(8_000);
+        assertThat(outcomes.get(0).isOk(), is(true));
+        List<ItemResult> results = stored();
+        Set<ItemId> ids = new HashSet<>();
+        results.forEach(r -> ids.add(r.id()));
+        assertThat(ids, hasSize(12));
+        assertThat(results, hasSize(12));
+    }
+
+    private static void answer(FakeTargets.Sent sent, Random random) {
+        switch (random.nextInt(5)) {
+            case 0 -> sent.notSent();
+            case 1 -> {
+                sent.begin(1);
+                sent.cut();
+            }
+            case 2 -> sent.answer(503, "", true);
+            default -> BatchNode.succeed(sent);
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -0,0 +1,207 @@
+package dev.cactusspan.batch;
+
+import dev.cactusspan.fleet.ClientLimits;
+import dev.cactusspan.fleet.DesiredState;
+import dev.cactusspan.fleet.FakeTargets;
+import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.FleetService;
+import dev.cactusspan.fleet.RouteKind;
+import dev.cactusspan.fleet.TargetChooser;
+import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.BatchId;
+import dev.cactusspan.id.ItemId;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.Revision;
+import dev.cactusspan.id.RouteId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.peer.NodeDirectory;
+import dev.cactusspan.peer.NodeRecord;
+import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.routing.ZoneDistance;
+import dev.cactusspan.store.FakeKeyStore;
+import dev.cactusspan.store.ManualThread;
+import dev.cactusspan.store.PrefixMirror;
+import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.text.JsonText;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** One process's batches over a fake store and fake targets. */
+final class BatchNode {
+    static final ServiceId ENGINE = ServiceId.of("lm");
+    static final ServiceId SCORER = ServiceId.of("app");
+    static final DesiredState DESIRED = desired();
+
+    private final FakeTargets mPort = new FakeTargets();
+    private final TargetTable mTargets = new TargetTable();
+    private final NodeDirectory mNodes = new NodeDirectory();
+    private final NodeRecord mSelf;
+    private final ManualThread mThread;
+    private final FakeKeyStore mStore;
+    private final PrefixMirror mMirror;
+    private final BatchDesk mDesk;
+    private boolean mIsAlive = true;
+    private int mAnswered;
+
+    BatchNode(String name, FakeKeyStore store, ManualThread thread) {
+        mThread = thread;
+        mStore = store;
+        mSelf = new NodeRecord(VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1);
+        mDesk =
+                BatchDesks.create(
+                        new BatchDesks.Needs(
+                                new BatchStore(store),
+                                mNodes,
+                                mSelf.owner(),
+                                thread,
+                                mTargets,
+                                mPort,
+                                new TargetChooser(
+                                        zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                                () -> Optional.of(DESIRED),
+                                Telemetry.create(),
+                                new Backoff(10, 50, new SplittableRandom(2)),
+                                thread::nowMs,
+                                thread::nowMs));
+        mMirror =
+                new PrefixMirror(
+                        store,
+                        "cs/control/",
+                        thread,
+                        new Backoff(10, 50, new SplittableRandom(3)),
+                        thread::nowMs,
+                        this::changed);
+        mTargets.put(FakeTargets.record("lm-1", "lm", 4, 1));
+        mTargets.put(FakeTargets.record("lm-2", "lm", 4, 1));
+        mTargets.put(FakeTargets.record("app-1", "app", 8, 0));
+        register();
+    }
+
+    private static DesiredState desired() {
+        FleetRoute scoring =
+                new FleetRoute(
+                        RouteId.of("score"),
+                        "h",
+                        "/score/",
+                        RouteKind.IDEMPOTENT,
+                        1_000,
+                        200,
+                        0,
+                        List.of(new FleetRoute.Share(SCORER, 1)),
+                        3,
+                        true,
+                        false,
+                        new FleetRoute.BatchBounds(0, 0, false));
+        return DesiredState.of(
+                Revision.of(1),
+                List.of(scoring),
+                List.of(new FleetService(ENGINE, 10, List.of(ModelId.of("m")))),
+                List.of(),
+                new ClientLimits(1_000, 1_000, 1_000, 1_000));
+    }
+
+    static Batch batch(String id, int groups, int size, long nowMs) {
+        List<BatchItem> items = new ArrayList<>();
+        for (int i = 0; i < groups * size; i++) {
+            items.add(
+                    new BatchItem(
+                            ItemId.of(id + "-" + i),
+                            "/p/" + i,
+                            Map.of(),
+                            new byte[] {1},
+                            "g" + i / size,
+                            Optional.of(
+                                    new BatchItem.Scorer(
+                                            "s-" + id + "-" + i, "h", "/score/x", new byte[0]))));
+        }
+        return new Batch(
+                BatchId.of(id),
+                AccountId.of("acme"),
+                RouteId.of("r"),
+                "h",
+                ENGINE,
+                1,
+                ModelId.of("m"),
+                WeightVersion.of(1),
+                groups,
+                3,
+                false,
+                nowMs,
+                7_000,
+                600_000,
+                items);
+    }
+
+    private void register() {
+        mStore.put(NodeDirectory.PREFIX + mSelf.vm().value(), JsonText.write(mSelf));
+    }
+
+    private void changed(String key, Optional<StoredItem> item) {
+        if (key.startsWith(NodeDirectory.PREFIX)) {
+            mNodes.changed(key, item);
+        } else if (key.startsWith(BatchStore.OWNER_PREFIX)) {
+            mDesk.changed(key, item);
+        }
+    }
+
+    void tick() {
+        if (!mIsAlive) {
+            return;
+        }
+        mMirror.tick();
+        mDesk.tick(Long.MIN_VALUE / 2, mMirror.isHealthy());
+        mThread.settle();
+    }
+
+    /** Stops the process without a word; its registration lapses. */
+    void kill() {
+        mIsAlive = false;
+        mStore.delete(NodeDirectory.PREFIX + mSelf.vm().value());
+    }
+
+    /** Answers requests at targets that have had no answer yet. */
+    void answerAll(java.util.function.Consumer<FakeTargets.Sent> answer) {
+        while (mAnswered < mPort.sent().size()) {
+            FakeTargets.Sent sent = mPort.sent().get(mAnswered++);
+            if (!sent.isBrokenOff()) {
+                answer.accept(sent);
+            }
+        }
+        mThread.settle();
+    }
+
+    /** Answers as healthy targets do: three events for a text, a digest for a score. */
+    static void succeed(FakeTargets.Sent sent) {
+        if (sent.request().id().startsWith("s-")) {
+            sent.succeed();
+            return;
+        }
+        sent.begin(1);
+        sent.events(3);
+        sent.end();
+    }
+
+    BatchDesk desk() {
+        return mDesk;
+    }
+
+    FakeTargets port() {
+        return mPort;
+    }
+
+    boolean isAlive() {
+        return mIsAlive;
+    }
+
+    String owner() {
+        return mSelf.owner();
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -0,0 +1,173 @@
+package dev.cactusspan.fleet;
+
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+/** Targets whose answers a test gives by hand. */
+public final class FakeTargets implements TargetPort {
+    private final List<Sent> mSent = new ArrayList<>();
+    private final List<Order> mOrders = new ArrayList<>();
+    private Result<OrderOutcome> mOrderOutcome = Result.of(OrderOutcome.ACCEPTED);
+
+    /** A request at a target. */
+    public static final class Sent {
+        private final TargetRecord mTarget;
+        private final TargetRequest mRequest;
+        private final TargetListener mListener;
+        private boolean mIsBrokenOff;
+
+        Sent(TargetRecord target, TargetRequest request, TargetListener listener) {
+            mTarget = target;
+            mRequest = request;
+            mListener = listener;
+        }
+
+        public TargetRequest request() {
+            return mRequest;
+        }
+
+        public TargetRecord target() {
+            return mTarget;
+        }
+
+        public boolean isBrokenOff() {
+            return mIsBrokenOff;
+        }
+
+        /** Answers whole with the target's digest. */
+        public void succeed() {
+            answer(200, "stamp-" + mRequest.id(), false);
+        }
+
+        public void answer(int status, String stamp, boolean isNotRun) {
+            mListener.onHead(head(status, stamp, isNotRun, WeightVersion.NONE));
+            mListener.onData("ok".getBytes(StandardCharsets.UTF_8));
+            mListener.onEnd();
+        }
+
+        public void begin(long version) {
+            mListener.onHead(head(200, "s", false, WeightVersion.of(version)));
+        }
+
+        /** Sends an event; its number follows the last one that the request names. */
+        public void event(long id, String text) {
+            mListener.onData((id + "|" + text + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+
+        public void events(int upTo) {
+            OptionalLong after = mRequest.resumeAfter();
+            for (long id = after.orElse(0) + 1; id <= upTo; id++) {
+                event(id, "t" + id);
+            }
+        }
+
+        public void end() {
+            mListener.onEnd();
+        }
+
+        public void cut() {
+            mListener.onFailure(true, "reset");
+        }
+
+        public void notSent() {
+            mListener.onFailure(false, "cannot connect");
+        }
+
+        public void answerOfAnother() {
+            mListener.onHead(
+                    new TargetHead(
+                            200, Map.of(), "x", false, false, false, WeightVersion.NONE, false));
+        }
+
+        private static TargetHead head(
+                int status, String stamp, boolean isNotRun, WeightVersion version) {
+            return new TargetHead(
+                    status, Map.of(), stamp, isNotRun, false, true, version, version.number() > 0);
+        }
+    }
+
+    /** An order to a target. */
+    public record Order(TargetId target, WeightVersion version, FencingNumber fencing) {}
+
+    public static TargetRecord record(String id, String service, int slots, long version) {
+        return new TargetRecord(
+                TargetId.of(id),
+                ServiceId.of(service),
+                URI.create("http://10.0.0.1:80"),
+                AvailabilityZoneId.of("a"),
+                slots,
+                false,
+                0,
+                1,
+                version == 0 ? Map.of() : Map.of(ModelId.of("m"), WeightVersion.of(version)));
+    }
+
+    public List<Sent> sent() {
+        return mSent;
+    }
+
+    public Sent last() {
+        return mSent.get(mSent.size() - 1);
+    }
+
+    public List<Order> orders() {
+        return mOrders;
+    }
+
+    public void orderOutcome(Result<OrderOutcome> outcome) {
+        mOrderOutcome = outcome;
+    }
+
+    public void loseOrders() {
+        mOrderOutcome = Result.fail(ErrorKind.OUTCOME_UNKNOWN, "lost");
+    }
+
+    @Override
+    public Runnable send(TargetRecord target, TargetRequest request, TargetListener listener) {
+        Sent sent = new Sent(target, request, listener);
+        mSent.add(sent);
+        return () -> sent.mIsBrokenOff = true;
+    }
+
+    @Override
+    public EventDecoder newDecoder() {
+        return new EventDecoder() {
+            @Override
+            public List<TextEvent> feed(byte[] data) {
+                String[] parts = new String(data, StandardCharsets.UTF_8).strip().split("\\|", -1);
+                return List.of(
+                        new TextEvent(Long.parseLong(parts[0]), parts[1], WeightVersion.NONE));
+            }
+
+            @Override
+            public boolean isInsideEvent() {
+                return false;
+            }
+        };
+    }
+
+    @Override
+    public CompletableFuture<Result<OrderOutcome>> orderVersion(
+            TargetRecord target,
+            ModelId model,
+            WeightVersion version,
+            VmId holder,
+            FencingNumber fencing) {
+        mOrders.add(new Order(target.id(), version, fencing));
+        return CompletableFuture.completedFuture(mOrderOutcome);
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/store/ManualThread.java
@@ -0,0 +1,31 @@
+package dev.cactusspan.store;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Executor;
+
+/** A thread and a clock that move only when a test says so. */
+public final class ManualThread implements Executor {
+    private final Deque<Runnable> mTasks = new ArrayDeque<>();
+    private long mNowMs = 1_000_000;
+
+    @Override
+    public void execute(Runnable task) {
+        mTasks.add(task);
+    }
+
+    /** Runs tasks until none is left. */
+    public void settle() {
+        for (Runnable task = mTasks.poll(); task != null; task = mTasks.poll()) {
+            task.run();
+        }
+    }
+
+    public void advance(long ms) {
+        mNowMs += ms;
+    }
+
+    public long nowMs() {
+        return mNowMs;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -0,0 +1,112 @@
+package dev.cactusspan.store;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import dev.cactusspan.routing.Backoff;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Mirrors under outages, lost history and pages that change while they are read. */
+final class PrefixMirrorTest {
+    private final ManualThread mThread = new ManualThread();
+    private final FakeKeyStore mStore = new FakeKeyStore(mThread);
+    private final Map<String, Long> mSeen = new HashMap<>();
+    private final PrefixMirror mMirror =
+            new PrefixMirror(
+                    mStore,
+                    "a/",
+                    mThread,
+                    new Backoff(10, 100, new SplittableRandom(1)),
+                    mThread::nowMs,
+                    this::changed);
+
+    private void changed(String key, Optional<StoredItem> item) {
+        item.ifPresentOrElse(
+                i -> {
+                    assertThat(i.revision() > mSeen.getOrDefault(key, 0L), is(true));
+                    mSeen.put(key, i.revision());
+                },
+                () -> mSeen.remove(key));
+    }
+
+    private void run(long ms) {
+        for (long i = 0; i < ms; i += 10) {
+            mThread.advance(10);
+            mStore.step();
+            mMirror.tick();
+            mThread.settle();
+        }
+    }
+
+    private Map<String, Long> stored() {
+        Map<String, Long> stored = new TreeMap<>();
+        mStore.items()
+                .forEach(
+                        (key, item) -> {
+                            if (key.startsWith("a/")) {
+                                stored.put(key, item.revision());
+                            }
+                        });
+        return stored;
+    }
+
+    @Test
+    void shouldHoldAllPages() {
+        for (int i = 0; i < 10; i++) {
+            mStore.put("a/" + i, new byte[0]);
+        }
+        mStore.put("b/1", new byte[0]);
+        run(200);
+        assertThat(new TreeMap<>(mSeen), is(stored()));
+        assertThat(mMirror.isLoaded(), is(true));
+    }
+
+    @Test
+    void shouldReadAgainWhenTheHistoryIsGone() {
+        mStore.put("a/1", new byte[0]);
+        run(200);
+        mStore.down(true);
+        run(5_000);
+        mStore.put("a/2", new byte[0]);
+        mStore.delete("a/1");
+        mStore.dropHistory();
+        mStore.down(false);
+        run(2_000);
+        assertThat(new TreeMap<>(mSeen), is(stored()));
+    }
+
+    @Property(seed = "31", tries = 100)
+    void shouldEndEqualToTheStoreAndNeverGoBack(@ForAll long seed) {
+        Random random = new Random(seed);
+        mSeen.clear();
+        PrefixMirrorTest fresh = new PrefixMirrorTest();
+        fresh.play(random);
+    }
+
+    private void play(Random random) {
+        mStore.faults(random, 0, 0.2);
+        for (int i = 0; i < 60; i++) {
+            String key = "a/" + random.nextInt(12);
+            if (random.nextInt(4) == 0) {
+                mStore.delete(key);
+            } else {
+                mStore.put(key, new byte[0]);
+            }
+            if (random.nextInt(15) == 0) {
+                mStore.dropHistory();
+            }
+            run(random.nextInt(200));
+        }
+        mStore.faults(random, 0, 0);
+        run(10_000);
+        assertThat(new TreeMap<>(mSeen), is(stored()));
+    }
+}
