Log decisions as JSON fields on standard output through a bounded ring

Cause: lines went to standard error, with their fields quoted inside a message, and a slow reader could block a thread. Change: one field map a line; an asynchronous appender that never blocks and counts what it drops; the count is the gauge log_lines_dropped.

--- a/cactusspan/src/main/java/dev/cactusspan/observe/Decision.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/Decision.java
@@ -1,19 +1,18 @@
 package dev.cactusspan.observe;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.flogger.LazyArgs;
-import dev.cactusspan.text.JsonText;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** A log line of a decision: its name, the inputs that decided it, and the outcome, as JSON. */
+/** A log line of a decision: its name, the inputs that decided it, and the outcome. */
 public final class Decision {
     private static final FluentLogger sLog = FluentLogger.forEnclosingClass();
 
+    private final String mEvent;
     private final Map<String, Object> mFields = new LinkedHashMap<>();
 
-    private Decision(String name) {
-        mFields.put("event", name);
+    private Decision(String event) {
+        mEvent = event;
     }
 
     /**
@@ -34,21 +33,21 @@
      * @return this line
      */
     public Decision with(String name, Object value) {
-        mFields.put(name, value);
+        mFields.put(name, isPlain(value) ? value : String.valueOf(value));
         return this;
     }
 
+    private static boolean isPlain(Object value) {
+        return value instanceof Number || value instanceof Boolean || value instanceof String;
+    }
+
     /** Writes the line at the usual level. */
     public void info() {
-        sLog.atInfo().log("%s", LazyArgs.lazy(this::line));
+        sLog.atInfo().with(LogFields.DECISION, mFields).log("%s", mEvent);
     }
 
     /** Writes the line as a warning. */
     public void warn() {
-        sLog.atWarning().log("%s", LazyArgs.lazy(this::line));
-    }
-
-    private String line() {
-        return JsonText.line(mFields);
+        sLog.atWarning().with(LogFields.DECISION, mFields).log("%s", mEvent);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/observe/LogFields.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/LogFields.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.TargetId;
+import java.util.Map;
 
 /** Fields of structured log lines. Keys, prompts and bodies are never among them. */
 public final class LogFields {
@@ -29,5 +30,10 @@
     /** How long a request took, in milliseconds. */
     public static final MetadataKey<Long> TOOK_MS = MetadataKey.single("took_ms", Long.class);
 
+    /** The inputs and the outcome of a decision by name. */
+    @SuppressWarnings("unchecked")
+    public static final MetadataKey<Map<String, Object>> DECISION =
+            MetadataKey.single("decision", (Class<Map<String, Object>>) (Class<?>) Map.class);
+
     private LogFields() {}
 }
--- a/cactusspan/src/main/java/dev/cactusspan/observe/Telemetry.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/Telemetry.java
@@ -41,6 +41,7 @@
         Telemetry telemetry = new Telemetry();
         Runtime runtime = Runtime.getRuntime();
         telemetry.gauge("heap_used_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        telemetry.gauge("log_lines_dropped", DroppedLines::count);
         return telemetry;
     }
 
