Add an emulator of the platform and bin/platform-demo

Change: store, engines, plain services and usage interface by their published protocol in the stand-in module, clients that check what they get, and a demo that starts real processes.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/Main.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/Main.java
@@ -26,6 +26,10 @@
                                 "keys", "makes keys for a document", KeysCommand::new),
                         new CommandLine.Entry(
                                 "demo", "sends the traffic of the demo", DemoCommand::new),
+                        new CommandLine.Entry(
+                                "platform-demo",
+                                "plays traffic over processes before an emulated platform",
+                                PlatformDemoCommand::new),
                         new CommandLine.Entry(
                                 "overhead", "measures the path's overhead", OverheadCommand::new),
                         new CommandLine.Entry(
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/PlatformDemoCommand.java
@@ -0,0 +1,29 @@
+package dev.cactusspan.standin;
+
+import dev.cactusspan.command.Command;
+import dev.cactusspan.command.ExitCode;
+import dev.cactusspan.standin.hosted.HostedDemo;
+import dev.cactusspan.text.JsonText;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Option;
+
+/** Plays training steps and quotes over real processes before an emulated platform. */
+public final class PlatformDemoCommand implements Command {
+    @Option(name = "--steps", usage = "training steps to play")
+    private int mSteps = 5;
+
+    @Option(name = "--processes", usage = "entry processes to start")
+    private int mProcesses = 2;
+
+    @Override
+    public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        Path folder = Files.createTempDirectory("platform-demo");
+        HostedDemo.Outcome outcome = HostedDemo.play(folder, mProcesses, mSteps);
+        outcome.broken().forEach(err::println);
+        out.println(JsonText.line(outcome.counts()));
+        return outcome.isWhole() ? ExitCode.OK : ExitCode.FAILED;
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -0,0 +1,165 @@
+package dev.cactusspan.standin.hosted;
+
+import dev.cactusspan.text.JsonText;
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A real process of the product on loopback, which is stopped and killed by its id. */
+public final class GatewayNode implements AutoCloseable {
+    private static final long STOP_S = 10;
+
+    private final Path mFolder;
+    private final String mName;
+    private final int mClientPort;
+    private final int mReadyPort;
+    private Process mProcess;
+
+    private GatewayNode(Path folder, String name, int clientPort, int readyPort) {
+        mFolder = folder;
+        mName = name;
+        mClientPort = clientPort;
+        mReadyPort = readyPort;
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param folder where settings and logs are written
+     * @param name name of its VM
+     * @param storePort port of the store, or of a proxy to it
+     * @param usagePort port of the interface for usage reports
+     * @param windowS length of a usage window
+     * @return the running process
+     * @throws IOException if it cannot be started
+     */
+    public static GatewayNode start(
+            Path folder, String name, int storePort, int usagePort, int windowS)
+            throws IOException {
+        GatewayNode node = new GatewayNode(folder, name, freePort(), freePort());
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("vm", name);
+        settings.put("zone", "zone-a");
+        settings.put("zones", Map.of("zone-a", "region-a"));
+        settings.put("ip", "127.0.0.1");
+        settings.put("client_address", "127.0.0.1:" + node.mClientPort);
+        settings.put("ready_address", "127.0.0.1:" + node.mReadyPort);
+        settings.put("link_port", freePort());
+        settings.put("metrics_port", freePort());
+        settings.put("store_address", "127.0.0.1:" + storePort);
+        settings.put("usage_address", "127.0.0.1:" + usagePort);
+        settings.put("usage_window_s", windowS);
+        settings.put("turn_ms", 3_000);
+        settings.put("stop_s", 6);
+        Files.write(folder.resolve(name + ".json"), JsonText.write(settings));
+        node.launch();
+        return node;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /**
+     * Starts the process again after it has ended.
+     *
+     * @throws IOException if it cannot be started
+     */
+    public void launch() throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(List.of("dev.cactusspan.command.Main", "entry"));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("CACTUSSPAN_CONFIG", mFolder.resolve(mName + ".json").toString());
+        File log = mFolder.resolve(mName + ".log").toFile();
+        mProcess =
+                builder.redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                        .start();
+    }
+
+    // Operations
+
+    /**
+     * Sends a signal.
+     *
+     * @param name name of the signal, such as KILL
+     */
+    public void signal(String name) {
+        try {
+            Process kill =
+                    new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start();
+            kill.waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Waits until the process has ended.
+     *
+     * @param boundMs how long to wait at most
+     * @return true if it has ended
+     */
+    public boolean awaitEnd(long boundMs) {
+        try {
+            return mProcess.waitFor(boundMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    // Accessors
+
+    /**
+     * Returns the port towards clients.
+     *
+     * @return the port
+     */
+    public int clientPort() {
+        return mClientPort;
+    }
+
+    /**
+     * Returns the port where readiness is asked.
+     *
+     * @return the port
+     */
+    public int readyPort() {
+        return mReadyPort;
+    }
+
+    /**
+     * Returns the name.
+     *
+     * @return name of its VM
+     */
+    public String name() {
+        return mName;
+    }
+
+    @Override
+    public void close() {
+        signal("CONT");
+        mProcess.destroy();
+        if (!awaitEnd(TimeUnit.SECONDS.toMillis(STOP_S))) {
+            mProcess.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDemo.java
@@ -0,0 +1,81 @@
+package dev.cactusspan.standin.hosted;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/** A calm stretch over real processes: quotes, training steps and new weight versions. */
+public final class HostedDemo {
+    private static final int ITEMS = 16;
+    private static final int QUOTES_PER_STEP = 10;
+    private static final long DUE_MS = 5_000;
+    private static final long BOUND_MS = 12_000;
+    private static final long USAGE_DUE_S = 14;
+
+    private HostedDemo() {}
+
+    /**
+     * What came of a demo.
+     *
+     * @param counts counts by name
+     * @param broken broken promises
+     */
+    public record Outcome(Map<String, Long> counts, List<String> broken) {
+        /**
+         * Tells whether nothing was missing, doubled or wrong.
+         *
+         * @return true if all is as promised
+         */
+        public boolean isWhole() {
+            return broken.isEmpty()
+                    && counts.get("quotes").equals(counts.get("quotes_answered"))
+                    && counts.get("steps").equals(counts.get("steps_on_time"))
+                    && counts.get("samples_wrong") == 0
+                    && counts.get("samples") == counts.get("steps") * ITEMS
+                    && counts.get("usage_windows_wrong") == 0;
+        }
+    }
+
+    /**
+     * Plays a demo.
+     *
+     * @param folder where settings and logs are written
+     * @param processes entry processes to start
+     * @param steps training steps to play
+     * @return what came of it
+     * @throws IOException if a process cannot be started
+     */
+    public static Outcome play(Path folder, int processes, int steps) throws IOException {
+        ExecutorService callers = Executors.newFixedThreadPool(4);
+        try (HostedDeployment deployment =
+                HostedDeployment.start(folder, processes, HostedDeployment.StoreProxy.NONE)) {
+            HostedClients clients =
+                    new HostedClients(
+                            deployment.nodes(), deployment.ledger(), HostedDeployment.MODEL);
+            for (int step = 0; step < steps; step++) {
+                for (int i = 0; i < QUOTES_PER_STEP; i++) {
+                    callers.execute(clients::quote);
+                }
+                clients.step(step, Math.max(1, step), ITEMS, DUE_MS, BOUND_MS);
+                deployment.name(step + 2);
+            }
+            callers.shutdown();
+            callers.awaitTermination(BOUND_MS, TimeUnit.MILLISECONDS);
+            TimeUnit.SECONDS.sleep(USAGE_DUE_S);
+            Map<String, Long> counts = new LinkedHashMap<>(clients.counts());
+            counts.put("usage_windows_wrong", deployment.usageWindowsWrong());
+            counts.put("store_calls_per_s", deployment.storeCallsPerS());
+            return new Outcome(counts, deployment.ledger().broken());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("the demo was interrupted", e);
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -0,0 +1,303 @@
+package dev.cactusspan.standin.hosted;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.text.JsonText;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.xnio.IoUtils;
+
+/**
+ * A target that registers itself in the store: a plain service, or an engine that streams events,
+ * resumes them and loads weight versions. A text is the same at each target, so that it can be
+ * checked.
+ */
+public final class TargetEmulator implements AutoCloseable {
+    private static final HttpString REQUEST_ID = new HttpString("Attempt-Id");
+    private static final HttpString STAMP = new HttpString("Server-Stamp");
+    private static final HttpString NOT_RUN = new HttpString("Not-Executed");
+    private static final HttpString VERSION = new HttpString("Weight-Versions");
+    private static final long EVENT_MS = 12;
+    private static final long WORK_MS = 8;
+    private static final long LOAD_MS = 300;
+    private static final int MAX_EVENTS = 14;
+
+    private final StoreEmulator mStore;
+    private final Ledger mLedger;
+    private final String mId;
+    private final String mService;
+    private final String mModel;
+    private final long mWindowMs;
+    private final ExecutorService mWork = Executors.newCachedThreadPool();
+    private final AtomicLong mVersion = new AtomicLong(1);
+    private final AtomicLong mFence = new AtomicLong();
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private final Random mRandom;
+    private final Undertow mServer;
+    private volatile boolean mIsLoading;
+    private volatile boolean mIsLeaving;
+    private volatile int mCutOneIn;
+    private volatile int mListedPort;
+
+    private TargetEmulator(
+            StoreEmulator store,
+            Ledger ledger,
+            String id,
+            String service,
+            String model,
+            long windowMs) {
+        mStore = store;
+        mLedger = ledger;
+        mId = id;
+        mService = service;
+        mModel = model;
+        mWindowMs = windowMs;
+        mRandom = new Random(id.hashCode());
+        mServer = HostedServer.start(this::handle);
+        mListedPort = port();
+    }
+
+    /**
+     * Starts a target on a free port of loopback and registers it.
+     *
+     * @param store the store
+     * @param ledger what targets saw
+     * @param id its id
+     * @param service its service
+     * @param model the model of an engine, empty for a plain service
+     * @param windowMs length of a usage window
+     * @return the running target
+     */
+    public static TargetEmulator start(
+            StoreEmulator store,
+            Ledger ledger,
+            String id,
+            String service,
+            String model,
+            long windowMs) {
+        TargetEmulator target = new TargetEmulator(store, ledger, id, service, model, windowMs);
+        target.register();
+        return target;
+    }
+
+    /** Returns the whole text of an item, which each target generates. */
+    static List<String> text(String item) {
+        int events = 2 + Math.floorMod(item.hashCode(), MAX_EVENTS);
+        return java.util.stream.IntStream.rangeClosed(1, events)
+                .mapToObj(n -> item + ":" + n)
+                .toList();
+    }
+
+    /** Returns the digest of a plain answer. */
+    static String stamp(String request) {
+        return "st-" + Integer.toHexString(request.hashCode());
+    }
+
+    // Operations
+
+    /**
+     * Breaks off some answers.
+     *
+     * @param oneIn one in how many answers, zero for none
+     */
+    public void cutOneIn(int oneIn) {
+        mCutOneIn = oneIn;
+    }
+
+    /** Says that it leaves; it serves what comes all the same. */
+    public void leave() {
+        mIsLeaving = true;
+        register();
+    }
+
+    /**
+     * Registers another port, such as a proxy's.
+     *
+     * @param port the port
+     */
+    public void listAt(int port) {
+        mListedPort = port;
+        register();
+    }
+
+    private void register() {
+        Map<String, Object> entry = new LinkedHashMap<>();
+        entry.put("service", mService);
+        entry.put("address", "127.0.0.1:" + mListedPort);
+        entry.put("zone", "zone-a");
+        entry.put("version", "v1");
+        entry.put("slots", 8);
+        entry.put("state", mIsLeaving ? "draining" : "ready");
+        entry.put("cold_remaining_ms", 0);
+        entry.put("sequence", 1);
+        entry.put("born", 1);
+        if (!mModel.isEmpty()) {
+            entry.put("models", List.of(Map.of("name", mModel, "version", mVersion.get())));
+        }
+        mStore.put("servers/" + mId, entry);
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        if (path.equals("/-/report")) {
+            HostedServer.json(exchange, 200, Map.of("running", mRunning.get(), "waiting", 0));
+            return;
+        }
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (e, body) -> {
+                            if (path.equals("/-/order")) {
+                                order(e, JsonText.read(body, JsonNode.class).get());
+                                return;
+                            }
+                            e.dispatch(mWork, () -> run(e, body));
+                        });
+    }
+
+    private void order(HttpServerExchange exchange, JsonNode order) {
+        long fence = order.path("fence").asLong();
+        long version = order.path("version").asLong();
+        if (fence < mFence.get()) {
+            exchange.setStatusCode(412);
+        } else if (mIsLoading) {
+            exchange.setStatusCode(409);
+        } else if (version <= mVersion.get()) {
+            exchange.setStatusCode(200);
+        } else {
+            mFence.set(fence);
+            mIsLoading = true;
+            mWork.execute(() -> load(version));
+            exchange.setStatusCode(202);
+        }
+        exchange.endExchange();
+    }
+
+    private void load(long version) {
+        pause(LOAD_MS);
+        mVersion.set(version);
+        mIsLoading = false;
+        register();
+    }
+
+    private void run(HttpServerExchange exchange, byte[] body) {
+        String id = HostedServer.header(exchange, "Attempt-Id");
+        exchange.getResponseHeaders().put(REQUEST_ID, id);
+        if (!HostedServer.header(exchange, "Expect-Instance").equals(mId)) {
+            refuse(exchange, 421);
+            return;
+        }
+        if (!HostedServer.header(exchange, "X-Api-Key").isEmpty()) {
+            mLedger.broken(id + ": a key was passed on");
+        }
+        if (mIsLoading) {
+            refuse(exchange, 503);
+            return;
+        }
+        mRunning.incrementAndGet();
+        try {
+            if (mModel.isEmpty()) {
+                answer(exchange, id, body);
+            } else {
+                generate(exchange, id);
+            }
+        } finally {
+            mRunning.decrementAndGet();
+        }
+    }
+
+    private static void refuse(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(NOT_RUN, "1");
+        exchange.endExchange();
+    }
+
+    private void answer(HttpServerExchange exchange, String id, byte[] body) {
+        long window = Math.floorDiv(System.currentTimeMillis(), mWindowMs);
+        mLedger.run(id, HostedServer.header(exchange, "Tenant"), window);
+        pause(WORK_MS);
+        if (isCut()) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        exchange.getResponseHeaders().put(STAMP, stamp(id));
+        exchange.getResponseSender()
+                .send("echo " + new String(body, StandardCharsets.UTF_8) + " of " + id);
+    }
+
+    private void generate(HttpServerExchange exchange, String id) {
+        String last = HostedServer.header(exchange, "Last-Event-Id");
+        int from = last.isEmpty() ? 0 : Integer.parseInt(last);
+        long version = mVersion.get();
+        exchange.getResponseHeaders().put(VERSION, version);
+        exchange.getResponseHeaders().put(STAMP, stamp(id));
+        exchange.getResponseHeaders().put(new HttpString("Content-Type"), "text/event-stream");
+        exchange.startBlocking();
+        List<String> text = text(id);
+        try (OutputStream out = exchange.getOutputStream()) {
+            for (int n = from + 1; n <= text.size(); n++) {
+                pause(EVENT_MS);
+                boolean isChanged = mVersion.get() != version;
+                version = mVersion.get();
+                String event =
+                        (isChanged ? "weight-versions: " + version + "\n" : "")
+                                + "id: "
+                                + n
+                                + "\ndata: "
+                                + text.get(n - 1)
+                                + "\n\n";
+                mLedger.event(id, n, version);
+                out.write(event.getBytes(StandardCharsets.UTF_8));
+                out.flush();
+                if (isCut()) {
+                    IoUtils.safeClose(exchange.getConnection());
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The caller has broken the run off.
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private boolean isCut() {
+        int oneIn = mCutOneIn;
+        synchronized (mRandom) {
+            return oneIn > 0 && mRandom.nextInt(oneIn) == 0;
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return HostedServer.port(mServer);
+    }
+
+    @Override
+    public void close() {
+        mStore.delete("servers/" + mId);
+        mServer.stop();
+        mWork.shutdownNow();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
@@ -38,4 +38,14 @@
         int query = path.indexOf('?');
         return query < 0 ? path : path.substring(0, query);
     }
+
+    /**
+     * Returns the host without its port.
+     *
+     * @return the host that routes are found by
+     */
+    public String hostOnly() {
+        int port = host.lastIndexOf(':');
+        return port < 0 ? host : host.substring(0, port);
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -120,7 +120,7 @@
             return Result.fail(ErrorKind.CONFIGURATION_STALE, "no desired state is known yet");
         }
         return desired.get()
-                .route(request.host(), request.pathOnly())
+                .route(request.hostOnly(), request.pathOnly())
                 .map(Result::of)
                 .orElse(Result.fail(ErrorKind.NOT_FOUND, "no route"));
     }
