Order by the count of accepted orders; leave slow targets; share all models out

Runs on a slow engine (three times slower) held steps back; shares counted only the models that were named so far, so an engine was home to two. Ruled out: a second run beside a late one (it costs a place; reading a text again takes 10 ms).

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -41,6 +41,7 @@
     private final long mWindowMs;
     private final ExecutorService mWork = Executors.newCachedThreadPool();
     private final AtomicLong mVersion = new AtomicLong(1);
+    private final AtomicLong mOrders = new AtomicLong();
     private final AtomicLong mFence = new AtomicLong();
     private final AtomicInteger mRunning = new AtomicInteger();
     private final Random mRandom;
@@ -170,12 +171,13 @@
         long version = order.path("version").asLong();
         if (fence < mFence.get()) {
             exchange.setStatusCode(412);
-        } else if (mIsLoading) {
+        } else if (mIsLoading || order.path("expected").asLong() != mOrders.get()) {
             exchange.setStatusCode(409);
         } else if (version <= mVersion.get()) {
             exchange.setStatusCode(200);
         } else {
             mFence.set(fence);
+            mOrders.incrementAndGet();
             mIsLoading = true;
             mWork.execute(() -> load(version));
             exchange.setStatusCode(202);
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchItem.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchItem.java
@@ -11,6 +11,7 @@
  * @param path path of its request
  * @param headers headers of its request
  * @param body body of its request
+ * @param expectedTokens how many tokens its text is expected to have, zero if unknown
  * @param group the group whose items share a prompt
  * @param scorer the request that scores its text
  */
@@ -19,6 +20,7 @@
         String path,
         Map<String, String> headers,
         byte[] body,
+        long expectedTokens,
         String group,
         Optional<Scorer> scorer) {
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -30,6 +30,7 @@
     private int mFailures;
     private int mScoreFailures;
     private int mSends;
+    private int mMoves;
     private long mNextMs;
     private long mProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
@@ -111,6 +112,11 @@
         return ++mScoreFailures;
     }
 
+    /** Notes a move away from a slow target. */
+    void moved() {
+        mMoves++;
+    }
+
     void retryAt(long atMs) {
         mNextMs = atMs;
     }
@@ -166,6 +172,10 @@
         return mProgressMs;
     }
 
+    int moves() {
+        return mMoves;
+    }
+
     int sends() {
         return mSends;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -41,6 +41,15 @@
     /** A scoring call without an answer for this time is repeated elsewhere, in milliseconds. */
     private static final long SCORE_TIMEOUT_MS = 1_500;
 
+    /** A run is moved to a target whose events come this much faster: it reads its text again. */
+    private static final double SLOW_RATIO = 1.8;
+
+    /** Events by which a target's pace is known. */
+    private static final int MIN_EVENTS = 3;
+
+    /** Moves of one run at most, so that it does not go back and forth. */
+    private static final int MAX_MOVES = 3;
+
     private static final int SERVER_ERROR = 500;
     private static final int UNPROCESSABLE = 422;
     private static final int SUCCESS = 200;
@@ -81,7 +90,7 @@
             if (isExpired) {
                 giveUp(owned, run, "retention");
             } else if (run.target().isPresent()) {
-                checkProgress(run, nowMs);
+                checkProgress(owned, run, nowMs);
             } else if (nowMs >= run.nextMs()) {
                 advance(owned, run, nowMs);
             }
@@ -96,11 +105,17 @@
         generate(owned, run, nowMs);
     }
 
-    private void checkProgress(ItemRun run, long nowMs) {
+    private void checkProgress(OwnedBatch owned, ItemRun run, long nowMs) {
         long silentMs = nowMs - run.progressMs();
         boolean isScoring = run.state() == ItemState.SCORING;
         long boundMs = isScoring ? SCORE_TIMEOUT_MS : run.events() == 0 ? FIRST_EVENT_MS : STALL_MS;
         if (silentMs < boundMs) {
+            if (!isScoring && isHeldBack(owned, run, nowMs)) {
+                run.breakOff();
+                interrupted(run, "the target is slow", nowMs);
+                run.moved();
+                generate(owned, run, nowMs);
+            }
             return;
         }
         run.target().ifPresent(t -> t.failed(nowMs));
@@ -132,18 +147,30 @@
 
     // Generation
 
+    /** Tells whether a target with room goes on much faster than the one that has the run. */
+    private boolean isHeldBack(OwnedBatch owned, ItemRun run, long nowMs) {
+        double paceMs = run.target().map(TargetState::paceMs).orElse(0.0);
+        return run.moves() < MAX_MOVES
+                && run.events() >= MIN_EVENTS
+                && candidates(owned.batch(), nowMs).stream()
+                        .anyMatch(t -> t.paceMs() > 0 && t.paceMs() * SLOW_RATIO < paceMs);
+    }
+
+    private List<TargetState> candidates(Batch batch, long nowMs) {
+        return mTargets.serving(
+                batch.service(),
+                t ->
+                        t.inFlight() < t.record().slots()
+                                && !t.isAvoided(nowMs)
+                                && isFresh(batch, t.record().version(batch.model())));
+    }
+
     private void generate(OwnedBatch owned, ItemRun run, long nowMs) {
         Batch batch = owned.batch();
         if (!run.isWithin(batch.minVersion())) {
             run.restart();
         }
-        List<TargetState> candidates =
-                mTargets.serving(
-                        batch.service(),
-                        t ->
-                                t.inFlight() < t.record().slots()
-                                        && !t.isAvoided(nowMs)
-                                        && isFresh(batch, t.record().version(batch.model())));
+        List<TargetState> candidates = candidates(batch, nowMs);
         Optional<TargetState> target = mChooser.choose(candidates, nowMs);
         if (target.isEmpty()) {
             return;
@@ -211,6 +238,12 @@
                     interrupted(mRun, "event " + event.id() + " does not follow", nowMs);
                     return;
                 }
+                if (!mRun.isWithin(mOwned.batch().minVersion())) {
+                    mRun.breakOff();
+                    mRun.restart();
+                    interrupted(mRun, "weights went back to " + event.version(), nowMs);
+                    return;
+                }
             }
         }
 
@@ -270,6 +303,14 @@
 
     private void textWhole(OwnedBatch owned, ItemRun run) {
         long nowMs = mNowMs.getAsLong();
+        Decision.of("text_whole")
+                .with("request", run.item().id().value())
+                .with("batch", owned.batch().id().value())
+                .with("events", run.events())
+                .with("expected_tokens", run.item().expectedTokens())
+                .with("sends", run.sends())
+                .with("versions", run.versions())
+                .info();
         if (run.item().scorer().isEmpty()) {
             run.apply(ItemEvent.NO_SCORE);
             owned.finish(run, run.result(""), nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightMover.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightMover.java
@@ -1,6 +1,5 @@
 package dev.cactusspan.duty;
 
-import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.TargetLoad;
 import dev.cactusspan.fleet.TargetPort;
 import dev.cactusspan.fleet.TargetRecord;
@@ -14,17 +13,16 @@
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Replies;
+import dev.cactusspan.result.Result;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 /**
  * Moves the home targets of each model to its named weight version, a few at a time. A target that
@@ -37,6 +35,9 @@
 
     private static final int MIN_LOADING = 2;
 
+    /** One part in this many of a model's home loads at a time; the others serve. */
+    private static final int HOME_PARTS = 3;
+
     /** An order whose effect is not seen within this time is given again, in milliseconds. */
     private static final long EFFECT_MS = 3_500;
 
@@ -52,14 +53,13 @@
     private final DutyHolder mDuty;
     private final TargetTable mTargets;
     private final TargetPort mPort;
-    private final Supplier<Optional<DesiredState>> mDesired;
     private final VmId mSelf;
     private final Executor mThread;
     private final LongSupplier mNowMs;
     private final Map<ModelId, Named> mNamed = new HashMap<>();
     private final Map<TargetId, Order> mOrders = new HashMap<>();
     private final Map<TargetId, Long> mAskedMs = new HashMap<>();
-    private final Set<TargetId> mIdle = new HashSet<>();
+    private int mMaxLoading = MIN_LOADING;
 
     /**
      * Creates a mover; it works when it is ticked.
@@ -67,7 +67,6 @@
      * @param duty the duty of moving weights
      * @param targets the targets
      * @param port gives orders
-     * @param desired gives the desired state in force
      * @param self this VM
      * @param thread the thread on which everything happens
      * @param nowMs steady clock in milliseconds
@@ -76,14 +75,12 @@
             DutyHolder duty,
             TargetTable targets,
             TargetPort port,
-            Supplier<Optional<DesiredState>> desired,
             VmId self,
             Executor thread,
             LongSupplier nowMs) {
         mDuty = duty;
         mTargets = targets;
         mPort = port;
-        mDesired = desired;
         mSelf = self;
         mThread = thread;
         mNowMs = nowMs;
@@ -134,18 +131,23 @@
         }
         mOrders.keySet().removeIf(id -> mTargets.find(id).isEmpty());
         List<TargetRecord> holding = new ArrayList<>();
-        mNamed.keySet()
-                .forEach(
-                        model ->
-                                holding(model).stream()
-                                        .filter(t -> !holding.contains(t))
-                                        .forEach(holding::add));
-        HomeTargets.assign(mNamed.keySet(), holding)
-                .forEach((model, home) -> move(model, home, holding.size()));
+        Set<ModelId> models = new HashSet<>(mNamed.keySet());
+        for (TargetState target : mTargets.all()) {
+            TargetRecord record = target.record();
+            if (!record.isLeaving() && !record.versions().isEmpty()) {
+                holding.add(record);
+                models.addAll(record.versions().keySet());
+            }
+        }
+        mMaxLoading = Math.max(MIN_LOADING, (int) (holding.size() * LOADING_SHARE));
+        HomeTargets.assign(models, holding).forEach(this::move);
     }
 
-    private void move(ModelId model, List<TargetRecord> home, int targets) {
+    private void move(ModelId model, List<TargetRecord> home) {
         Named named = mNamed.get(model);
+        if (named == null) {
+            return;
+        }
         long nowMs = mNowMs.getAsLong();
         List<TargetRecord> behind =
                 home.stream()
@@ -154,35 +156,62 @@
                         .sorted(Comparator.comparing(t -> t.version(model)))
                         .toList();
         for (TargetRecord target : behind) {
-            boolean isRoom =
-                    loading(nowMs) < Math.max(MIN_LOADING, (int) (targets * LOADING_SHARE));
-            if (isRoom && isTime(target, model, named, nowMs)) {
-                order(target, model, named.version(), nowMs);
+            boolean isAskDue = nowMs - mAskedMs.getOrDefault(target.id(), 0L) >= ASK_MS;
+            if (isAskDue && isRoom(home, isUrgent(target, model, named), nowMs)) {
+                ask(target, model, named, home, nowMs);
             }
         }
     }
 
-    /** Tells whether a target may be taken out of service for a load now. */
-    private boolean isTime(TargetRecord target, ModelId model, Named named, long nowMs) {
-        boolean isUrgent = named.version().isAfter(target.version(model).next());
-        if (isUrgent || nowMs - named.sinceMs() > IDLE_WAIT_MS) {
-            return true;
-        }
-        if (mIdle.remove(target.id())) {
-            return true;
-        }
-        if (nowMs - mAskedMs.getOrDefault(target.id(), 0L) >= ASK_MS) {
-            mAskedMs.put(target.id(), nowMs);
-            Replies.on(
-                    mPort.load(target),
-                    mThread,
-                    r -> {
-                        if (r.map(TargetLoad::isIdle).getOrElse(false)) {
-                            mIdle.add(target.id());
-                        }
-                    });
+    /**
+     * Asks a target for its load and orders it if it may be taken out of service now. The order
+     * names the number of orders that the target had accepted, so that it has no effect after a
+     * newer one.
+     */
+    private void ask(
+            TargetRecord target, ModelId model, Named named, List<TargetRecord> home, long nowMs) {
+        mAskedMs.put(target.id(), nowMs);
+        Replies.on(
+                mPort.load(target),
+                mThread,
+                (Result<TargetLoad> r) ->
+                        r.fold(
+                                f -> failed(target, named.version(), f),
+                                load -> asked(target, model, named, home, load)));
+    }
+
+    private Void asked(
+            TargetRecord target,
+            ModelId model,
+            Named named,
+            List<TargetRecord> home,
+            TargetLoad load) {
+        long nowMs = mNowMs.getAsLong();
+        boolean isUrgent = isUrgent(target, model, named);
+        boolean isTime = isUrgent || load.isIdle() || nowMs - named.sinceMs() > IDLE_WAIT_MS;
+        boolean isCurrent = named.equals(mNamed.get(model)) && mDuty.fencing().isPresent();
+        if (isTime
+                && isCurrent
+                && !load.isBusy()
+                && isRoom(home, isUrgent, nowMs)
+                && !isOrdered(target, nowMs)) {
+            order(target, model, named.version(), load.orders(), nowMs);
         }
-        return false;
+        return null;
+    }
+
+    /**
+     * Tells whether one more target may load: few of all, and of a home only a part, unless the
+     * target serves no step any more.
+     */
+    private boolean isRoom(List<TargetRecord> home, boolean isUrgent, long nowMs) {
+        long loadingOfHome = home.stream().filter(t -> isOrdered(t, nowMs)).count();
+        long maxOfHome = Math.max(1, home.size() / HOME_PARTS);
+        return loading(nowMs) < mMaxLoading && (isUrgent || loadingOfHome < maxOfHome);
+    }
+
+    private static boolean isUrgent(TargetRecord target, ModelId model, Named named) {
+        return named.version().isAfter(target.version(model).next());
     }
 
     private int loading(long nowMs) {
@@ -194,29 +223,17 @@
         return order != null && nowMs < order.untilMs();
     }
 
-    private List<TargetRecord> holding(ModelId model) {
-        List<TargetRecord> holding = new ArrayList<>();
-        Optional<DesiredState> desired = mDesired.get();
-        for (TargetState target : mTargets.all()) {
-            TargetRecord record = target.record();
-            boolean isHolding =
-                    !record.isLeaving()
-                            && (record.versions().containsKey(model)
-                                    || desired.map(d -> d.holds(record.service(), model))
-                                            .orElse(false));
-            if (isHolding) {
-                holding.add(record);
-            }
-        }
-        return holding;
-    }
-
-    private void order(TargetRecord target, ModelId model, WeightVersion version, long nowMs) {
+    private void order(
+            TargetRecord target,
+            ModelId model,
+            WeightVersion version,
+            long expectedOrders,
+            long nowMs) {
         FencingNumber fencing = mDuty.fencing().orElseThrow();
         mOrders.put(target.id(), new Order(model, version, nowMs + EFFECT_MS));
         mDuty.acted();
         Replies.on(
-                mPort.orderVersion(target, model, version, mSelf, fencing),
+                mPort.orderVersion(target, model, version, mSelf, fencing, expectedOrders),
                 mThread,
                 r ->
                         r.fold(
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetPort.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetPort.java
@@ -44,6 +44,7 @@
      * @param version the version to load
      * @param holder the VM that holds the duty
      * @param fencing fencing number of the holder
+     * @param expectedOrders orders that the target must have accepted so far
      * @return how the target took the order
      */
     CompletableFuture<Result<OrderOutcome>> orderVersion(
@@ -51,7 +52,8 @@
             ModelId model,
             WeightVersion version,
             VmId holder,
-            FencingNumber fencing);
+            FencingNumber fencing,
+            long expectedOrders);
 
     /** How a target took an order. */
     enum OrderOutcome {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -117,7 +117,6 @@
                         mWeightDuty,
                         mFleet.targets(),
                         targets,
-                        mFleet::desired,
                         settings.vm(),
                         mThread,
                         GatewayProcess::nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
@@ -117,10 +117,19 @@
                         node.path("path").asText(),
                         PlatformHeaders.passedOn(headers),
                         body.get(),
+                        expectedTokens(headers),
                         node.path("group").asText(node.path("id").asText()),
                         score));
     }
 
+    /** The client's estimate; without one, the bound on the output. */
+    private static long expectedTokens(Map<String, String> headers) {
+        String bound = headers.getOrDefault(PlatformHeaders.TOKENS, "");
+        String estimate = headers.getOrDefault(PlatformHeaders.LENGTH_ESTIMATE, "");
+        String digits = estimate.isEmpty() ? bound.substring(bound.indexOf(',') + 1) : estimate;
+        return digits.matches("[0-9]{1,9}") ? Long.parseLong(digits) : 0;
+    }
+
     private static Optional<byte[]> base64(String text) {
         try {
             return Optional.of(Base64.getDecoder().decode(text));
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -25,6 +25,10 @@
     /** One version, the one that begins the answer. */
     static final String WEIGHT_VERSION = "Weight-Versions";
 
+    /** Tokens of the prompt, a comma, and the bound on tokens of the output. */
+    static final String TOKENS = "Token-Usage";
+
+    static final String LENGTH_ESTIMATE = "Length-Hint";
     static final String HOLDER = "Duty-Holder";
     static final String FENCING = "Fencing-Token";
     static final String WAIT = "Wait-Ms";
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -89,7 +89,9 @@
                                                 n ->
                                                         new TargetLoad(
                                                                 n.path("running").asInt(),
-                                                                n.path("waiting").asInt())));
+                                                                n.path("waiting").asInt(),
+                                                                n.path("sequence").asLong(),
+                                                                n.path("busy").asBoolean())));
     }
 
     @Override
@@ -98,7 +100,8 @@
             ModelId model,
             WeightVersion version,
             VmId holder,
-            FencingNumber fencing) {
+            FencingNumber fencing,
+            long expectedOrders) {
         Map<String, Object> order = new LinkedHashMap<>();
         order.put("op", "version");
         order.put("model", model.value());
@@ -106,6 +109,7 @@
         order.put("mode", "retain");
         order.put("holder", holder.value());
         order.put("fence", fencing.number());
+        order.put("expected", expectedOrders);
         Map<String, String> headers =
                 Map.of(
                         "Content-Type",
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
@@ -116,13 +116,13 @@
         submit(node, 1, 1);
         run(50);
         FakeTargets.Sent first = node.port().last();
-        first.begin(1);
+        first.begin(BatchNode.MIN_VERSION);
         first.events(2);
         first.cut();
         run(100);
         FakeTargets.Sent second = node.port().last();
         assertThat(second.request().resumeAfter().getAsLong(), is(2L));
-        second.begin(1);
+        second.begin(BatchNode.MIN_VERSION);
         second.events(3);
         second.end();
         run(50);
@@ -137,7 +137,7 @@
         submit(node, 1, 1);
         run(50);
         FakeTargets.Sent first = node.port().last();
-        first.begin(1);
+        first.begin(BatchNode.MIN_VERSION);
         first.events(1);
         run(2_000);
         assertThat(first.isBrokenOff(), is(true));
@@ -151,7 +151,7 @@
         submit(node, 1, 1);
         run(50);
         FakeTargets.Sent first = node.port().last();
-        first.begin(1);
+        first.begin(BatchNode.MIN_VERSION);
         first.events(1);
         first.event(3, "t3");
         assertThat(first.isBrokenOff(), is(true));
@@ -159,6 +159,21 @@
         assertThat(stored().get(0).text(), is("t1\nt2\nt3"));
     }
 
+    @Test
+    void shouldStartAnewWhenTheWeightsGoBack() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 1, 1);
+        run(50);
+        FakeTargets.Sent first = node.port().last();
+        first.begin(3);
+        first.event(1, "t1");
+        first.event(2, "t2", 1);
+        assertThat(first.isBrokenOff(), is(true));
+        run(100);
+        assertThat(node.port().last().request().resumeAfter().isPresent(), is(false));
+    }
+
     @Test
     void shouldGiveUpAnItemThatFailsAtEachRun() {
         BatchNode node = node("n1");
@@ -265,7 +280,7 @@
         switch (random.nextInt(5)) {
             case 0 -> sent.notSent();
             case 1 -> {
-                sent.begin(1);
+                sent.begin(BatchNode.MIN_VERSION);
                 sent.cut();
             }
             case 2 -> sent.answer(503, "", true);
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -38,6 +38,7 @@
 final class BatchNode {
     static final ServiceId ENGINE = ServiceId.of("lm");
     static final ServiceId SCORER = ServiceId.of("app");
+    static final long MIN_VERSION = 2;
     static final DesiredState DESIRED = desired();
 
     private final FakeTargets mPort = new FakeTargets();
@@ -79,8 +80,8 @@
                         new Backoff(10, 50, new SplittableRandom(3)),
                         thread::nowMs,
                         this::changed);
-        mTargets.put(FakeTargets.record("lm-1", "lm", 4, 1));
-        mTargets.put(FakeTargets.record("lm-2", "lm", 4, 1));
+        mTargets.put(FakeTargets.record("lm-1", "lm", 4, MIN_VERSION));
+        mTargets.put(FakeTargets.record("lm-2", "lm", 4, MIN_VERSION));
         mTargets.put(FakeTargets.record("app-1", "app", 8, 0));
         register();
     }
@@ -117,6 +118,7 @@
                             "/p/" + i,
                             Map.of(),
                             new byte[] {1},
+                            100,
                             "g" + i / size,
                             Optional.of(
                                     new BatchItem.Scorer(
@@ -130,7 +132,7 @@
                 ENGINE,
                 1,
                 ModelId.of("m"),
-                WeightVersion.of(1),
+                WeightVersion.of(MIN_VERSION),
                 groups,
                 3,
                 false,
@@ -184,7 +186,7 @@
             sent.succeed();
             return;
         }
-        sent.begin(1);
+        sent.begin(MIN_VERSION);
         sent.events(3);
         sent.end();
     }
--- a/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
@@ -67,14 +67,7 @@
                         thread::nowMs,
                         thread::nowMs);
         mWeights =
-                new WeightMover(
-                        mWeightDuty,
-                        mTargets,
-                        mPort,
-                        Optional::empty,
-                        VmId.of(name),
-                        thread,
-                        thread::nowMs);
+                new WeightMover(mWeightDuty, mTargets, mPort, VmId.of(name), thread, thread::nowMs);
         mMirror =
                 new PrefixMirror(
                         store, "cs/control/", thread, backoff(), thread::nowMs, this::changed);
--- a/cactusspan/src/test/java/dev/cactusspan/duty/WeightMoverTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/WeightMoverTest.java
@@ -70,18 +70,21 @@
     @Test
     void shouldWaitForABusyTargetOnlyForAWhile() {
         start(2);
-        mNode.port().load(new TargetLoad(3, 0));
+        mNode.port().load(new TargetLoad(3, 0, 0, false));
         name(2);
         run(1_000);
         assertThat(mNode.port().orders(), is(empty()));
         run(1_000);
+        assertThat(mNode.port().orders(), hasSize(1));
+        loaded(mNode.port().orders().get(0).target().value(), 2);
+        run(500);
         assertThat(mNode.port().orders(), hasSize(2));
     }
 
     @Test
     void shouldMoveATargetThatIsFurtherBehindAtOnce() {
         start(2);
-        mNode.port().load(new TargetLoad(3, 0));
+        mNode.port().load(new TargetLoad(3, 0, 0, false));
         name(3);
         run(100);
         assertThat(mNode.port().orders(), hasSize(2));
@@ -109,4 +112,22 @@
         run(100);
         assertThat(mNode.port().orders(), hasSize(1));
     }
+
+    @Test
+    void shouldNameTheOrdersThatTheTargetHasAccepted() {
+        start(1);
+        mNode.port().load(new TargetLoad(0, 0, 7, false));
+        name(2);
+        run(100);
+        assertThat(mNode.port().orders().get(0).expectedOrders(), is(7L));
+    }
+
+    @Test
+    void shouldNotOrderATargetThatCarriesOutAnOrder() {
+        start(1);
+        mNode.port().load(new TargetLoad(0, 0, 7, true));
+        name(2);
+        run(1_000);
+        assertThat(mNode.port().orders(), is(empty()));
+    }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -21,7 +21,7 @@
 public final class FakeTargets implements TargetPort {
     private final List<Sent> mSent = new ArrayList<>();
     private final List<Order> mOrders = new ArrayList<>();
-    private TargetLoad mLoad = new TargetLoad(0, 0);
+    private TargetLoad mLoad = new TargetLoad(0, 0, 0, false);
     private Result<OrderOutcome> mOrderOutcome = Result.of(OrderOutcome.ACCEPTED);
 
     /** A request at a target. */
@@ -69,6 +69,11 @@
             mListener.onData((id + "|" + text + "\n").getBytes(StandardCharsets.UTF_8));
         }
 
+        /** Sends an event from which on another weight version generates. */
+        public void event(long id, String text, long version) {
+            event(id, text + "|" + version);
+        }
+
         public void events(int upTo) {
             OptionalLong after = mRequest.resumeAfter();
             for (long id = after.orElse(0) + 1; id <= upTo; id++) {
@@ -102,7 +107,8 @@
     }
 
     /** An order to a target. */
-    public record Order(TargetId target, WeightVersion version, FencingNumber fencing) {}
+    public record Order(
+            TargetId target, WeightVersion version, FencingNumber fencing, long expectedOrders) {}
 
     public static TargetRecord record(String id, String service, int slots, long version) {
         return new TargetRecord(
@@ -150,8 +156,10 @@
             @Override
             public List<TextEvent> feed(byte[] data) {
                 String[] parts = new String(data, StandardCharsets.UTF_8).strip().split("\\|", -1);
+                long version = parts.length > 2 ? Long.parseLong(parts[2]) : 0;
                 return List.of(
-                        new TextEvent(Long.parseLong(parts[0]), parts[1], WeightVersion.NONE));
+                        new TextEvent(
+                                Long.parseLong(parts[0]), parts[1], WeightVersion.of(version)));
             }
 
             @Override
@@ -176,8 +184,9 @@
             ModelId model,
             WeightVersion version,
             VmId holder,
-            FencingNumber fencing) {
-        mOrders.add(new Order(target.id(), version, fencing));
+            FencingNumber fencing,
+            long expectedOrders) {
+        mOrders.add(new Order(target.id(), version, fencing, expectedOrders));
         return CompletableFuture.completedFuture(mOrderOutcome);
     }
 }
