Hold forwarding, targets and the adapter by tests

Forwarding under cut, crossed, late and refused answers: one answer each, no more runs than allowed, a true 'not run'.

--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/ForwardDeskTest.java
@@ -0,0 +1,329 @@
+package dev.cactusspan.forward;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import dev.cactusspan.fleet.FakeTargets;
+import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.RouteKind;
+import dev.cactusspan.fleet.TargetChooser;
+import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.RequestId;
+import dev.cactusspan.id.RouteId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.Failure;
+import dev.cactusspan.routing.ZoneDistance;
+import dev.cactusspan.store.ManualThread;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Requests through targets that refuse, cut, cross and delay their answers. */
+final class ForwardDeskTest {
+    private static final long TICK_MS = 10;
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final ManualThread mThread = new ManualThread();
+    private final FakeTargets mPort = new FakeTargets();
+    private final TargetTable mTargets = new TargetTable();
+    private final List<AccountId> mUsage = new ArrayList<>();
+    private final ForwardDesk mDesk =
+            new ForwardDesk(
+                    mTargets,
+                    mPort,
+                    new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                    Optional::empty,
+                    mUsage::add,
+                    Telemetry.create(),
+                    new SplittableRandom(1),
+                    mThread::nowMs);
+
+    /** Keeps what a client gets. */
+    private static final class Sink implements ClientSink {
+        private final List<Integer> mStatus = new ArrayList<>();
+        private final List<Failure> mFailures = new ArrayList<>();
+        private final StringBuilder mBody = new StringBuilder();
+        private String mLast = "";
+
+        @Override
+        public void answer(int status, Map<String, String> headers, byte[] body) {
+            mStatus.add(status);
+            mBody.append(new String(body, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void begin(int status, Map<String, String> headers) {
+            mStatus.add(status);
+        }
+
+        @Override
+        public void data(byte[] data) {
+            mBody.append(new String(data, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void end() {
+            mLast = "end";
+        }
+
+        @Override
+        public void abort() {
+            mLast = "abort";
+        }
+
+        @Override
+        public void refuse(Failure failure, long retryAfterMs) {
+            mFailures.add(failure);
+        }
+
+        int answers() {
+            return mStatus.size() + mFailures.size();
+        }
+    }
+
+    private static FleetRoute route(RouteKind kind) {
+        return new FleetRoute(
+                RouteId.of("r"),
+                "h",
+                "/",
+                kind,
+                1_000,
+                200,
+                0,
+                List.of(new FleetRoute.Share(ServiceId.of("app"), 1)),
+                MAX_ATTEMPTS,
+                false,
+                false,
+                new FleetRoute.BatchBounds(0, 0, false));
+    }
+
+    private void targets(int count) {
+        for (int i = 0; i < count; i++) {
+            mTargets.put(FakeTargets.record("t" + i, "app", 4, 0));
+        }
+    }
+
+    private Runnable take(String id, RouteKind kind, Sink sink) {
+        ClientRequest request =
+                new ClientRequest(
+                        RequestId.of(id),
+                        "POST",
+                        "/x",
+                        "h",
+                        Map.of(),
+                        new byte[0],
+                        Optional.empty(),
+                        OptionalLong.of(2_000),
+                        OptionalLong.empty());
+        return mDesk.take(request, route(kind), Optional.of(AccountId.of("acme")), sink);
+    }
+
+    private void run(long ms) {
+        for (long i = 0; i < ms; i += TICK_MS) {
+            mThread.advance(TICK_MS);
+            mThread.settle();
+            mDesk.tick();
+        }
+    }
+
+    @Test
+    void shouldPassAnAnswerOn() {
+        targets(1);
+        Sink sink = new Sink();
+        take("a", RouteKind.IDEMPOTENT, sink);
+        mPort.last().succeed();
+        assertThat(sink.mStatus, is(List.of(200)));
+        assertThat(mUsage, hasSize(1));
+    }
+
+    @Test
+    void shouldAskAnotherTargetAfterACut() {
+        targets(2);
+        Sink sink = new Sink();
+        take("a", RouteKind.IDEMPOTENT, sink);
+        FakeTargets.Sent first = mPort.last();
+        first.cut();
+        run(50);
+        assertThat(mPort.last().target().id(), is(not(first.target().id())));
+        mPort.last().succeed();
+        assertThat(sink.mStatus, is(List.of(200)));
+        assertThat(mUsage, hasSize(1));
+    }
+
+    @Test
+    void shouldNotTakeTheAnswerOfAnotherRequest() {
+        targets(2);
+        Sink sink = new Sink();
+        take("a", RouteKind.IDEMPOTENT, sink);
+        mPort.last().answerOfAnother();
+        assertThat(sink.answers(), is(0));
+        run(50);
+        mPort.last().succeed();
+        assertThat(sink.mStatus, is(List.of(200)));
+    }
+
+    @Test
+    void shouldNotTakeASuccessWithoutADigest() {
+        targets(2);
+        Sink sink = new Sink();
+        take("a", RouteKind.IDEMPOTENT, sink);
+        mPort.last().answer(200, "", false);
+        run(50);
+        mPort.last().succeed();
+        assertThat(sink.mStatus, is(List.of(200)));
+    }
+
+    @Test
+    void shouldAskASecondTargetBesideALateOne() {
+        targets(2);
+        Sink sink = new Sink();
+        take("a", RouteKind.IDEMPOTENT, sink);
+        run(120);
+        assertThat(mPort.sent(), hasSize(2));
+        mPort.last().succeed();
+        assertThat(sink.mStatus, is(List.of(200)));
+        assertThat(mPort.sent().get(0).isBrokenOff(), is(true));
+    }
+
+    @Test
+    void shouldNotRepeatWhatMayNotRunTwice() {
+        targets(2);
+        Sink sink = new Sink();
+        take("a", RouteKind.NON_IDEMPOTENT, sink);
+        mPort.last().cut();
+        run(2_500);
+        assertThat(mPort.sent(), hasSize(1));
+        assertThat(sink.mFailures, hasSize(1));
+        assertThat(sink.mFailures.get(0).isNotRun(), is(false));
+    }
+
+    @Test
+    void shouldRepeatWhatSurelyHasNotRun() {
+        targets(2);
+        Sink sink = new Sink();
+        take("a", RouteKind.NON_IDEMPOTENT, sink);
+        mPort.last().answer(503, "", true);
+        run(50);
+        mPort.last().succeed();
+        assertThat(sink.mStatus, is(List.of(200)));
+    }
+
+    @Test
+    void shouldRefuseSoonWithoutATarget() {
+        Sink sink = new Sink();
+        take("a", RouteKind.IDEMPOTENT, sink);
+        run(80);
+        assertThat(sink.mFailures.get(0).isNotRun(), is(true));
+    }
+
+    @Test
+    void shouldBreakOffWhenTheClientIsGone() {
+        targets(1);
+        Sink sink = new Sink();
+        Runnable gone = take("a", RouteKind.IDEMPOTENT, sink);
+        gone.run();
+        assertThat(mPort.last().isBrokenOff(), is(true));
+        assertThat(sink.answers(), is(0));
+    }
+
+    @Test
+    void shouldAnswerAtTheTimeoutOfTheRoute() {
+        targets(1);
+        Sink sink = new Sink();
+        take("a", RouteKind.NON_IDEMPOTENT, sink);
+        run(1_050);
+        assertThat(sink.mFailures, hasSize(1));
+        assertThat(mPort.last().isBrokenOff(), is(true));
+    }
+
+    @Test
+    void shouldBreakOffAStreamWhoseTargetCuts() {
+        targets(1);
+        Sink sink = new Sink();
+        take("a", RouteKind.STREAMING, sink);
+        mPort.last().begin(1);
+        mPort.last().event(1, "t1");
+        mPort.last().cut();
+        assertThat(sink.mLast, is("abort"));
+    }
+
+    @Test
+    void shouldEndAWholeStreamAsComplete() {
+        targets(1);
+        Sink sink = new Sink();
+        take("a", RouteKind.STREAMING, sink);
+        mPort.last().begin(1);
+        mPort.last().event(1, "t1");
+        mPort.last().end();
+        assertThat(sink.mLast, is("end"));
+    }
+
+    /** Each request gets one answer, no more runs than allowed, and a true "not run". */
+    @Property(seed = "71", tries = 100)
+    void shouldAnswerOnceAndTruthfully(@ForAll long seed) {
+        new ForwardDeskTest().play(new Random(seed));
+    }
+
+    private void play(Random random) {
+        targets(3);
+        RouteKind kind = random.nextBoolean() ? RouteKind.IDEMPOTENT : RouteKind.NON_IDEMPOTENT;
+        Sink sink = new Sink();
+        take("a", kind, sink);
+        int answered = 0;
+        int runs = 0;
+        for (int i = 0; i < 150; i++) {
+            run(TICK_MS);
+            while (answered < mPort.sent().size()) {
+                FakeTargets.Sent sent = mPort.sent().get(answered++);
+                if (sent.isBrokenOff()) {
+                    runs++;
+                    continue;
+                }
+                runs += answer(sent, random) ? 1 : 0;
+            }
+        }
+        assertThat(sink.answers(), is(1));
+        assertThat(runs, lessThanOrEqualTo(kind == RouteKind.IDEMPOTENT ? MAX_ATTEMPTS : 1));
+        if (!sink.mFailures.isEmpty() && sink.mFailures.get(0).isNotRun()) {
+            assertThat(runs, is(0));
+        }
+    }
+
+    /** Returns whether the request has run. */
+    private static boolean answer(FakeTargets.Sent sent, Random random) {
+        switch (random.nextInt(6)) {
+            case 0 -> sent.notSent();
+            case 1 -> sent.answer(503, "", true);
+            case 2 -> {
+                sent.cut();
+                return true;
+            }
+            case 3 -> {
+                sent.answer(500, "s", false);
+                return true;
+            }
+            case 4 -> {
+                sent.answerOfAnother();
+                return true;
+            }
+            default -> {
+                sent.succeed();
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -0,0 +1,85 @@
+package dev.cactusspan.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import dev.cactusspan.fleet.DesiredState;
+import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.RouteKind;
+import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.Result;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** What operators and targets write, well and badly formed. */
+final class PlatformReaderTest {
+    private static final String TARGET =
+            "{\"service\":\"lm\",\"address\":\"10.0.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","
+                    + "\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":5,"
+                    + "\"models\":[{\"name\":\"m\",\"version\":3,\"adapters\":[]}],\"sequence\":4}";
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Result<TargetRecord> target(String text) {
+        return PlatformReader.target("servers/i-1", bytes(text));
+    }
+
+    @Test
+    void shouldReadATarget() {
+        TargetRecord record = target(TARGET).get();
+        assertThat(record.id().value(), is("i-1"));
+        assertThat(record.address().getPort(), is(8080));
+        assertThat(record.version(ModelId.of("m")), is(WeightVersion.of(3)));
+        assertThat(record.startedMs(), is(5L));
+    }
+
+    @Test
+    void shouldNameNoTargetInAMalformedEntry() {
+        assertThat(target("{").isOk(), is(false));
+        assertThat(target("[]").isOk(), is(false));
+        assertThat(target(TARGET.replace("\"ready\"", "\"asleep\"")).isOk(), is(false));
+        assertThat(target(TARGET.replace("\"slots\":8", "\"slots\":\"8\"")).isOk(), is(false));
+        assertThat(target(TARGET.replace("10.0.0.9:8080", "10.0.0.9")).isOk(), is(false));
+        assertThat(target(TARGET.replace("\"service\":\"lm\",", "")).isOk(), is(false));
+    }
+
+    @Test
+    void shouldReadADesiredState() {
+        String text =
+                "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/a/\","
+                        + "\"type\":\"idempotent\",\"timeout_ms\":1500,\"slo_ms\":292,"
+                        + "\"backends\":[{\"service\":\"x\",\"weight\":90},"
+                        + "{\"service\":\"y\",\"weight\":10}],\"max_attempts\":4,\"public\":true},"
+                        + "{\"name\":\"q\",\"host\":\"h\",\"prefix\":\"/a/b/\",\"type\":\"rollout\","
+                        + "\"service\":\"lm\",\"run_slo_ms\":7500,\"retention_s\":40}],"
+                        + "\"services\":[{\"name\":\"lm\",\"engine\":{\"models\":[{\"name\":\"m\"}]}}],"
+                        + "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\",\"k2\"]}]}";
+        DesiredState state = PlatformReader.desiredState(bytes(text)).get();
+        FleetRoute outer = state.route("h", "/a/x").orElseThrow();
+        FleetRoute inner = state.route("h", "/a/b/x").orElseThrow();
+        assertThat(outer.service(0.95), is(ServiceId.of("y")));
+        assertThat(outer.isOpen(), is(true));
+        assertThat(inner.kind(), is(RouteKind.BATCH));
+        assertThat(inner.batch().retentionMs(), is(40_000L));
+        assertThat(state.route("other", "/a/x"), is(Optional.empty()));
+        assertThat(state.account("k2"), is(Optional.of(AccountId.of("acme"))));
+        assertThat(state.account("k3"), is(Optional.empty()));
+    }
+
+    @Property(seed = "81", tries = 500)
+    void shouldNeverThrowOnSpoiledText(@ForAll String text, @ForAll int cut) {
+        target(text);
+        PlatformReader.desiredState(bytes(text));
+        PlatformReader.namedVersion(bytes(text));
+        target(TARGET.substring(0, Math.floorMod(cut, TARGET.length())));
+    }
+}
