Add a randomized fault soak over real processes

Change: bin/platform-soak starts three entries before the emulator, injects a seed's faults from outside (signals, a store that is down, loses answers or its history, a loopback proxy that silences, resets, delays and cuts, targets that break off) in overlapping series, and checks what callers and targets see. Clocks are not disturbed, and no storage is used.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/Main.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/Main.java
@@ -30,6 +30,10 @@
                                 "platform-demo",
                                 "plays traffic over processes before an emulated platform",
                                 PlatformDemoCommand::new),
+                        new CommandLine.Entry(
+                                "soak",
+                                "injects faults into processes while it checks promises",
+                                SoakCommand::new),
                         new CommandLine.Entry(
                                 "overhead", "measures the path's overhead", OverheadCommand::new),
                         new CommandLine.Entry(
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/WholePathTest.java
@@ -334,7 +334,7 @@
                 ServiceStandIn service = ServiceStandIn.start("127.0.0.1", 0)) {
             Deployment.Side side =
                     deployment.side("dar-a", "booking", SideSettings.Kind.SERVICE, service.port());
-            try (Relay relay = Relay.to(side.linkPort())) {
+            try (LoopbackProxy relay = LoopbackProxy.to(side.linkPort())) {
                 deployment.list(side.settings(), relay.port());
                 deployment.entry("dar-a");
                 deployment.awaitTargets(1);
