Ask the store less, keep connections longer, measure pace over several events

Ruled out: trusting peers alone for what the operator writes (two watchers may be cut off at once, longer than a desired state may take). Change: only the holder of the weights' duty follows named versions; only owners of batches and one sweeper follow owners, and the sweeper takes over; connections are kept as long as the target says; pace is the mean over four events of a run.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
@@ -261,7 +261,7 @@
     /**
      * Takes over batches whose owner holds no lease any more, if this process is chosen for them.
      */
-    private void takeOver() {
+    private void takeOver(boolean isSweeper) {
         for (Map.Entry<BatchId, Known> entry : mKnown.entrySet()) {
             BatchOwnership ownership = entry.getValue().ownership();
             BatchId id = entry.getKey();
@@ -274,7 +274,7 @@
             if (ownership.owner().equals(mOwner)) {
                 mTaking.add(id);
                 loadTaken(id, entry.getValue().revision());
-            } else if (isOrphan && mNodes.chosen(id.value()).equals(Optional.of(mOwner))) {
+            } else if (isSweeper && isOrphan) {
                 take(entry.getValue());
             }
         }
@@ -464,17 +464,17 @@
      * Runs what is due.
      *
      * @param storeRecoveredMs when the store answered again after an outage, steady clock
-     * @param isDirectoryCurrent true if the list of live processes can be relied on
+     * @param isSweeper true if this process takes over what others leave, and its list of live
+     *     processes can be relied on
      */
-    public void tick(long storeRecoveredMs, boolean isDirectoryCurrent) {
+    public void tick(long storeRecoveredMs, boolean isSweeper) {
         long nowMs = mNowMs.getAsLong();
         List<Delayed> due = new ArrayList<>();
         mDelayed.removeIf(d -> nowMs >= d.atMs() && due.add(d));
         due.forEach(d -> d.task().run());
+        boolean isSettled = nowMs - storeRecoveredMs > RETURN_MS;
         if (!mIsDraining) {
-            if (isDirectoryCurrent && nowMs - storeRecoveredMs > RETURN_MS) {
-                takeOver();
-            }
+            takeOver(isSweeper && isSettled);
         }
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
             if (!mIsDraining) {
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
@@ -25,7 +25,7 @@
  */
 public final class BatchStore {
     /** Prefix of the owners' keys; the batch follows. */
-    public static final String OWNER_PREFIX = "cs/control/owner/";
+    public static final String OWNER_PREFIX = "cs/owner/";
 
     private static final String DATA_PREFIX = "cs/batch/";
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -30,6 +30,7 @@
     private int mScoreFailures;
     private int mSends;
     private int mMoves;
+    private long mPaceMs;
     private long mNextMs;
     private long mProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
@@ -54,6 +55,7 @@
         target.sent();
         mSends++;
         mProgressMs = nowMs;
+        mPaceMs = 0;
         return ++mRunNumber;
     }
 
@@ -166,6 +168,15 @@
         return mProgressMs;
     }
 
+    /** Notes the mean time between the last events of this run. */
+    void paced(long paceMs) {
+        mPaceMs = paceMs;
+    }
+
+    long paceMs() {
+        return mPaceMs;
+    }
+
     int moves() {
         return mMoves;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -44,8 +44,8 @@
     /** A run is moved to a target whose events come this much faster: it reads its text again. */
     private static final double SLOW_RATIO = 1.8;
 
-    /** Events by which a target's pace is known. */
-    private static final int MIN_EVENTS = 3;
+    /** Events over which the pace of a run is measured. */
+    private static final int PACE_EVENTS = 4;
 
     /** Moves of one run at most, so that it does not go back and forth. */
     private static final int MAX_MOVES = 3;
@@ -149,9 +149,9 @@
 
     /** Tells whether a target with room goes on much faster than the one that has the run. */
     private boolean isHeldBack(OwnedBatch owned, ItemRun run, long nowMs) {
-        double paceMs = run.target().map(TargetState::paceMs).orElse(0.0);
-        return run.moves() < MAX_MOVES
-                && run.events() >= MIN_EVENTS
+        long paceMs = run.paceMs();
+        return paceMs > 0
+                && run.moves() < MAX_MOVES
                 && candidates(owned.batch(), nowMs).stream()
                         .anyMatch(t -> t.paceMs() > 0 && t.paceMs() * SLOW_RATIO < paceMs);
     }
@@ -206,13 +206,28 @@
         private final ItemRun mRun;
         private final int mNumber;
         private final TargetPort.EventDecoder mDecoder = mPort.newDecoder();
-        private long mLastMs;
+        private long mPaceFromMs;
+        private int mPaceEvents;
 
         Text(OwnedBatch owned, ItemRun run, int number, long nowMs) {
             mOwned = owned;
             mRun = run;
             mNumber = number;
-            mLastMs = nowMs;
+            mPaceFromMs = nowMs;
+        }
+
+        /** Events may come in bursts, so that only several of them tell the pace. */
+        private void pace(long nowMs) {
+            mPaceEvents++;
+            if (mPaceEvents == 1) {
+                mPaceFromMs = nowMs;
+            } else if (mPaceEvents > PACE_EVENTS) {
+                long paceMs = (nowMs - mPaceFromMs) / PACE_EVENTS;
+                mRun.paced(paceMs);
+                mRun.target().ifPresent(t -> t.pace(paceMs));
+                mPaceFromMs = nowMs;
+                mPaceEvents = 1;
+            }
         }
 
         @Override
@@ -229,10 +244,7 @@
             }
             long nowMs = mNowMs.getAsLong();
             for (TextEvent event : mDecoder.feed(data)) {
-                if (mRun.events() > 0) {
-                    mRun.target().ifPresent(t -> t.pace(nowMs - mLastMs));
-                }
-                mLastMs = nowMs;
+                pace(nowMs);
                 if (!mRun.take(event, nowMs)) {
                     mRun.breakOff();
                     interrupted(mRun, "event " + event.id() + " does not follow", nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
@@ -101,8 +101,8 @@
             return;
         }
         Optional<NodeRecord> owner = mNodes.find(known.ownership().owner());
-        if (owner.isEmpty()) {
-            stored(known, after, taker);
+        if (owner.isEmpty() || known.ownership().isEnded()) {
+            refreshed(id, fresh -> stored(fresh.orElse(known), after, taker));
             return;
         }
         Replies.on(
@@ -115,7 +115,8 @@
                         r.flatMap(BatchReader::view)
                                 .fold(
                                         f -> {
-                                            stored(known, after, taker);
+                                            refreshed(
+                                                    id, k -> stored(k.orElse(known), after, taker));
                                             return null;
                                         },
                                         view -> {
@@ -124,6 +125,29 @@
                                         }));
     }
 
+    /** Reads who owns a batch, as this process follows owners only while it owns batches itself. */
+    private void refreshed(BatchId id, Consumer<Optional<BatchDesk.Known>> taker) {
+        Optional<BatchDesk.Known> held = mDesk.known(id);
+        if (held.map(k -> k.ownership().isEnded()).orElse(false)) {
+            taker.accept(held);
+            return;
+        }
+        Replies.on(
+                mStore.owner(id),
+                mThread,
+                (Result<Optional<StoredItem>> r) ->
+                        r.fold(
+                                f -> {
+                                    taker.accept(held);
+                                    return null;
+                                },
+                                item -> {
+                                    item.ifPresent(i -> mDesk.changed(i.key(), item));
+                                    taker.accept(mDesk.known(id));
+                                    return null;
+                                }));
+    }
+
     private static Result<ResultsView> view(Message.Reply reply) {
         return reply.outcome() == Message.Reply.Outcome.FOUND
                 ? JsonText.read(reply.body(), ResultsView.class)
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -41,7 +41,7 @@
     private static final long CLOSE_MS = 100;
 
     /** Changes of targets are gathered for this long elsewhere; they must be known in 2.5 s. */
-    private static final long RELAXED_MS = 500;
+    private static final long RELAXED_MS = 1_200;
 
     private final NodeDirectory mNodes;
     private final LongSupplier mNowMs;
@@ -49,6 +49,8 @@
     private final PrefixMirror mOperator;
     private final PrefixMirror mServers;
     private final PrefixMirror mControl;
+    private final PrefixMirror mOwners;
+    private final PrefixMirror mVersions;
     private Optional<DesiredState> mDesired = Optional.empty();
     private BiConsumer<String, Optional<StoredItem>> mOnOwner = (key, item) -> {};
     private Consumer<Optional<StoredItem>> mOnUsageDuty = item -> {};
@@ -67,11 +69,27 @@
         mOperator =
                 new PrefixMirror(
                         store,
-                        PlatformReader.OPERATOR_PREFIX,
+                        PlatformReader.DESIRED_STATE_KEY,
                         thread,
                         backoffs.get(),
                         nowMs,
                         this::operatorChanged);
+        mVersions =
+                new PrefixMirror(
+                        store,
+                        PlatformReader.VERSION_PREFIX,
+                        thread,
+                        backoffs.get(),
+                        nowMs,
+                        this::operatorChanged);
+        mOwners =
+                new PrefixMirror(
+                        store,
+                        BatchStore.OWNER_PREFIX,
+                        thread,
+                        backoffs.get(),
+                        nowMs,
+                        (key, item) -> mOnOwner.accept(key, item));
         mServers =
                 new PrefixMirror(
                         store,
@@ -98,18 +116,32 @@
         mOnTarget = onTarget;
     }
 
-    /** Follows targets closely only where orders are given: others may learn a little later. */
-    void followTargets(boolean isClose) {
-        mServers.gather(isClose ? CLOSE_MS : RELAXED_MS);
-    }
-
-    void tick() {
+    /**
+     * Follows what this process needs. Each answer of the store is paid for, so that only the
+     * holder of the weights' duty follows named versions, and targets closely; only owners of
+     * batches and the sweeper follow owners.
+     */
+    void tick(boolean isOrdering, boolean needsOwners) {
+        mServers.gather(isOrdering ? CLOSE_MS : RELAXED_MS);
         mOperator.tick();
         mServers.tick();
         mControl.tick();
+        if (isOrdering) {
+            mVersions.tick();
+        }
+        if (needsOwners) {
+            mOwners.tick();
+        }
         mTargets.tick(mNowMs.getAsLong());
     }
 
+    /** Tells whether this process takes over batches that others leave. */
+    boolean isSweeper(String self) {
+        return mControl.isHealthy()
+                && mNowMs.getAsLong() - mControl.confirmedMs() < CURRENT_MS
+                && mNodes.chosen("sweep").equals(Optional.of(self));
+    }
+
     // Changes
 
     private void operatorChanged(String key, Optional<StoredItem> item) {
@@ -176,8 +208,6 @@
     private void controlChanged(String key, Optional<StoredItem> item) {
         if (key.startsWith(NodeDirectory.PREFIX)) {
             mNodes.changed(key, item);
-        } else if (key.startsWith(BatchStore.OWNER_PREFIX)) {
-            mOnOwner.accept(key, item);
         } else if (key.equals(DutyHolder.PREFIX + "usage")) {
             mOnUsageDuty.accept(item);
         } else if (key.equals(DutyHolder.PREFIX + "weights")) {
@@ -218,8 +248,4 @@
     long recoveredMs() {
         return mControl.recoveredMs();
     }
-
-    boolean isControlCurrent() {
-        return mControl.isHealthy() && mNowMs.getAsLong() - mControl.confirmedMs() < CURRENT_MS;
-    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -213,15 +213,16 @@
     }
 
     private void tick() {
-        mFleet.followTargets(mWeightDuty.fencing().isPresent());
-        mFleet.tick();
+        boolean isSweeper = mFleet.isSweeper(mSession.self().owner());
+        boolean isOwner = mBatches.openBatches() > 0;
+        mFleet.tick(mWeightDuty.fencing().isPresent(), isSweeper || isOwner);
         mSession.tick();
         mPeers.tick();
         mUsageDuty.tick();
         mWeightDuty.tick();
         mUsage.tick();
         mWeights.tick();
-        mBatches.tick(mFleet.recoveredMs(), mFleet.isControlCurrent());
+        mBatches.tick(mFleet.recoveredMs(), isSweeper);
         mGateway.tick();
         mIsReady = mFleet.isLoaded();
         if (mIsStopping && mForward.size() == 0 && mBatches.openBatches() == 0) {
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpCaller.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpCaller.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -25,7 +27,17 @@
 public final class HttpCaller implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 << 10;
     private static final int MAX_IDLE_PER_SERVER = 16;
-    private static final long MAX_IDLE_MS = 2_000;
+
+    /** Servers that do not say how long they keep a connection are asked for no longer. */
+    private static final long DEFAULT_IDLE_MS = 4_000;
+
+    private static final long MAX_IDLE_MS = 12_000;
+
+    /** A connection is not used in the last part of its time, as it may close meanwhile. */
+    private static final long IDLE_MARGIN_MS = 700;
+
+    private static final long MS_PER_S = 1_000;
+    private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
 
     private final XnioWorker mWorker;
     private final ByteBufferPool mBuffers;
@@ -135,7 +147,7 @@
         Deque<Idle> idles = mIdle.get(server);
         while (idles != null && !idles.isEmpty()) {
             Idle idle = idles.pollLast();
-            boolean isFresh = nowMs() - idle.sinceMs() < MAX_IDLE_MS;
+            boolean isFresh = nowMs() < idle.untilMs();
             if (isFresh && idle.connection().isOpen()) {
                 return idle.connection();
             }
@@ -144,13 +156,22 @@
         return null;
     }
 
-    void release(URI server, ClientConnection connection) {
+    void release(URI server, ClientConnection connection, String keepAlive) {
         Deque<Idle> idles = mIdle.computeIfAbsent(server, s -> new ArrayDeque<>());
         if (!connection.isOpen() || idles.size() >= MAX_IDLE_PER_SERVER) {
             IoUtils.safeClose(connection);
             return;
         }
-        idles.addLast(new Idle(connection, nowMs()));
+        idles.addLast(new Idle(connection, nowMs() + idleMs(keepAlive)));
+    }
+
+    private static long idleMs(String keepAlive) {
+        Matcher matcher = KEEP_ALIVE.matcher(keepAlive);
+        if (!matcher.find()) {
+            return DEFAULT_IDLE_MS;
+        }
+        long saidMs = Long.parseLong(matcher.group(1)) * MS_PER_S;
+        return Math.min(MAX_IDLE_MS, saidMs - IDLE_MARGIN_MS);
     }
 
     private static long nowMs() {
@@ -162,7 +183,7 @@
         mWorker.shutdownNow();
     }
 
-    private record Idle(ClientConnection connection, long sinceMs) {}
+    private record Idle(ClientConnection connection, long untilMs) {}
 
     /** Keeps an answer whole. */
     private static class Collector implements AnswerListener {
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -31,6 +31,7 @@
     private final ByteBuffer mReadBuffer = ByteBuffer.allocate(READ_BYTES);
     private ClientConnection mConnection;
     private XnioExecutor.Key mTimer;
+    private String mKeepAlive = "";
     private boolean mSent;
     private boolean mDone;
 
@@ -115,6 +116,7 @@
             String name = values.getHeaderName().toString().toLowerCase(Locale.ROOT);
             headers.put(name, values.getFirst());
         }
+        mKeepAlive = headers.getOrDefault("keep-alive", "");
         mListener.onHead(exchange.getResponse().getResponseCode(), headers);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(this::read);
@@ -145,7 +147,7 @@
 
     private void end() {
         if (finish()) {
-            mCaller.release(mCall.server(), mConnection);
+            mCaller.release(mCall.server(), mConnection, mKeepAlive);
             mListener.onEnd();
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -32,9 +32,6 @@
     /** Key of the newest desired state. */
     public static final String DESIRED_STATE_KEY = "op/config";
 
-    /** Prefix of all that operators and trainers write. */
-    public static final String OPERATOR_PREFIX = "op/";
-
     /** Prefix of the named weight versions; the model follows. */
     public static final String VERSION_PREFIX = "op/version/";
 
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformStore.java
@@ -32,7 +32,7 @@
     private static final long TIMEOUT_MS = 1_500;
 
     /** How much later than its wait a watch may answer, in milliseconds. */
-    private static final long WATCH_SLACK_MS = 1_000;
+    private static final long WATCH_SLACK_MS = 800;
 
     private static final int NOT_FOUND = 404;
     private static final int CONDITION_FAILED = 412;
--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -23,7 +23,7 @@
 public final class PrefixMirror {
 
     /** How long a watch waits; a silent connection is noticed after it, in milliseconds. */
-    private static final long WATCH_MS = 3_500;
+    private static final long WATCH_MS = 5_000;
 
     /** Pause after an answer, so that changes in quick succession share a call, in milliseconds. */
     private static final long DEFAULT_GATHER_MS = 150;
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -48,6 +48,7 @@
     private final ManualThread mThread;
     private final FakeKeyStore mStore;
     private final PrefixMirror mMirror;
+    private final PrefixMirror mOwners;
     private final BatchDesk mDesk;
     private boolean mIsAlive = true;
     private int mAnswered;
@@ -80,6 +81,14 @@
                         new Backoff(10, 50, new SplittableRandom(3)),
                         thread::nowMs,
                         this::changed);
+        mOwners =
+                new PrefixMirror(
+                        store,
+                        BatchStore.OWNER_PREFIX,
+                        thread,
+                        new Backoff(10, 50, new SplittableRandom(4)),
+                        thread::nowMs,
+                        (key, item) -> mDesk.changed(key, item));
         mTargets.put(FakeTargets.record("lm-1", "lm", 4, MIN_VERSION));
         mTargets.put(FakeTargets.record("lm-2", "lm", 4, MIN_VERSION));
         mTargets.put(FakeTargets.record("app-1", "app", 8, 0));
@@ -149,8 +158,6 @@
     private void changed(String key, Optional<StoredItem> item) {
         if (key.startsWith(NodeDirectory.PREFIX)) {
             mNodes.changed(key, item);
-        } else if (key.startsWith(BatchStore.OWNER_PREFIX)) {
-            mDesk.changed(key, item);
         }
     }
 
@@ -159,7 +166,12 @@
             return;
         }
         mMirror.tick();
-        mDesk.tick(Long.MIN_VALUE / 2, mMirror.isHealthy());
+        boolean isSweeper =
+                mMirror.isHealthy() && mNodes.chosen("sweep").equals(Optional.of(owner()));
+        if (isSweeper || mDesk.openBatches() > 0) {
+            mOwners.tick();
+        }
+        mDesk.tick(Long.MIN_VALUE / 2, isSweeper);
         mThread.settle();
     }
 
