--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -78,16 +78,18 @@
      * them takes it before the process does.
      */
     private static int freePort() throws IOException {
-        while (true) {
+        IOException last = new BindException("no free port");
+        for (int i = 0; i < PORTS; i++) {
             int port = FIRST_PORT + Math.floorMod(sNextPort.getAndAdd(1), PORTS);
             try (ServerSocket socket =
                     new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return socket.getLocalPort();
             } catch (BindException e) {
                 // Another process has it; the next one is tried.
-                continue;
+                last = e;
             }
         }
+        throw last;
     }
 
     /**
