Finish batches before a stop; take duties again at once; balance homes

Ruled out: saving texts in progress (an append more a text; a stop leaves 6 s). Change: a stopping entry takes no new batch and is chosen for nothing, finishes what it owns, then hands over; a process takes over at once what a former process of its own VM holds, and waits before it acts only where numbers are not checked; a target is home to no more models than others must be.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -67,6 +67,7 @@
         settings.put("usage_address", "127.0.0.1:" + usagePort);
         settings.put("usage_window_s", windowS);
         settings.put("turn_ms", 3_000);
+        settings.put("is_fencing_checked", true);
         settings.put("stop_s", 6);
         Files.write(folder.resolve(name + ".json"), JsonText.write(settings));
         node.launch();
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
@@ -44,6 +44,7 @@
     private final Map<BatchId, Known> mKnown = new HashMap<>();
     private final Set<BatchId> mTaking = new HashSet<>();
     private final List<Delayed> mDelayed = new ArrayList<>();
+    private boolean mIsLeaving;
     private boolean mIsDraining;
 
     /**
@@ -103,7 +104,7 @@
             done.accept(Result.of(true));
             return;
         }
-        if (mIsDraining) {
+        if (mIsLeaving) {
             done.accept(Result.fail(ErrorKind.SHUTTING_DOWN, "the process is stopping"));
             return;
         }
@@ -473,7 +474,7 @@
         mDelayed.removeIf(d -> nowMs >= d.atMs() && due.add(d));
         due.forEach(d -> d.task().run());
         boolean isSettled = nowMs - storeRecoveredMs > RETURN_MS;
-        if (!mIsDraining) {
+        if (!mIsLeaving) {
             takeOver(isSweeper && isSettled);
         }
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
@@ -485,6 +486,11 @@
         }
     }
 
+    /** Accepts no batch any more; what is owned goes on. */
+    public void leave() {
+        mIsLeaving = true;
+    }
+
     /** Stops running items; what is finished is still appended. */
     public void drain() {
         mIsDraining = true;
--- a/cactusspan/src/main/java/dev/cactusspan/duty/DutyHolder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/DutyHolder.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.id.FencingNumber;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.peer.NodeDirectory;
+import dev.cactusspan.peer.NodeRecord;
 import dev.cactusspan.peer.NodeSession;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
@@ -57,6 +58,8 @@
      * @param nodes the processes that are alive
      * @param name the duty's name
      * @param turnMs holders may not take turns within this time
+     * @param bootWaitMs how long a new process waits before it acts, as it may have held the duty
+     *     before; zero where numbers are checked
      * @param thread the thread on which everything happens
      * @param nowMs steady clock in milliseconds
      */
@@ -66,6 +69,7 @@
             NodeDirectory nodes,
             String name,
             long turnMs,
+            long bootWaitMs,
             Executor thread,
             LongSupplier nowMs) {
         mStore = store;
@@ -75,7 +79,7 @@
         mTurnMs = turnMs;
         mThread = thread;
         mNowMs = nowMs;
-        mLastActMs = nowMs.getAsLong();
+        mLastActMs = nowMs.getAsLong() + bootWaitMs - turnMs;
     }
 
     // Operations
@@ -101,7 +105,7 @@
         long nowMs = mNowMs.getAsLong();
         boolean isChosen = mNodes.chosen(mName).equals(Optional.of(self()));
         boolean isOwnRefused = mIsRefused && mKey.map(k -> owner(k).equals(self())).orElse(false);
-        boolean isMine = isOwnRefused || (mKey.isEmpty() && isChosen);
+        boolean isMine = isOwnRefused || isOfFormerBoot() || (mKey.isEmpty() && isChosen);
         if (mIsBusy || isTaken() || !isMine || nowMs < mNextMs) {
             return;
         }
@@ -110,6 +114,14 @@
         }
     }
 
+    /** Tells whether a former process of this VM holds the key; it is surely gone. */
+    private boolean isOfFormerBoot() {
+        String vm = mSession.self().vm().value() + NodeRecord.BOOT_MARK;
+        return mKey.map(DutyHolder::owner)
+                .filter(o -> o.startsWith(vm) && !o.equals(self()))
+                .isPresent();
+    }
+
     private void take(long nowMs) {
         mIsBusy = true;
         mNextMs = nowMs + RETRY_MS;
--- a/cactusspan/src/main/java/dev/cactusspan/duty/HomeTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/HomeTargets.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.TargetId;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -13,8 +14,8 @@
 /**
  * Shares targets out among the models that change: each model is kept current on its share of the
  * targets only, as loads take longer the more of them run. Nothing is remembered: the targets that
- * hold a model's newest versions are its home, and a vacancy goes to the target with the fewest
- * models.
+ * hold a model's newest versions are its home, as long as none is home to more models than others
+ * must be.
  */
 final class HomeTargets {
     /** A model is kept on this many targets at least, so that one may load or fail. */
@@ -26,29 +27,49 @@
      * Assigns targets to models.
      *
      * @param models the models that change
-     * @param targets the targets that hold them
+     * @param unsorted the targets that hold them
      * @return the targets of each model
      */
     static Map<ModelId, List<TargetRecord>> assign(
-            Collection<ModelId> models, List<TargetRecord> targets) {
+            Collection<ModelId> models, List<TargetRecord> unsorted) {
+        List<TargetRecord> targets =
+                unsorted.stream().sorted(Comparator.comparing(TargetRecord::id)).toList();
         Map<ModelId, List<TargetRecord>> homes = new LinkedHashMap<>();
-        Map<TargetId, Integer> taken = new HashMap<>();
+        List<ModelId> sorted = models.stream().sorted().toList();
+        sorted.forEach(model -> homes.put(model, new ArrayList<>()));
         int share = (targets.size() + models.size() - 1) / Math.max(1, models.size());
-        int count = Math.max(MIN_TARGETS, share);
-        for (ModelId model : models.stream().sorted().toList()) {
-            List<TargetRecord> home =
-                    targets.stream()
-                            .sorted(
-                                    Comparator.comparing(
-                                                    (TargetRecord t) -> t.version(model),
-                                                    Comparator.reverseOrder())
-                                            .thenComparing(t -> taken.getOrDefault(t.id(), 0))
-                                            .thenComparing(TargetRecord::id))
-                            .limit(count)
-                            .toList();
-            home.forEach(t -> taken.merge(t.id(), 1, Integer::sum));
-            homes.put(model, home);
+        int count = Math.min(targets.size(), Math.max(MIN_TARGETS, share));
+        int most = (count * models.size() + targets.size() - 1) / Math.max(1, targets.size());
+        Map<TargetId, Integer> taken = new HashMap<>();
+        for (Pair pair : pairs(sorted, targets)) {
+            List<TargetRecord> home = homes.get(pair.model());
+            boolean isRoom =
+                    home.size() < count && taken.getOrDefault(pair.target().id(), 0) < most;
+            if (isRoom) {
+                home.add(pair.target());
+                taken.merge(pair.target().id(), 1, Integer::sum);
+            }
         }
         return homes;
     }
+
+    /** A target that may be home to a model, and how many versions it is behind the others. */
+    private record Pair(ModelId model, TargetRecord target, long behind) {}
+
+    private static List<Pair> pairs(List<ModelId> models, List<TargetRecord> targets) {
+        List<Pair> pairs = new ArrayList<>();
+        for (int i = 0; i < targets.size(); i++) {
+            for (int m = 0; m < models.size(); m++) {
+                ModelId model = models.get(m);
+                // Equal targets begin with different models, so that none is left for all of them.
+                TargetRecord target =
+                        targets.get((i + m * targets.size() / models.size()) % targets.size());
+                long newest =
+                        targets.stream().mapToLong(t -> t.version(model).number()).max().orElse(0);
+                pairs.add(new Pair(model, target, newest - target.version(model).number()));
+            }
+        }
+        pairs.sort(Comparator.comparingLong(Pair::behind));
+        return pairs;
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -51,8 +51,11 @@
     /** Readiness is asked once a second and two misses take a process out, in milliseconds. */
     private static final long LEAVE_ROTATION_MS = 2_500;
 
-    /** Time kept for closing before the kill, in milliseconds. */
-    private static final long CLOSE_MS = 1_500;
+    /** Time kept for handing over and closing before the kill, in milliseconds. */
+    private static final long CLOSE_MS = 2_000;
+
+    /** The end of the lease reaches the store within this time, in milliseconds. */
+    private static final long HAND_OVER_MS = 300;
 
     private final GatewaySettings mSettings;
     private final HttpCaller mHttp;
@@ -94,7 +97,8 @@
                         Long.toString(System.currentTimeMillis(), Character.MAX_RADIX),
                         settings.zone(),
                         settings.ip(),
-                        settings.linkPort());
+                        settings.linkPort(),
+                        false);
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
         mPeers = new PeerCalls(self, mThread, GatewayProcess::nowMs);
         KeyStore store =
@@ -189,7 +193,14 @@
 
     private DutyHolder duty(KeyStore store, String name) {
         return new DutyHolder(
-                store, mSession, mNodes, name, mSettings.turnMs(), mThread, GatewayProcess::nowMs);
+                store,
+                mSession,
+                mNodes,
+                name,
+                mSettings.turnMs(),
+                mSettings.isFencingChecked() ? 0 : mSettings.turnMs(),
+                mThread,
+                GatewayProcess::nowMs);
     }
 
     private Backoff backoff() {
@@ -251,20 +262,26 @@
     }
 
     /**
-     * Stops gracefully: leaves the balancer's rotation while it still serves, hands its batches
-     * over, then refuses what comes and finishes what runs.
+     * Stops gracefully: leaves the balancer's rotation while it still serves, refuses new requests
+     * after it, finishes what runs, and hands over what is left of its batches.
      */
     public void drain() {
         Decision.of("stopping").with("node", mSession.self().owner()).info();
         mIsLeaving = true;
         mThread.execute(
                 () -> {
-                    mBatches.drain();
-                    mSession.close();
+                    mBatches.leave();
+                    mSession.leave();
                 });
         pause(LEAVE_ROTATION_MS);
         mIsStopping = true;
         mDrained.await(mSettings.stopS() * MS_PER_S - LEAVE_ROTATION_MS - CLOSE_MS);
+        mThread.execute(
+                () -> {
+                    mBatches.drain();
+                    mSession.close();
+                });
+        pause(HAND_OVER_MS);
     }
 
     private static void pause(long ms) {
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
@@ -48,7 +48,8 @@
     }
 
     /**
-     * Chooses one process for a subject; all that see the same processes choose the same one.
+     * Chooses one process for a subject, none that stops soon; all that see the same processes
+     * choose the same one.
      *
      * @param subject the subject
      * @return the owner's name, empty if no process is known
@@ -57,6 +58,9 @@
         String best = "";
         long bestScore = Long.MIN_VALUE;
         for (NodeRecord node : mNodes.values()) {
+            if (node.isLeaving()) {
+                continue;
+            }
             long score = score(subject, node.owner());
             if (best.isEmpty() || score > bestScore) {
                 best = node.owner();
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeRecord.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeRecord.java
@@ -11,8 +11,12 @@
  * @param zone its availability zone
  * @param ip its address
  * @param linkPort port for links from other processes
+ * @param isLeaving true if it stops soon
  */
-public record NodeRecord(VmId vm, String boot, AvailabilityZoneId zone, String ip, int linkPort) {
+public record NodeRecord(
+        VmId vm, String boot, AvailabilityZoneId zone, String ip, int linkPort, boolean isLeaving) {
+    /** Stands between VM and boot in an owner's name. */
+    public static final String BOOT_MARK = "#";
 
     /**
      * Returns the name that this start of the process goes by as an owner.
@@ -20,6 +24,15 @@
      * @return VM and boot
      */
     public String owner() {
-        return vm.value() + "#" + boot;
+        return vm.value() + BOOT_MARK + boot;
+    }
+
+    /**
+     * Returns this record of a process that stops soon.
+     *
+     * @return the record
+     */
+    public NodeRecord leaving() {
+        return new NodeRecord(vm, boot, zone, ip, linkPort, true);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeSession.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeSession.java
@@ -24,7 +24,7 @@
     private static final long RENEW_MS = TTL_MS / 3;
 
     private final KeyStore mStore;
-    private final NodeRecord mSelf;
+    private NodeRecord mSelf;
     private final Executor mThread;
     private final Backoff mBackoff;
     private final LongSupplier mNowMs;
@@ -135,6 +135,13 @@
         return null;
     }
 
+    /** Registers that this process stops soon: it is chosen for nothing new. */
+    public void leave() {
+        mSelf = mSelf.leaving();
+        mIsRegistered = false;
+        mNextMs = mNowMs.getAsLong();
+    }
+
     /** Ends the lease, so that others take over at once. */
     public void close() {
         mIsClosed = true;
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -24,6 +24,7 @@
  * @param usageAddress IP and port of the platform's interface for usage reports
  * @param usageWindowS length of a usage window in seconds
  * @param turnMs two holders of a duty may not take turns within this time
+ * @param isFencingChecked true if targets and the platform refuse older fencing numbers
  * @param stopS time between the request to stop and the kill, in seconds
  */
 public record GatewaySettings(
@@ -39,6 +40,7 @@
         String usageAddress,
         int usageWindowS,
         long turnMs,
+        boolean isFencingChecked,
         int stopS) {
     private static final List<String> TEXTS =
             List.of("vm", "zone", "ip", "store_address", "usage_address");
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -56,7 +56,9 @@
     BatchNode(String name, FakeKeyStore store, ManualThread thread) {
         mThread = thread;
         mStore = store;
-        mSelf = new NodeRecord(VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1);
+        mSelf =
+                new NodeRecord(
+                        VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1, false);
         mDesk =
                 BatchDesks.create(
                         new BatchDesks.Needs(
--- a/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
@@ -44,12 +44,22 @@
     DutyNode(String name, FakeKeyStore store, ManualThread thread, List<Report> reports) {
         mThread = thread;
         NodeRecord self =
-                new NodeRecord(VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1);
+                new NodeRecord(
+                        VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1, false);
         mSession = new NodeSession(store, self, thread, backoff(), thread::nowMs);
         mUsageDuty =
-                new DutyHolder(store, mSession, mNodes, "usage", TURN_MS, thread, thread::nowMs);
+                new DutyHolder(
+                        store, mSession, mNodes, "usage", TURN_MS, TURN_MS, thread, thread::nowMs);
         mWeightDuty =
-                new DutyHolder(store, mSession, mNodes, "weights", TURN_MS, thread, thread::nowMs);
+                new DutyHolder(
+                        store,
+                        mSession,
+                        mNodes,
+                        "weights",
+                        TURN_MS,
+                        TURN_MS,
+                        thread,
+                        thread::nowMs);
         UsagePort port =
                 (window, counts, holder, fencing) -> {
                     reports.add(new Report(name, window, counts, fencing));
--- a/cactusspan/src/test/java/dev/cactusspan/duty/HomeTargetsTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/HomeTargetsTest.java
@@ -75,4 +75,15 @@
                 homes.get(MODELS.get(0)).stream().map(TargetRecord::id).toList(),
                 is(List.of(TargetId.of("t5"), TargetId.of("t4"))));
     }
+
+    @Test
+    void shouldNotGiveAllModelsToANewTargetThatHoldsAllNewestVersions() {
+        List<TargetRecord> targets = fresh(5);
+        Map<ModelId, WeightVersion> newest = new HashMap<>();
+        MODELS.forEach(m -> newest.put(m, WeightVersion.of(9)));
+        targets.add(target("t9", newest));
+        Map<ModelId, List<TargetRecord>> homes = HomeTargets.assign(MODELS, targets);
+        assertThat(uses(homes).values(), everyItem(is(1)));
+        homes.values().forEach(home -> assertThat(home.size(), is(2)));
+    }
 }
