--- a/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
@@ -22,7 +22,14 @@
 
     @Override
     public ExitCode run(PrintStream out, PrintStream err) throws IOException {
-        return mSettings == null ? runOnPlatform(err) : runAlone(err);
+        if (mSettings != null) {
+            return runAlone(err);
+        }
+        if (!PlatformSettings.isGiven()) {
+            err.println("cactusspan entry: no --settings, and CACTUSSPAN_CONFIG is not set");
+            return ExitCode.USAGE;
+        }
+        return runOnPlatform(err);
     }
 
     private ExitCode runAlone(PrintStream err) throws IOException {
--- a/cactusspan/src/main/java/dev/cactusspan/command/PlatformSettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/PlatformSettings.java
@@ -12,12 +12,19 @@
 
     private PlatformSettings() {}
 
+    /** Tells whether a platform names a settings file. */
+    static boolean isGiven() {
+        return !file().isEmpty();
+    }
+
     static Result<GatewaySettings> read() {
+        return isGiven()
+                ? SettingsReader.gateway(Path.of(file()))
+                : Result.fail(ErrorKind.BAD_REQUEST, VARIABLE + " is not set");
+    }
+
+    private static String file() {
         String file = System.getenv(VARIABLE);
-        if (file == null || file.isEmpty()) {
-            return Result.fail(
-                    ErrorKind.BAD_REQUEST, "no --settings, and " + VARIABLE + " is not set");
-        }
-        return SettingsReader.gateway(Path.of(file));
+        return file == null ? "" : file;
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/command/SettingsCheckCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/SettingsCheckCommand.java
@@ -9,8 +9,8 @@
 
 /** Checks settings of a process. */
 public final class SettingsCheckCommand implements Command {
-    @Option(name = "--role", required = true, usage = "what the settings are for")
-    private Role mRole;
+    @Option(name = "--role", usage = "what the settings are for; a platform's, if not given")
+    private Role mRole = Role.PLATFORM;
 
     @Argument(metaVar = "FILE", required = true, usage = "the settings")
     private Path mFile;
@@ -18,7 +18,11 @@
     @Override
     public ExitCode run(PrintStream out, PrintStream err) {
         Result<?> read =
-                mRole == Role.ENTRY ? SettingsReader.entry(mFile) : SettingsReader.side(mFile);
+                switch (mRole) {
+                    case ENTRY -> SettingsReader.entry(mFile);
+                    case SIDE -> SettingsReader.side(mFile);
+                    case PLATFORM -> SettingsReader.gateway(mFile);
+                };
         return read.fold(
                 failure -> Reports.failed(err, failure),
                 settings -> {
@@ -32,6 +36,8 @@
         /** An entry. */
         ENTRY,
         /** A side process. */
-        SIDE
+        SIDE,
+        /** A process on a hosting platform. */
+        PLATFORM
     }
 }
