--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
@@ -9,7 +9,6 @@
 import dev.cactusspan.result.Replies;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.store.StoredItem;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -43,7 +42,7 @@
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
     private final Map<BatchId, Known> mKnown = new HashMap<>();
     private final Set<BatchId> mTaking = new HashSet<>();
-    private final List<Delayed> mDelayed = new ArrayList<>();
+    private final DelayedTasks mDelayed = new DelayedTasks();
     private boolean mIsLeaving;
     private boolean mIsDraining;
 
@@ -88,8 +87,6 @@
      */
     public record Known(BatchOwnership ownership, long revision) {}
 
-    private record Delayed(long atMs, Runnable task) {}
-
     // Accepting
 
     /**
@@ -203,7 +200,7 @@
     }
 
     private void later(Runnable task) {
-        mDelayed.add(new Delayed(mNowMs.getAsLong() + RESOLVE_MS, task));
+        mDelayed.add(mNowMs.getAsLong() + RESOLVE_MS, task);
     }
 
     // Ownership
@@ -470,9 +467,7 @@
      */
     public void tick(long storeRecoveredMs, boolean isSweeper) {
         long nowMs = mNowMs.getAsLong();
-        List<Delayed> due = new ArrayList<>();
-        mDelayed.removeIf(d -> nowMs >= d.atMs() && due.add(d));
-        due.forEach(d -> d.task().run());
+        mDelayed.run(nowMs);
         boolean isSettled = nowMs - storeRecoveredMs > RETURN_MS;
         if (!mIsLeaving) {
             takeOver(isSweeper && isSettled);
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -58,6 +58,7 @@
     private static final long HAND_OVER_MS = 300;
 
     private final GatewaySettings mSettings;
+    private final Telemetry mTelemetry;
     private final HttpCaller mHttp;
     private final DutyThread mThread = new DutyThread("gateway", RING_TASKS, TICK_MS);
     private final SplittableRandom mRandom = new SplittableRandom();
@@ -90,96 +91,26 @@
      */
     public GatewayProcess(GatewaySettings settings, Telemetry telemetry) throws IOException {
         mSettings = settings;
+        mTelemetry = telemetry;
         mHttp = HttpCaller.create();
-        NodeRecord self =
-                new NodeRecord(
-                        settings.vm(),
-                        Long.toString(System.currentTimeMillis(), Character.MAX_RADIX),
-                        settings.zone(),
-                        settings.ip(),
-                        settings.linkPort(),
-                        false);
+        NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
         mPeers = new PeerCalls(self, mThread, GatewayProcess::nowMs);
-        KeyStore store =
-                new RelayedStore(
-                        mDirect,
-                        mNodes,
-                        mPeers,
-                        self.owner(),
-                        mThread,
-                        mRandom.split(),
-                        GatewayProcess::nowMs);
+        KeyStore store = newStore(self);
         mSession = new NodeSession(store, self, mThread, backoff(), GatewayProcess::nowMs);
         mUsageDuty = duty(store, "usage");
         mWeightDuty = duty(store, "weights");
-        mUsage =
-                new UsageReporter(
-                        store,
-                        mUsageDuty,
-                        mNodes,
-                        self,
-                        new PlatformUsage(mHttp, uri(settings.usageAddress())),
-                        settings.usageWindowS() * MS_PER_S,
-                        mThread,
-                        GatewayProcess::nowMs,
-                        System::currentTimeMillis);
-        BatchStore batches = new BatchStore(store);
-        TargetPort targets = new PlatformTargets(mHttp, mThread);
+        mUsage = newUsage(store, self);
         mFleet = new FleetView(store, mNodes, mThread, this::backoff, GatewayProcess::nowMs);
+        TargetPort port = new PlatformTargets(mHttp, mThread);
+        mWeights = newWeights(port);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
-        mWeights =
-                new WeightMover(
-                        mWeightDuty,
-                        mFleet.targets(),
-                        targets,
-                        settings.vm(),
-                        mThread,
-                        GatewayProcess::nowMs);
-        mForward =
-                new ForwardDesk(
-                        mFleet.targets(),
-                        targets,
-                        chooser,
-                        mFleet::desired,
-                        mUsage::count,
-                        telemetry,
-                        mRandom.split(),
-                        GatewayProcess::nowMs);
-        mBatches =
-                BatchDesks.create(
-                        new BatchDesks.Needs(
-                                batches,
-                                mNodes,
-                                self.owner(),
-                                mThread,
-                                mFleet.targets(),
-                                targets,
-                                chooser,
-                                mFleet::desired,
-                                telemetry,
-                                backoff(),
-                                GatewayProcess::nowMs,
-                                System::currentTimeMillis));
+        mForward = newForward(port, chooser);
+        BatchStore batches = new BatchStore(store);
+        mBatches = newBatches(batches, self, port, chooser);
         mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mThread);
-        mGateway =
-                new Gateway(
-                        mFleet::desired,
-                        mForward,
-                        mBatches,
-                        mReader,
-                        new PlatformBatches(),
-                        () -> mIsStopping,
-                        telemetry,
-                        GatewayProcess::nowMs,
-                        System::currentTimeMillis);
-        mServer =
-                new PlatformServer(
-                        address(settings.clientAddress()),
-                        address(settings.readyAddress()),
-                        mGateway,
-                        mThread,
-                        () -> mIsReady && !mIsLeaving);
+        mGateway = newGateway();
+        mServer = newServer();
         mAdmin =
                 new AdminServer(
                         settings.ip(), settings.metricsPort(), telemetry, () -> mIsReady, List::of);
@@ -191,6 +122,102 @@
                 mWeights::seen);
     }
 
+    private NodeRecord newRecord() {
+        return new NodeRecord(
+                mSettings.vm(),
+                Long.toString(System.currentTimeMillis(), Character.MAX_RADIX),
+                mSettings.zone(),
+                mSettings.ip(),
+                mSettings.linkPort(),
+                false);
+    }
+
+    private KeyStore newStore(NodeRecord self) {
+        return new RelayedStore(
+                mDirect,
+                mNodes,
+                mPeers,
+                self.owner(),
+                mThread,
+                mRandom.split(),
+                GatewayProcess::nowMs);
+    }
+
+    private UsageReporter newUsage(KeyStore store, NodeRecord self) {
+        return new UsageReporter(
+                store,
+                mUsageDuty,
+                mNodes,
+                self,
+                new PlatformUsage(mHttp, uri(mSettings.usageAddress())),
+                mSettings.usageWindowS() * MS_PER_S,
+                mThread,
+                GatewayProcess::nowMs,
+                System::currentTimeMillis);
+    }
+
+    private WeightMover newWeights(TargetPort port) {
+        return new WeightMover(
+                mWeightDuty,
+                mFleet.targets(),
+                port,
+                mSettings.vm(),
+                mThread,
+                GatewayProcess::nowMs);
+    }
+
+    private ForwardDesk newForward(TargetPort port, TargetChooser chooser) {
+        return new ForwardDesk(
+                mFleet.targets(),
+                port,
+                chooser,
+                mFleet::desired,
+                mUsage::count,
+                mTelemetry,
+                mRandom.split(),
+                GatewayProcess::nowMs);
+    }
+
+    private BatchDesk newBatches(
+            BatchStore batches, NodeRecord self, TargetPort port, TargetChooser chooser) {
+        return BatchDesks.create(
+                new BatchDesks.Needs(
+                        batches,
+                        mNodes,
+                        self.owner(),
+                        mThread,
+                        mFleet.targets(),
+                        port,
+                        chooser,
+                        mFleet::desired,
+                        mTelemetry,
+                        backoff(),
+                        GatewayProcess::nowMs,
+                        System::currentTimeMillis));
+    }
+
+    private Gateway newGateway() {
+        return new Gateway(
+                mFleet::desired,
+                mForward,
+                mBatches,
+                mReader,
+                new PlatformBatches(),
+                () -> mIsStopping,
+                mTelemetry,
+                GatewayProcess::nowMs,
+                System::currentTimeMillis);
+    }
+
+    private PlatformServer newServer() {
+        return new PlatformServer(
+                address(mSettings.clientAddress()),
+                address(mSettings.readyAddress()),
+                mGateway,
+                mThread,
+                () -> mIsReady && !mIsLeaving);
+    }
+
     private DutyHolder duty(KeyStore store, String name) {
         return new DutyHolder(
                 store,
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformEventsTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformEventsTest.java
@@ -15,8 +15,9 @@
 
 /** Events cut at any byte. */
 final class PlatformEventsTest {
+    private static final String RETURNS = "id: 3\r\ndata: d\r\n\r\n";
     private static final String STREAM =
-            "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n";
+            "id: 1\ndata: a\n\nweight-versions: 3\nid: 2\ndata: b\ndata: c\n\n" + RETURNS;
     private static final List<TextEvent> EVENTS =
             List.of(
                     new TextEvent(1, "a", WeightVersion.NONE),
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -59,9 +59,11 @@
                         + "\"type\":\"idempotent\",\"timeout_ms\":1500,\"slo_ms\":292,"
                         + "\"backends\":[{\"service\":\"x\",\"weight\":90},"
                         + "{\"service\":\"y\",\"weight\":10}],\"max_attempts\":4,\"public\":true},"
-                        + "{\"name\":\"q\",\"host\":\"h\",\"prefix\":\"/a/b/\",\"type\":\"rollout\","
+                        + "{\"name\":\"q\",\"host\":\"h\",\"prefix\":\"/a/b/\","
+                        + "\"type\":\"rollout\","
                         + "\"service\":\"lm\",\"run_slo_ms\":7500,\"retention_s\":40}],"
-                        + "\"services\":[{\"name\":\"lm\",\"engine\":{\"models\":[{\"name\":\"m\"}]}}],"
+                        + "\"services\":[{\"name\":\"lm\",\"engine\":"
+                        + "{\"models\":[{\"name\":\"m\"}]}}],"
                         + "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\",\"k2\"]}]}";
         DesiredState state = PlatformReader.desiredState(bytes(text)).get();
         FleetRoute outer = state.route("h", "/a/x").orElseThrow();
