--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
@@ -54,7 +55,7 @@
      * @param owner the name of this process as an owner
      * @param thread the thread on which everything happens
      * @param runner runs items
-     * @param appender appends results
+     * @param appender makes what appends results, given a listener for batches of other processes
      * @param nowMs steady clock in milliseconds
      */
     BatchDesk(
@@ -63,22 +64,17 @@
             String owner,
             Executor thread,
             ItemRunner runner,
-            AppenderFactory appender,
+            Function<Consumer<OwnedBatch>, ResultAppender> appender,
             LongSupplier nowMs) {
         mStore = store;
         mNodes = nodes;
         mOwner = owner;
         mThread = thread;
         mRunner = runner;
-        mAppender = appender.create(this::disowned);
+        mAppender = appender.apply(this::disowned);
         mNowMs = nowMs;
     }
 
-    /** Makes the appender with a listener for batches that another process owns. */
-    interface AppenderFactory {
-        ResultAppender create(Consumer<OwnedBatch> onDisowned);
-    }
-
     /**
      * What the store says of a batch's owner.
      *
@@ -263,9 +259,7 @@
         for (Map.Entry<BatchId, Known> entry : mKnown.entrySet()) {
             BatchOwnership ownership = entry.getValue().ownership();
             BatchId id = entry.getKey();
-            boolean isTakenCareOf =
-                    ownership.isEnded() || mOwned.containsKey(id) || mTaking.contains(id);
-            if (isTakenCareOf) {
+            if (ownership.isEnded() || mOwned.containsKey(id) || mTaking.contains(id)) {
                 continue;
             }
             boolean isOrphan = mNodes.find(ownership.owner()).isEmpty();
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -201,19 +201,7 @@
             int after,
             long waitMs,
             Consumer<Result<ResultsView>> taker) {
-        located(
-                id,
-                key,
-                r ->
-                        r.fold(
-                                f -> {
-                                    taker.accept(Result.fail(f));
-                                    return null;
-                                },
-                                known -> {
-                                    mReader.results(known, after, waitMs, taker);
-                                    return null;
-                                }));
+        located(id, key, taker, known -> mReader.results(known, after, waitMs, taker));
     }
 
     /**
@@ -226,19 +214,7 @@
      */
     public void item(
             BatchId id, Optional<String> key, ItemId item, Consumer<Result<byte[]>> taker) {
-        located(
-                id,
-                key,
-                r ->
-                        r.fold(
-                                f -> {
-                                    taker.accept(Result.fail(f));
-                                    return null;
-                                },
-                                known -> {
-                                    mReader.item(known, item, taker);
-                                    return null;
-                                }));
+        located(id, key, taker, known -> mReader.item(known, item, taker));
     }
 
     /**
@@ -249,31 +225,39 @@
      * @param taker takes the outcome
      */
     public void end(BatchId id, Optional<String> key, Consumer<Result<Boolean>> taker) {
-        located(
-                id,
-                key,
-                r ->
-                        r.fold(
-                                f -> {
-                                    taker.accept(Result.fail(f));
-                                    return null;
-                                },
-                                known -> {
-                                    mBatches.end(id, taker);
-                                    return null;
-                                }));
+        located(id, key, taker, known -> mBatches.end(id, taker));
     }
 
-    private void located(
-            BatchId id, Optional<String> key, Consumer<Result<BatchDesk.Known>> taker) {
-        Result<Optional<AccountId>> account = account(key, false);
-        account.fold(
+    /** Finds a batch of the key's client account, or hands on why there is none. */
+    private <T> void located(
+            BatchId id,
+            Optional<String> key,
+            Consumer<Result<T>> taker,
+            Consumer<BatchDesk.Known> found) {
+        account(key, false)
+                .fold(
+                        f -> {
+                            taker.accept(Result.fail(f));
+                            return null;
+                        },
+                        account -> {
+                            AccountId holder = account.orElse(AccountId.of(""));
+                            mReader.locate(id, holder, result -> handOn(result, taker, found));
+                            return null;
+                        });
+    }
+
+    private static <T> void handOn(
+            Result<BatchDesk.Known> result,
+            Consumer<Result<T>> taker,
+            Consumer<BatchDesk.Known> found) {
+        result.fold(
                 f -> {
                     taker.accept(Result.fail(f));
                     return null;
                 },
-                a -> {
-                    mReader.locate(id, a.orElse(AccountId.of("")), taker);
+                known -> {
+                    found.accept(known);
                     return null;
                 });
     }
