--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/peer/RelayedStoreTest.java
@@ -0,0 +1,56 @@
+package dev.cactusspan.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Result;
+import dev.cactusspan.store.FakeKeyStore;
+import dev.cactusspan.store.ManualThread;
+import dev.cactusspan.store.Transaction;
+import dev.cactusspan.text.JsonText;
+import dev.cactusspan.wire.Message;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Calls to the store that one process makes for another. */
+final class RelayedStoreTest {
+    private final FakeKeyStore mStore = new FakeKeyStore(new ManualThread());
+
+    private StoreAnswer ask(StoreCall call) {
+        List<Message.Reply> replies = new ArrayList<>();
+        RelayedStore.answer(new Message.AskStore(7, JsonText.write(call)), mStore, replies::add);
+        assertThat(replies.get(0).ask(), is(7L));
+        return JsonText.read(replies.get(0).body(), StoreAnswer.class).get();
+    }
+
+    private static Transaction write(long expected) {
+        return Transaction.of(
+                List.of(new Transaction.Expectation("k", expected)),
+                List.of(new Transaction.Write("k", new byte[] {1, 2}, 0)));
+    }
+
+    @Test
+    void shouldApplyATransactionAndReadItBack() {
+        long revision = ask(StoreCall.commit(write(0))).number();
+        StoreAnswer read = ask(StoreCall.get("k"));
+        assertThat(read.items().get(0).revision(), is(revision));
+        assertThat(read.items().get(0).value()[1], is((byte) 2));
+        assertThat(ask(StoreCall.range("k", "")).items().size(), is(1));
+    }
+
+    @Test
+    void shouldHandOnThatATransactionTookNoEffect() {
+        ask(StoreCall.commit(write(0)));
+        Result<Long> second = ask(StoreCall.commit(write(0))).map(StoreAnswer::number);
+        assertThat(second.<Object>fold(f -> f.kind(), v -> v), is(ErrorKind.CONFLICT));
+    }
+
+    @Test
+    void shouldHandOnThatTheStoreIsAway() {
+        mStore.down(true);
+        Result<Long> renewed = ask(StoreCall.renew(5)).map(StoreAnswer::number);
+        assertThat(renewed.<Object>fold(f -> f.kind(), v -> v), is(ErrorKind.PLATFORM_UNAVAILABLE));
+    }
+}
