--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -22,8 +22,12 @@
  */
 public final class PrefixMirror {
 
-    /** How long a watch waits; a silent connection is noticed after it, in milliseconds. */
-    private static final long WATCH_MS = 5_000;
+    /**
+     * How long a watch waits, in milliseconds. A watch that was begun while the store was cut off
+     * may hang for its whole time after the cut; with the slack of the call and a pause it must end
+     * within the 4 s after which a process counts as reached again.
+     */
+    private static final long WATCH_MS = 2_600;
 
     /** Pause after an answer, so that changes in quick succession share a call, in milliseconds. */
     private static final long DEFAULT_GATHER_MS = 150;
--- a/cactusspan/src/test/java/dev/cactusspan/store/FakeKeyStore.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/FakeKeyStore.java
@@ -28,6 +28,7 @@
     private long mRevision = 7;
     private long mHistoryFrom = 7;
     private int mCalls;
+    private long mLongestWaitMs;
 
     public FakeKeyStore(ManualThread thread) {
         mThread = thread;
@@ -115,6 +116,10 @@
         return mItems;
     }
 
+    public long longestWaitMs() {
+        return mLongestWaitMs;
+    }
+
     public int calls() {
         return mCalls;
     }
@@ -162,6 +167,7 @@
     @Override
     public CompletableFuture<Result<Changes>> watch(
             String prefix, long afterRevision, long waitMs) {
+        mLongestWaitMs = Math.max(mLongestWaitMs, waitMs);
         Optional<CompletableFuture<Result<Changes>>> refused = refused();
         if (refused.isPresent()) {
             return refused.get();
--- a/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -83,6 +83,17 @@
         assertThat(new TreeMap<>(mSeen), is(stored()));
     }
 
+    /** A watch that hangs from a cut on must end, with slack and pause, before 4 s are over. */
+    @Test
+    void shouldNotWaitLongerThanAProcessMayHangAfterACut() {
+        long reachedAgainMs = 4_000;
+        long slackMs = 800;
+        long pauseMs = 600;
+        mStore.put("a/1", new byte[0]);
+        run(10_000);
+        assertThat(mStore.longestWaitMs() <= reachedAgainMs - slackMs - pauseMs, is(true));
+    }
+
     @Property(seed = "31", tries = 100)
     void shouldEndEqualToTheStoreAndNeverGoBack(@ForAll long seed) {
         Random random = new Random(seed);
