--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -205,6 +205,9 @@
             mPageAfter = "";
             return null;
         }
+        // A cut watch may mean that the history is gone, and the next one may wait without a word.
+        mState = State.LISTING;
+        mPageAfter = "";
         if (mFailures++ == 0) {
             Decision.of("store_lost")
                     .with("prefix", mPrefix)
--- a/cactusspan/src/test/java/dev/cactusspan/store/FakeKeyStore.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/FakeKeyStore.java
@@ -29,6 +29,7 @@
     private long mHistoryFrom = 7;
     private int mCalls;
     private long mLongestWaitMs;
+    private boolean mIsSilentOnGoneHistory;
 
     public FakeKeyStore(ManualThread thread) {
         mThread = thread;
@@ -55,6 +56,11 @@
         cutWatches();
     }
 
+    /** Lets a watch whose history is gone wait without a word. */
+    public void silentOnGoneHistory() {
+        mIsSilentOnGoneHistory = true;
+    }
+
     private void cutWatches() {
         List<Watch> cut = new ArrayList<>(mWatches);
         mWatches.clear();
@@ -172,6 +178,11 @@
         if (refused.isPresent()) {
             return refused.get();
         }
+        if (afterRevision < mHistoryFrom && mIsSilentOnGoneHistory) {
+            CompletableFuture<Result<Changes>> silent = new CompletableFuture<>();
+            mWatches.add(new Watch("none", mRevision, mThread.nowMs() + waitMs, silent));
+            return silent;
+        }
         if (afterRevision < mHistoryFrom) {
             return done(Result.fail(ErrorKind.CONFLICT, "410"));
         }
--- a/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -83,6 +83,18 @@
         assertThat(new TreeMap<>(mSeen), is(stored()));
     }
 
+    @Test
+    void shouldReadAgainAtOnceAfterACutWatch() {
+        mStore.put("a/1", new byte[0]);
+        run(500);
+        mStore.silentOnGoneHistory();
+        mStore.put("b/1", new byte[0]);
+        mStore.dropHistory();
+        mStore.put("a/2", new byte[0]);
+        run(500);
+        assertThat(new TreeMap<>(mSeen), is(stored()));
+    }
+
     /** A watch that hangs from a cut on must end, with slack and pause, before 4 s are over. */
     @Test
     void shouldNotWaitLongerThanAProcessMayHangAfterACut() {
