Turn away from targets that fail or are overtaken

Cause: a target whose status check is good but that answers with errors, or that hangs until another one overtakes it, had nothing held against it: only cuts were. It had the fewest requests in flight, so it was chosen first. A request that timed out before it was sent was refused without a time to come back.

Ruled out: keeping such a target out for a time, as after a cut: a route whose time is short for its work would empty the list of good targets.

Change: each target has a share of answers of late that served nobody, which fades within seconds; the choice adds it to the expected cost. What another target overtook, or a route's time ended, counts as late. A refusal at the time-out says when to come back.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -264,12 +264,15 @@
             if (!mRun.isRun(mNumber)) {
                 return;
             }
-            mRun.target().ifPresent(TargetState::answered);
-            mRun.release();
+            long nowMs = mNowMs.getAsLong();
             if (mDecoder.isInsideEvent() || mRun.events() == 0) {
-                interrupted(mRun, "the stream ended early", mNowMs.getAsLong());
+                mRun.target().ifPresent(t -> t.troubled(nowMs));
+                mRun.release();
+                interrupted(mRun, "the stream ended early", nowMs);
                 return;
             }
+            mRun.target().ifPresent(t -> t.answered(nowMs));
+            mRun.release();
             textWhole(mOwned, mRun);
         }
 
@@ -299,6 +302,9 @@
         }
         run.target().ifPresent(t -> t.avoid(nowMs + REFUSED_MS));
         boolean isFailedRun = head.status() == SERVER_ERROR && !head.isNotRun();
+        if (isFailedRun) {
+            run.target().ifPresent(t -> t.troubled(nowMs));
+        }
         if (head.isOwnAnswer()) {
             run.release();
         } else {
@@ -410,13 +416,16 @@
             }
             mRun.release();
             if (head.isStampedSuccess()) {
-                target.answered();
+                target.answered(nowMs);
                 target.pace(nowMs - mStartedMs);
                 mRun.apply(ItemEvent.SCORED);
                 mOwned.finish(mRun, mRun.result(head.stamp()), nowMs);
                 return;
             }
             boolean isFailedRun = head.status() == SERVER_ERROR && !head.isNotRun();
+            if (isFailedRun) {
+                target.troubled(nowMs);
+            }
             if (isFailedRun && mRun.scoreFailed() >= mMaxAttempts) {
                 giveUp(mOwned, mRun, "scoring failed at each run");
                 return;
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetChooser.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetChooser.java
@@ -7,7 +7,8 @@
 
 /**
  * Chooses the target with the least expected cost: its load, weighed by its pace against the
- * fastest one's, and the price of the distance. Equal ones are drawn at random.
+ * fastest one's, the price of the distance, and what it failed of late. Equal ones are drawn at
+ * random.
  */
 public final class TargetChooser {
     /** Load that a shorter way outweighs: zones about a millisecond apart. */
@@ -19,6 +20,12 @@
     /** A target that failed is taken only if there is no other. */
     private static final double AVOIDED_COST = 100;
 
+    /**
+     * Load that trouble outweighs: a target that fails four requests in ten costs more than one a
+     * region away.
+     */
+    private static final double TROUBLE_COST = 2;
+
     /** Breaks ties without outweighing anything. */
     private static final double NOISE = 0.02;
 
@@ -75,6 +82,7 @@
                     case OTHER_REGION -> REGION_COST;
                 };
         double avoided = target.isAvoided(nowMs) ? AVOIDED_COST : 0;
-        return load + distance + avoided + NOISE * mRandom.nextDouble();
+        double trouble = TROUBLE_COST * target.trouble(nowMs);
+        return load + distance + avoided + trouble + NOISE * mRandom.nextDouble();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -10,7 +10,15 @@
     /** Weight of the newest observation in the mean pace. */
     private static final double PACE_WEIGHT = 0.2;
 
+    /** Weight of the newest outcome in the share of trouble: about the last ten answers count. */
+    private static final double TROUBLE_WEIGHT = 0.2;
+
+    /** Trouble of a target that gets no work is forgotten by half in this time, in milliseconds. */
+    private static final double TROUBLE_HALF_LIFE_MS = 3_000;
+
     private TargetRecord mRecord;
+    private double mTrouble;
+    private long mTroubleAsOfMs;
     private int mInFlight;
     private int mFailures;
     private long mAvoidUntilMs;
@@ -40,10 +48,42 @@
         mInFlight--;
     }
 
-    /** Notes that the target answered. */
-    public void answered() {
+    /**
+     * Notes that the target answered well.
+     *
+     * @param nowMs steady clock in milliseconds
+     */
+    public void answered(long nowMs) {
         mFailures = 0;
         mAvoidUntilMs = 0;
+        outcome(0, nowMs);
+    }
+
+    /**
+     * Notes an answer that served nobody; the target is still in touch.
+     *
+     * @param nowMs steady clock in milliseconds
+     */
+    public void troubled(long nowMs) {
+        outcome(1, nowMs);
+    }
+
+    /**
+     * Notes that no answer came in time, or another target's came first.
+     *
+     * @param waitedMs how long was waited in milliseconds
+     * @param nowMs steady clock in milliseconds
+     */
+    public void late(long waitedMs, long nowMs) {
+        if (waitedMs > mPaceMs) {
+            pace(waitedMs);
+        }
+        outcome(1, nowMs);
+    }
+
+    private void outcome(double trouble, long nowMs) {
+        mTrouble = trouble(nowMs) + TROUBLE_WEIGHT * (trouble - trouble(nowMs));
+        mTroubleAsOfMs = nowMs;
     }
 
     /**
@@ -54,6 +94,7 @@
     public void failed(long nowMs) {
         mAvoidUntilMs = nowMs + (AVOID_MS << Math.min(MAX_DOUBLINGS, mFailures));
         mFailures++;
+        outcome(1, nowMs);
     }
 
     /**
@@ -83,6 +124,16 @@
         return mPaceMs;
     }
 
+    /**
+     * Returns the share of answers of late that served nobody.
+     *
+     * @param nowMs steady clock in milliseconds
+     * @return share from 0 to 1
+     */
+    public double trouble(long nowMs) {
+        return mTrouble * Math.pow(0.5, (nowMs - mTroubleAsOfMs) / TROUBLE_HALF_LIFE_MS);
+    }
+
     /**
      * Returns the entry.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardDesk.java
@@ -270,13 +270,18 @@
             return;
         }
         if (head.isStampedSuccess()) {
-            attempt.target().answered();
+            attempt.target().answered(nowMs);
             attempt.target().pace(nowMs - attempt.startedMs());
+            pending.activeBefore(attempt)
+                    .forEach(a -> a.target().late(nowMs - a.startedMs(), nowMs));
             pending.sink().answer(head.status(), head.headers(), attempt.body());
             finish(pending, "answered");
             return;
         }
         boolean isFailure = head.status() >= SERVER_ERROR || head.stamp().isEmpty();
+        if (isFailure) {
+            attempt.target().troubled(nowMs);
+        }
         if (isFailure && mayRepeat(pending)) {
             failedRun(pending, "the target answered " + head.status());
             return;
@@ -300,7 +305,12 @@
     private void failed(ForwardedRequest pending, Attempt attempt, boolean sent, String reason) {
         attempt.over();
         long nowMs = mNowMs.getAsLong();
-        attempt.target().failed(nowMs);
+        if (nowMs >= pending.giveUpMs() - RETRY_MS) {
+            // The route's time was short for the work, or the target is slow: no proof of a cut.
+            attempt.target().late(nowMs - attempt.startedMs(), nowMs);
+        } else {
+            attempt.target().failed(nowMs);
+        }
         Decision.of("attempt_failed")
                 .with("request", pending.request().id().value())
                 .with("target", attempt.target().record().id().value())
@@ -382,7 +392,8 @@
                 pending.runs() > 0
                         ? ErrorKind.DEADLINE_EXCEEDED
                         : ErrorKind.DEADLINE_BEFORE_DISPATCH;
-        pending.sink().refuse(Failure.of(kind, "no answer in time"), 0);
+        Failure failure = Failure.of(kind, "no answer in time");
+        pending.sink().refuse(failure, failure.isNotRun() ? COME_BACK_MS : 0);
         finish(pending, kind.word());
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -68,6 +68,13 @@
         return mAttempts.stream().anyMatch(a -> !a.isOver());
     }
 
+    /** Lists attempts that wait though they were sent before another one. */
+    List<Attempt> activeBefore(Attempt other) {
+        return mAttempts.subList(0, mAttempts.indexOf(other)).stream()
+                .filter(a -> !a.isOver())
+                .toList();
+    }
+
     void retryAt(long atMs) {
         mNextMs = atMs;
     }
--- a/cactusspan/src/test/java/dev/cactusspan/forward/ForwardDeskTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/ForwardDeskTest.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.forward;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -57,6 +58,7 @@
         private final List<Failure> mFailures = new ArrayList<>();
         private final StringBuilder mBody = new StringBuilder();
         private String mLast = "";
+        private long mRetryAfterMs;
 
         @Override
         public void answer(int status, Map<String, String> headers, byte[] body) {
@@ -86,6 +88,7 @@
 
         @Override
         public void refuse(Failure failure, long retryAfterMs) {
+            mRetryAfterMs = retryAfterMs;
             mFailures.add(failure);
         }
 
@@ -117,6 +120,10 @@
     }
 
     private Runnable take(String id, RouteKind kind, Sink sink) {
+        return take(id, kind, 2_000, sink);
+    }
+
+    private Runnable take(String id, RouteKind kind, long patienceMs, Sink sink) {
         ClientRequest request =
                 new ClientRequest(
                         RequestId.of(id),
@@ -126,7 +133,7 @@
                         Map.of(),
                         new byte[0],
                         Optional.empty(),
-                        OptionalLong.of(2_000),
+                        OptionalLong.of(patienceMs),
                         OptionalLong.empty());
         return mDesk.take(request, route(kind), Optional.of(AccountId.of("acme")), sink);
     }
@@ -271,6 +278,64 @@
         assertThat(sink.mLast, is("end"));
     }
 
+    @Test
+    void shouldTurnAwayFromATargetThatAnswersWithErrors() {
+        targets(2);
+        for (int i = 0; i < 40; i++) {
+            Sink sink = new Sink();
+            take("r" + i, RouteKind.IDEMPOTENT, sink);
+            answerAsGrey(mPort.last());
+            run(300);
+            if (sink.answers() == 0) {
+                mPort.last().succeed();
+            }
+            assertThat(sink.mStatus, is(List.of(200)));
+        }
+        long atGrey = mPort.sent().stream().filter(ForwardDeskTest::isGrey).count();
+        assertThat("a fair share is 20", atGrey, lessThanOrEqualTo(8L));
+    }
+
+    private static boolean isGrey(FakeTargets.Sent sent) {
+        return sent.target().id().value().equals("t0");
+    }
+
+    private static void answerAsGrey(FakeTargets.Sent sent) {
+        if (isGrey(sent)) {
+            sent.answer(500, "s", false);
+            return;
+        }
+        sent.succeed();
+    }
+
+    @Test
+    void shouldTurnAwayFromATargetThatAnotherOneOvertakes() {
+        targets(2);
+        for (int i = 0; i < 40; i++) {
+            Sink sink = new Sink();
+            take("r" + i, RouteKind.IDEMPOTENT, sink);
+            if (!isGrey(mPort.last())) {
+                mPort.last().succeed();
+            }
+            run(120);
+            if (sink.answers() == 0) {
+                mPort.last().succeed();
+            }
+            run(180);
+            assertThat(sink.mStatus, is(List.of(200)));
+        }
+        long atGrey = mPort.sent().stream().filter(ForwardDeskTest::isGrey).count();
+        assertThat("a fair share is 20", atGrey, lessThanOrEqualTo(8L));
+    }
+
+    @Test
+    void shouldSayWhenToComeBackAtTheTimeoutOfWhatHasNotRun() {
+        Sink sink = new Sink();
+        take("a", RouteKind.NON_IDEMPOTENT, 20, sink);
+        run(30);
+        assertThat(sink.mFailures.get(0).isNotRun(), is(true));
+        assertThat(sink.mRetryAfterMs, greaterThan(0L));
+    }
+
     /** Each request gets one answer, no more runs than allowed, and a true "not run". */
     @Property(seed = "71", tries = 100)
     void shouldAnswerOnceAndTruthfully(@ForAll long seed) {
