Archive the classes of a start in the build

Ruled out: interpreting only (1.09 s with the archive, but everything after the start is slower).

Change: the build runs "warm-up", which starts an entry and a storage process on loopback without a platform, and archives the classes that it loads; both roles use the archive.

--- a/cactusspan/src/main/java/dev/cactusspan/command/Main.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/Main.java
@@ -24,7 +24,11 @@
                     entry("key new", "makes a key and its hash", KeyNewCommand::new),
                     entry("key hash", "hashes a key read from standard input", KeyHashCommand::new),
                     entry("status", "shows the status of a process", StatusCommand::new),
-                    entry("settings check", "checks settings", SettingsCheckCommand::new));
+                    entry("settings check", "checks settings", SettingsCheckCommand::new),
+                    entry(
+                            "warm-up",
+                            "loads the classes that the build archives",
+                            WarmUpCommand::new));
 
     private Main() {}
 
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -0,0 +1,121 @@
+package dev.cactusspan.command;
+
+import dev.cactusspan.gateway.GatewayProcess;
+import dev.cactusspan.gateway.StorageProcess;
+import dev.cactusspan.http.AnswerListener;
+import dev.cactusspan.http.HttpCall;
+import dev.cactusspan.http.HttpCaller;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.settings.GatewaySettings;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Starts an entry and a storage process on loopback without a platform, asks them once, and ends:
+ * the build keeps the classes that this loads in an archive, which halves the work of each start.
+ */
+public final class WarmUpCommand implements Command {
+    private static final String LOOPBACK = "127.0.0.1";
+
+    /** Ports that the two processes bind, and two of a platform that is not there. */
+    private static final int PORTS = 7;
+
+    /** Time that the processes' threads get, in milliseconds; only the build waits for it. */
+    private static final long RUN_MS = 1_500;
+
+    private static final long CALL_MS = 1_000;
+
+    @Override
+    public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        List<Integer> ports = freePorts();
+        GatewaySettings settings = settings(ports, ports.get(2));
+        try (GatewayProcess entry = new GatewayProcess(settings, Telemetry.create());
+                StorageProcess storage =
+                        new StorageProcess(settings(ports, ports.get(6)), Telemetry.create());
+                HttpCaller caller = HttpCaller.create()) {
+            entry.start();
+            storage.start();
+            ask(caller, settings.readyAddress(), "/");
+            ask(caller, settings.clientAddress(), "/nothing");
+            ask(caller, LOOPBACK + ":" + settings.metricsPort(), "/metrics");
+            TimeUnit.MILLISECONDS.sleep(RUN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitCode.FAILED;
+        }
+        return ExitCode.OK;
+    }
+
+    private static GatewaySettings settings(List<Integer> ports, int metricsPort) {
+        return new GatewaySettings(
+                VmId.of("warm-up"),
+                AvailabilityZoneId.of("zone"),
+                Map.of(),
+                LOOPBACK,
+                LOOPBACK + ":" + ports.get(0),
+                LOOPBACK + ":" + ports.get(1),
+                ports.get(3),
+                metricsPort,
+                LOOPBACK + ":" + ports.get(4),
+                LOOPBACK + ":" + ports.get(5),
+                1,
+                1,
+                true,
+                1);
+    }
+
+    private static List<Integer> freePorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < PORTS; i++) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            }
+            return sockets.stream().map(ServerSocket::getLocalPort).toList();
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private static void ask(HttpCaller caller, String address, String path)
+            throws InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        caller.send(
+                HttpCall.get(URI.create("http://" + address), path, CALL_MS), new Ending(ended));
+        ended.await(CALL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Waits for the end of an answer, whatever it says. */
+    private record Ending(CountDownLatch ended) implements AnswerListener {
+        @Override
+        public void onHead(int status, Map<String, String> headers) {
+            // Any answer has loaded what it needs.
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            // Any answer has loaded what it needs.
+        }
+
+        @Override
+        public void onEnd() {
+            ended.countDown();
+        }
+
+        @Override
+        public void onFailure(boolean sent, String reason) {
+            ended.countDown();
+        }
+    }
+}
