Keep texts that grow, so that the next owner goes on with them

Ruled out: handing progress to another entry over a link, as all entries may be killed at once; storing each event, as each call to the store is paid for.

Change: an owner keeps the texts of 12 events or more at most each 1.5 s in one key of the batch, under the same expectation as appends; the next owner resumes them after their last event. Texts over the bound of a value are not kept, and what cannot be read is generated again.

Measured: three tests of BatchDeskTest (two of them need the change).

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesk.java
@@ -39,9 +39,10 @@
     private final Executor mThread;
     private final ItemRunner mRunner;
     private final ResultAppender mAppender;
+    private final ProgressSaver mSaver;
     private final LongSupplier mNowMs;
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
-    private final Map<BatchId, Known> mKnown = new HashMap<>();
+    private final Map<BatchId, KnownOwnership> mKnown = new HashMap<>();
     private final Set<BatchId> mTaking = new HashSet<>();
     private final DelayedTasks mDelayed = new DelayedTasks();
     private boolean mIsLeaving;
@@ -56,6 +57,7 @@
      * @param thread the thread on which everything happens
      * @param runner runs items
      * @param appender makes what appends results, given a listener for batches of other processes
+     * @param saver keeps the texts that grow
      * @param nowMs steady clock in milliseconds
      */
     BatchDesk(
@@ -65,6 +67,7 @@
             Executor thread,
             ItemRunner runner,
             Function<Consumer<OwnedBatch>, ResultAppender> appender,
+            ProgressSaver saver,
             LongSupplier nowMs) {
         mStore = store;
         mNodes = nodes;
@@ -72,17 +75,10 @@
         mThread = thread;
         mRunner = runner;
         mAppender = appender.apply(this::disowned);
+        mSaver = saver;
         mNowMs = nowMs;
     }
 
-    /**
-     * What the store says of a batch's owner.
-     *
-     * @param ownership the ownership
-     * @param revision revision of the owner's key
-     */
-    public record Known(BatchOwnership ownership, long revision) {}
-
     // Accepting
 
     /**
@@ -140,8 +136,8 @@
                 .with("items", batch.items().size())
                 .with("revision", revision)
                 .info();
-        mKnown.put(batch.id(), new Known(ownership, revision));
-        own(new StoredBatch(batch, List.of()), revision);
+        mKnown.put(batch.id(), new KnownOwnership(ownership, revision));
+        own(StoredBatch.ofNew(batch), revision);
         done.accept(Result.of(true));
         return null;
     }
@@ -176,7 +172,7 @@
                                     boolean isMine = isMine(batch.id());
                                     if (isMine && !mOwned.containsKey(batch.id())) {
                                         own(
-                                                new StoredBatch(batch, List.of()),
+                                                StoredBatch.ofNew(batch),
                                                 item.orElseThrow().revision());
                                     }
                                     done.accept(Result.of(true));
@@ -185,7 +181,7 @@
     }
 
     private boolean isMine(BatchId id) {
-        Known known = mKnown.get(id);
+        KnownOwnership known = mKnown.get(id);
         return known != null
                 && known.ownership().owner().equals(mOwner)
                 && !known.ownership().isEnded();
@@ -214,7 +210,7 @@
             Optional.ofNullable(mOwned.remove(id)).ifPresent(OwnedBatch::disowned);
             return;
         }
-        Known held = mKnown.get(id);
+        KnownOwnership held = mKnown.get(id);
         if (held != null && held.revision() >= item.get().revision()) {
             return;
         }
@@ -223,7 +219,7 @@
             Decision.of("unreadable_value").with("key", key).warn();
             return;
         }
-        mKnown.put(id, new Known(ownership.get(), item.get().revision()));
+        mKnown.put(id, new KnownOwnership(ownership.get(), item.get().revision()));
         OwnedBatch owned = mOwned.get(id);
         if (owned == null) {
             return;
@@ -256,7 +252,7 @@
      * Takes over batches whose owner holds no lease any more, if this process is chosen for them.
      */
     private void takeOver(boolean isSweeper) {
-        for (Map.Entry<BatchId, Known> entry : mKnown.entrySet()) {
+        for (Map.Entry<BatchId, KnownOwnership> entry : mKnown.entrySet()) {
             BatchOwnership ownership = entry.getValue().ownership();
             BatchId id = entry.getKey();
             if (ownership.isEnded() || mOwned.containsKey(id) || mTaking.contains(id)) {
@@ -272,7 +268,7 @@
         }
     }
 
-    private void take(Known known) {
+    private void take(KnownOwnership known) {
         BatchId id = known.ownership().id();
         mTaking.add(id);
         BatchOwnership mine = known.ownership().ownedBy(mOwner);
@@ -294,7 +290,7 @@
                                             .with("batch", id.value())
                                             .with("from", known.ownership().owner())
                                             .info();
-                                    mKnown.put(id, new Known(mine, revision));
+                                    mKnown.put(id, new KnownOwnership(mine, revision));
                                     loadTaken(id, revision);
                                     return null;
                                 }));
@@ -349,7 +345,7 @@
      * @param done takes the outcome; {@code not_found} if there is no such batch
      */
     public void end(BatchId id, Consumer<Result<Boolean>> done) {
-        Known known = mKnown.get(id);
+        KnownOwnership known = mKnown.get(id);
         if (known != null && known.ownership().isEnded()) {
             done.accept(Result.of(true));
             return;
@@ -373,7 +369,7 @@
                                     return null;
                                 },
                                 revision -> {
-                                    mKnown.put(id, new Known(ended, revision));
+                                    mKnown.put(id, new KnownOwnership(ended, revision));
                                     OwnedBatch owned = mOwned.get(id);
                                     if (owned != null) {
                                         ended(owned, revision);
@@ -446,7 +442,7 @@
      * @param id the batch
      * @return the ownership, empty if the batch is not known here
      */
-    public Optional<Known> known(BatchId id) {
+    public Optional<KnownOwnership> known(BatchId id) {
         return Optional.ofNullable(mKnown.get(id));
     }
 
@@ -469,6 +465,7 @@
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
             if (!mIsDraining) {
                 mRunner.tick(owned);
+                mSaver.tick(owned);
             }
             mAppender.tick(owned);
             owned.wake(nowMs);
@@ -480,10 +477,11 @@
         mIsLeaving = true;
     }
 
-    /** Stops running items; what is finished is still appended. */
+    /** Stops running items and keeps their texts; what is finished is still appended. */
     public void drain() {
         mIsDraining = true;
         for (OwnedBatch owned : mOwned.values()) {
+            mSaver.save(owned);
             owned.runs().forEach(ItemRun::breakOff);
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesks.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchDesks.java
@@ -75,6 +75,7 @@
                                 needs.backoff(),
                                 needs.nowMs(),
                                 onDisowned),
+                new ProgressSaver(needs.store(), needs.thread(), needs.nowMs()),
                 needs.nowMs());
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusspan.id.BatchId;
+import dev.cactusspan.observe.Decision;
 import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.StoredItem;
@@ -92,6 +94,28 @@
                         List.of(new Write(key, Gzip.compress(JsonText.write(results)), 0))));
     }
 
+    /**
+     * Keeps how far texts have come, in place of what was kept before.
+     *
+     * @param batch the batch
+     * @param ownerRevision revision of the owner's key that must still hold
+     * @param progress the texts
+     * @return revision of the change; {@code conflict} if the owner is another, {@code
+     *     payload_too_large} if they are too long to be kept
+     */
+    public CompletableFuture<Result<Long>> keepProgress(
+            BatchId batch, long ownerRevision, List<ItemProgress> progress) {
+        byte[] packed = Gzip.compress(JsonText.write(progress));
+        if (packed.length > PART_BYTES) {
+            return CompletableFuture.completedFuture(
+                    Result.fail(ErrorKind.PAYLOAD_TOO_LARGE, "the texts are too long to be kept"));
+        }
+        return mStore.commit(
+                Transaction.of(
+                        List.of(new Expectation(ownerKey(batch), ownerRevision)),
+                        List.of(new Write(progressKey(batch), packed, 0))));
+    }
+
     /**
      * Changes the owner's key.
      *
@@ -150,40 +174,46 @@
     private static Result<StoredBatch> assemble(BatchId id, List<StoredItem> items) {
         ByteArrayOutputStream packed = new ByteArrayOutputStream();
         List<ItemResult> results = new ArrayList<>();
+        List<ItemProgress> progress = new ArrayList<>();
         for (StoredItem item : items) {
             if (item.key().startsWith(dataPrefix(id) + "part/")) {
                 packed.writeBytes(item.value());
-                continue;
-            }
-            Result<List<ItemResult>> part = results(item.value());
-            if (!part.isOk()) {
-                return part.map(r -> new StoredBatch(null, r));
+            } else if (item.key().equals(progressKey(id))) {
+                // Texts that cannot be read are generated again.
+                list(item.value(), ItemProgress.class)
+                        .fold(f -> unreadable(item.key(), f), progress::addAll);
+            } else {
+                Result<List<ItemResult>> part = list(item.value(), ItemResult.class);
+                if (!part.isOk()) {
+                    return part.map(r -> new StoredBatch(null, r, List.of()));
+                }
+                results.addAll(part.get());
             }
-            results.addAll(part.get());
         }
         if (packed.size() == 0) {
             return Result.fail(ErrorKind.NOT_FOUND, "no batch " + id);
         }
         return Gzip.expand(packed.toByteArray(), MAX_EXPANDED_BYTES)
                 .flatMap(bytes -> JsonText.read(bytes, Batch.class))
-                .map(batch -> new StoredBatch(batch, results));
+                .map(batch -> new StoredBatch(batch, results, progress));
     }
 
-    private static Result<List<ItemResult>> results(byte[] packed) {
+    private static <T> Result<List<T>> list(byte[] packed, Class<T> type) {
         return Gzip.expand(packed, MAX_EXPANDED_BYTES)
                 .flatMap(bytes -> JsonText.read(bytes, JsonNode.class))
                 .map(
                         node -> {
-                            List<ItemResult> results = new ArrayList<>();
-                            node.forEach(
-                                    n ->
-                                            results.add(
-                                                    JsonText.mapper()
-                                                            .convertValue(n, ItemResult.class)));
-                            return results;
+                            List<T> list = new ArrayList<>();
+                            node.forEach(n -> list.add(JsonText.mapper().convertValue(n, type)));
+                            return list;
                         });
     }
 
+    private static boolean unreadable(String key, Failure failure) {
+        Decision.of("unreadable_value").with("key", key).with("reason", failure.detail()).warn();
+        return false;
+    }
+
     /**
      * Reads an owner's key.
      *
@@ -216,6 +246,10 @@
         return String.format("%spart/%04d", dataPrefix(batch), number);
     }
 
+    private static String progressKey(BatchId batch) {
+        return dataPrefix(batch) + "progress";
+    }
+
     private static String resultKey(BatchId batch, int position) {
         return String.format("%sresult/%08d", dataPrefix(batch), position);
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -45,6 +45,14 @@
 
     // Operations
 
+    /** Goes on from what a former owner kept. */
+    void restore(ItemProgress progress) {
+        mTexts.addAll(progress.texts());
+        mVersions.addAll(progress.versions());
+        mVersion = progress.version();
+        mLastEvent = OptionalLong.of(progress.lastEvent());
+    }
+
     boolean apply(ItemEvent event) {
         return mPosition.apply(event);
     }
@@ -132,6 +140,21 @@
                 score);
     }
 
+    /** Returns how far a text that still grows has come, empty if another run begins it anew. */
+    Optional<ItemProgress> progress() {
+        boolean isGrowing = state() == ItemState.RUNNING || state() == ItemState.WAITING;
+        if (!isGrowing || mLastEvent.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new ItemProgress(
+                        mItem.id(),
+                        List.copyOf(mTexts),
+                        mLastEvent.getAsLong(),
+                        mVersions.stream().sorted().toList(),
+                        mVersion));
+    }
+
     boolean isWithin(WeightVersion bound) {
         return mVersions.stream().noneMatch(bound::isAfter);
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -24,6 +24,9 @@
     private long mNextAppendMs;
     private int mAppendFailures;
     private boolean mIsEnded;
+    private boolean mIsSaving;
+    private long mSavedMs;
+    private int mSavedEvents;
 
     OwnedBatch(StoredBatch stored, long revision) {
         mBatch = stored.batch();
@@ -31,9 +34,13 @@
         mListed.addAll(stored.results());
         Set<ItemId> listed = new HashSet<>();
         mListed.forEach(r -> listed.add(r.id()));
+        Map<ItemId, ItemProgress> progress = new HashMap<>();
+        stored.progress().forEach(p -> progress.put(p.id(), p));
         for (BatchItem item : DispatchOrder.of(mBatch)) {
             if (!listed.contains(item.id())) {
-                mRuns.add(new ItemRun(item));
+                ItemRun run = new ItemRun(item);
+                Optional.ofNullable(progress.get(item.id())).ifPresent(run::restore);
+                mRuns.add(run);
                 mOpenByGroup.merge(item.group(), 1, Integer::sum);
             }
         }
@@ -103,6 +110,30 @@
         wake();
     }
 
+    // Progress
+
+    /** Tells whether texts should be kept: they grew enough since they were kept last. */
+    boolean isSaveDue(long nowMs, long everyMs, int minEvents) {
+        return !mIsSaving
+                && nowMs - mSavedMs >= everyMs
+                && events() != mSavedEvents
+                && mRuns.stream().anyMatch(run -> run.events() >= minEvents);
+    }
+
+    private int events() {
+        return mRuns.stream().mapToInt(ItemRun::events).sum();
+    }
+
+    void beginSave(long nowMs) {
+        mIsSaving = true;
+        mSavedMs = nowMs;
+        mSavedEvents = events();
+    }
+
+    void saved() {
+        mIsSaving = false;
+    }
+
     // Readers
 
     ResultsView view(int after) {
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ProgressSaver.java
@@ -0,0 +1,63 @@
+package dev.cactusspan.batch;
+
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.result.Replies;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * Keeps the texts that grow in the store, so that the process that takes a batch over goes on with
+ * the long ones, which end a step, instead of beginning them anew. What is not kept in time is
+ * generated again: a failure loses nothing else.
+ */
+final class ProgressSaver {
+
+    /** A text grows for up to 7 s; each save is paid for as a call to the store. */
+    private static final long SAVE_EVERY_MS = 1_500;
+
+    /** Texts with fewer events are generated again within half a second. */
+    private static final int MIN_EVENTS = 12;
+
+    private final BatchStore mStore;
+    private final Executor mThread;
+    private final LongSupplier mNowMs;
+
+    ProgressSaver(BatchStore store, Executor thread, LongSupplier nowMs) {
+        mStore = store;
+        mThread = thread;
+        mNowMs = nowMs;
+    }
+
+    void tick(OwnedBatch owned) {
+        if (owned.isSaveDue(mNowMs.getAsLong(), SAVE_EVERY_MS, MIN_EVENTS)) {
+            save(owned);
+        }
+    }
+
+    /** Keeps the texts of a batch now. */
+    void save(OwnedBatch owned) {
+        List<ItemProgress> progress =
+                owned.runs().stream()
+                        .map(ItemRun::progress)
+                        .flatMap(Optional::stream)
+                        .filter(p -> p.texts().size() >= MIN_EVENTS)
+                        .toList();
+        if (progress.isEmpty()) {
+            return;
+        }
+        owned.beginSave(mNowMs.getAsLong());
+        Replies.on(
+                mStore.keepProgress(owned.batch().id(), owned.revision(), progress),
+                mThread,
+                r -> {
+                    owned.saved();
+                    Decision.of("progress_kept")
+                            .with("batch", owned.batch().id().value())
+                            .with("texts", progress.size())
+                            .with("failure", r.fold(Object::toString, revision -> ""))
+                            .info();
+                });
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
@@ -4,6 +4,7 @@
 import com.google.common.cache.CacheBuilder;
 import dev.cactusspan.batch.BatchDesk;
 import dev.cactusspan.batch.BatchStore;
+import dev.cactusspan.batch.KnownOwnership;
 import dev.cactusspan.batch.ResultsView;
 import dev.cactusspan.batch.StoredBatch;
 import dev.cactusspan.id.AccountId;
@@ -58,8 +59,8 @@
     // Ownership
 
     /** Finds out who owns a batch of a client account. */
-    void locate(BatchId id, AccountId account, Consumer<Result<BatchDesk.Known>> taker) {
-        Optional<BatchDesk.Known> known = mDesk.known(id);
+    void locate(BatchId id, AccountId account, Consumer<Result<KnownOwnership>> taker) {
+        Optional<KnownOwnership> known = mDesk.known(id);
         if (known.isPresent()) {
             taker.accept(checked(known.get(), id, account));
             return;
@@ -83,8 +84,8 @@
                                 }));
     }
 
-    private static Result<BatchDesk.Known> checked(
-            BatchDesk.Known known, BatchId id, AccountId account) {
+    private static Result<KnownOwnership> checked(
+            KnownOwnership known, BatchId id, AccountId account) {
         return known.ownership().account().equals(account) ? Result.of(known) : absent(id);
     }
 
@@ -95,7 +96,7 @@
     // Results
 
     void results(
-            BatchDesk.Known known, int after, long waitMs, Consumer<Result<ResultsView>> taker) {
+            KnownOwnership known, int after, long waitMs, Consumer<Result<ResultsView>> taker) {
         BatchId id = known.ownership().id();
         if (mDesk.read(id, after, waitMs, view -> taker.accept(Result.of(view)))) {
             return;
@@ -126,8 +127,8 @@
     }
 
     /** Reads who owns a batch, as this process follows owners only while it owns batches itself. */
-    private void refreshed(BatchId id, Consumer<Optional<BatchDesk.Known>> taker) {
-        Optional<BatchDesk.Known> held = mDesk.known(id);
+    private void refreshed(BatchId id, Consumer<Optional<KnownOwnership>> taker) {
+        Optional<KnownOwnership> held = mDesk.known(id);
         if (held.map(k -> k.ownership().isEnded()).orElse(false)) {
             taker.accept(held);
             return;
@@ -154,7 +155,7 @@
                 : Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, "the asked process is not the owner");
     }
 
-    private void stored(BatchDesk.Known known, int after, Consumer<Result<ResultsView>> taker) {
+    private void stored(KnownOwnership known, int after, Consumer<Result<ResultsView>> taker) {
         load(
                 known,
                 r ->
@@ -167,7 +168,7 @@
                                                         after))));
     }
 
-    private void load(BatchDesk.Known known, Consumer<Result<StoredBatch>> taker) {
+    private void load(KnownOwnership known, Consumer<Result<StoredBatch>> taker) {
         BatchId id = known.ownership().id();
         StoredBatch cached = mEnded.getIfPresent(id);
         if (cached != null) {
@@ -196,7 +197,7 @@
 
     // Items
 
-    void item(BatchDesk.Known known, ItemId item, Consumer<Result<byte[]>> taker) {
+    void item(KnownOwnership known, ItemId item, Consumer<Result<byte[]>> taker) {
         BatchId id = known.ownership().id();
         if (known.ownership().isEnded()) {
             taker.accept(Result.fail(ErrorKind.NOT_FOUND, "the batch has ended"));
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.batch.Batch;
 import dev.cactusspan.batch.BatchCodec;
 import dev.cactusspan.batch.BatchDesk;
+import dev.cactusspan.batch.KnownOwnership;
 import dev.cactusspan.batch.ResultsView;
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FleetRoute;
@@ -233,7 +234,7 @@
             BatchId id,
             Optional<String> key,
             Consumer<Result<T>> taker,
-            Consumer<BatchDesk.Known> found) {
+            Consumer<KnownOwnership> found) {
         account(key, false)
                 .fold(
                         f -> {
@@ -248,9 +249,9 @@
     }
 
     private static <T> void handOn(
-            Result<BatchDesk.Known> result,
+            Result<KnownOwnership> result,
             Consumer<Result<T>> taker,
-            Consumer<BatchDesk.Known> found) {
+            Consumer<KnownOwnership> found) {
         result.fold(
                 f -> {
                     taker.accept(Result.fail(f));
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.arrayWithSize;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.hasSize;
@@ -218,6 +219,60 @@
         assertThat(other.desk().known(ID).orElseThrow().ownership().owner(), is(other.owner()));
     }
 
+    private static void grow(FakeTargets.Sent run, int from, int upTo) {
+        for (int id = from; id <= upTo; id++) {
+            run.event(id, "t" + id);
+        }
+    }
+
+    private BatchNode withOneText(int events) {
+        BatchNode node = node("n1");
+        node("n2");
+        run(100);
+        submit(node, 1, 1);
+        run(50);
+        node.port().last().begin(BatchNode.MIN_VERSION);
+        grow(node.port().last(), 1, events);
+        run(100);
+        return node;
+    }
+
+    @Test
+    void shouldGoOnWithTheTextThatADeadOwnerKept() {
+        BatchNode node = withOneText(20);
+        node.kill();
+        run(1_000);
+        FakeTargets.Sent next = mNodes.get(1).port().last();
+        assertThat(next.request().resumeAfter().orElse(0), is(20L));
+        next.begin(BatchNode.MIN_VERSION);
+        grow(next, 21, 22);
+        next.end();
+        runAnswering(1_000);
+        assertThat(stored().get(0).text().split("\n"), arrayWithSize(22));
+        assertThat(stored().get(0).versions(), hasSize(1));
+    }
+
+    @Test
+    void shouldKeepWhatGrewSinceWhenItStops() {
+        BatchNode node = withOneText(20);
+        grow(node.port().last(), 21, 25);
+        node.desk().drain();
+        mThread.settle();
+        mStore.step();
+        mThread.settle();
+        node.kill();
+        run(1_000);
+        assertThat(mNodes.get(1).port().last().request().resumeAfter().orElse(0), is(25L));
+    }
+
+    @Test
+    void shouldBeginAnewWhatGrewTooLittleToBeKept() {
+        BatchNode node = withOneText(3);
+        node.kill();
+        run(1_000);
+        assertThat(mNodes.get(1).port().last().request().resumeAfter().isPresent(), is(false));
+    }
+
     @Test
     void shouldNotAppendAsAFormerOwner() {
         BatchNode node = node("n1");
