Log until the process has stopped

Change: the log ends after the process. Measured: GatewayNodeTest.shouldLogWhatItDoesUntilItHasStopped fails without the change (no "stopped") and passes with it.

--- /dev/null
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/GatewayNodeTest.java
@@ -0,0 +1,54 @@
+package dev.cactusspan.standin;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import dev.cactusspan.standin.hosted.GatewayNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real process of the product and what it says. */
+final class GatewayNodeTest {
+    private static final int NO_PORT = 1;
+    private static final int TRIES = 3_000;
+    private static final long POLL_MS = 10;
+    private static final long END_MS = 30_000;
+
+    @TempDir private Path mFolder;
+
+    private String log() throws IOException {
+        Path log = mFolder.resolve("entry.log");
+        return Files.exists(log) ? Files.readString(log) : "";
+    }
+
+    private void await(String message) throws Exception {
+        for (int i = 0; i < TRIES && !log().contains(message); i++) {
+            Thread.sleep(POLL_MS);
+        }
+        assertThat(log(), containsString(message));
+    }
+
+    @Test
+    void shouldStartThoughItIsToldToReadItsSettingsAgain() throws Exception {
+        try (GatewayNode node = GatewayNode.start(mFolder, "entry", NO_PORT, NO_PORT, 1)) {
+            await("\"starting\"");
+            node.signal("HUP");
+            await("\"started\"");
+        }
+    }
+
+    @Test
+    void shouldLogWhatItDoesUntilItHasStopped() throws Exception {
+        try (GatewayNode node = GatewayNode.start(mFolder, "entry", NO_PORT, NO_PORT, 1)) {
+            await("\"started\"");
+            node.signal("TERM");
+            assertThat(node.awaitEnd(END_MS), is(true));
+        }
+        assertThat(log(), containsString("\"stopping\""));
+        assertThat(log(), containsString("\"stopped\""));
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/command/Shutdown.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/Shutdown.java
@@ -1,6 +1,11 @@
 package dev.cactusspan.command;
 
-/** Stops a process gracefully when it receives SIGTERM. */
+import org.apache.logging.log4j.LogManager;
+
+/**
+ * Stops a process gracefully when it receives SIGTERM. The log ends after the process, so that what
+ * it does while it stops can be read.
+ */
 final class Shutdown {
     private static final long FLUSH_MS = 200;
 
@@ -20,6 +25,8 @@
             Thread.currentThread().interrupt();
         } catch (Exception e) {
             System.err.println("shutdown: " + e.getMessage());
+        } finally {
+            LogManager.shutdown();
         }
     }
 }
