Take SIGHUP from the first moment, and shift clocks in the soak

The handler was installed after the start.

Change: the handler is installed first, and a start logs "starting". The soak also moves the clocks of processes by up to 8 s and lets targets answer one in two requests with errors; the time of day is given to an entry by its creator.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
@@ -24,6 +24,10 @@
     private static final long STEP_BOUND_MS = 15_000;
     private static final long RECOVER_MS = 12_000;
     private static final int LAST_QUOTES = 20;
+    private static final int KINDS = 14;
+
+    /** A clock jumps by this much at most, ahead or back, in milliseconds. */
+    private static final int MAX_SHIFT_MS = 8_000;
 
     private final Random mRandom;
     private final List<LoopbackProxy> mProxies = new ArrayList<>();
@@ -132,7 +136,7 @@
     // Faults
 
     private void fault(long atMs) throws IOException {
-        int kind = mRandom.nextInt(12);
+        int kind = mRandom.nextInt(KINDS);
         GatewayNode node = mDeployment.nodes().get(mRandom.nextInt(NODES));
         LoopbackProxy proxy = mProxies.get(mRandom.nextInt(mProxies.size()));
         long forMs = 300L + mRandom.nextInt(3_000);
@@ -157,14 +161,25 @@
             case 8 -> proxy.resetAll();
             case 9 -> during(forMs, () -> proxy.cut(mRandom.nextBoolean(), true), proxy::calm);
             case 10 -> during(forMs, () -> proxy.delay(50L + mRandom.nextInt(200)), proxy::calm);
+            case 11 -> {
+                long shiftMs = mRandom.nextInt(2 * MAX_SHIFT_MS) - (long) MAX_SHIFT_MS;
+                during(forMs, () -> node.shiftClock(shiftMs), () -> node.shiftClock(0));
+            }
+            case 12 -> {
+                TargetEmulator target = anyTarget();
+                during(forMs, () -> target.failOneIn(2), () -> target.failOneIn(0));
+            }
             default -> {
-                TargetEmulator target =
-                        mDeployment.targets().get(mRandom.nextInt(mDeployment.targets().size()));
+                TargetEmulator target = anyTarget();
                 during(forMs, () -> target.cutOneIn(4), () -> target.cutOneIn(0));
             }
         }
     }
 
+    private TargetEmulator anyTarget() {
+        return mDeployment.targets().get(mRandom.nextInt(mDeployment.targets().size()));
+    }
+
     /** Begins a fault and ends it later, so that faults overlap. */
     private static void during(long forMs, Runnable begin, Runnable end) {
         begin.run();
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -103,7 +103,7 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m"));
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
-        command.addAll(List.of("dev.cactusspan.command.Main", "entry"));
+        command.addAll(List.of(ShiftedEntry.class.getName(), clockFile().toString()));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("CACTUSSPAN_CONFIG", mFolder.resolve(mName + ".json").toString());
         File log = mFolder.resolve(mName + ".log").toFile();
@@ -113,8 +113,25 @@
                         .start();
     }
 
+    private Path clockFile() {
+        return mFolder.resolve(mName + ".clock");
+    }
+
     // Operations
 
+    /**
+     * Moves the process's time of day.
+     *
+     * @param shiftMs by how much it is ahead, in milliseconds
+     */
+    public void shiftClock(long shiftMs) {
+        try {
+            Files.writeString(clockFile(), Long.toString(shiftMs));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /**
      * Sends a signal.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -49,6 +49,7 @@
     private volatile boolean mIsLoading;
     private volatile boolean mIsLeaving;
     private volatile int mCutOneIn;
+    private volatile int mFailOneIn;
     private volatile int mListedPort;
 
     private TargetEmulator(
@@ -116,6 +117,15 @@
         mCutOneIn = oneIn;
     }
 
+    /**
+     * Answers some requests with an error; its entry says that it is well.
+     *
+     * @param oneIn one in how many requests, zero for none
+     */
+    public void failOneIn(int oneIn) {
+        mFailOneIn = oneIn;
+    }
+
     /** Says that it leaves; it serves what comes all the same. */
     public void leave() {
         mIsLeaving = true;
@@ -206,6 +216,11 @@
             refuse(exchange, 503);
             return;
         }
+        if (isDrawn(mFailOneIn)) {
+            exchange.setStatusCode(500);
+            exchange.endExchange();
+            return;
+        }
         mRunning.incrementAndGet();
         try {
             if (mModel.isEmpty()) {
@@ -228,7 +243,7 @@
         long window = Math.floorDiv(System.currentTimeMillis(), mWindowMs);
         mLedger.run(id, HostedServer.header(exchange, "Tenant"), window);
         pause(WORK_MS);
-        if (isCut()) {
+        if (isDrawn(mCutOneIn)) {
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
@@ -261,7 +276,7 @@
                 mLedger.event(id, n, version);
                 out.write(event.getBytes(StandardCharsets.UTF_8));
                 out.flush();
-                if (isCut()) {
+                if (isDrawn(mCutOneIn)) {
                     IoUtils.safeClose(exchange.getConnection());
                     return;
                 }
@@ -272,8 +287,7 @@
         }
     }
 
-    private boolean isCut() {
-        int oneIn = mCutOneIn;
+    private boolean isDrawn(int oneIn) {
         synchronized (mRandom) {
             return oneIn > 0 && mRandom.nextInt(oneIn) == 0;
         }
--- a/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.entry.EntryProcess;
 import dev.cactusspan.gateway.GatewayProcess;
+import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.settings.EntrySettings;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.function.LongSupplier;
 import org.kohsuke.args4j.Option;
 
 /** Runs an entry process until it is told to stop. */
@@ -20,6 +22,22 @@
             usage = "settings of the entry; without it, those of a platform in CACTUSSPAN_CONFIG")
     private Path mSettings;
 
+    private final LongSupplier mWallMs;
+
+    /** Creates the command with this machine's time of day. */
+    public EntryCommand() {
+        this(System::currentTimeMillis);
+    }
+
+    /**
+     * Creates the command.
+     *
+     * @param wallMs time of day in milliseconds since 1970, for an entry on a platform
+     */
+    public EntryCommand(LongSupplier wallMs) {
+        mWallMs = wallMs;
+    }
+
     @Override
     public ExitCode run(PrintStream out, PrintStream err) throws IOException {
         if (mSettings != null) {
@@ -43,15 +61,16 @@
         return ExitCode.OK;
     }
 
-    private static ExitCode runOnPlatform(PrintStream err) throws IOException {
+    private ExitCode runOnPlatform(PrintStream err) throws IOException {
+        Reload.onSignal(PlatformSettings::read);
+        Decision.of("starting").with("role", "entry").info();
         Result<GatewaySettings> settings = PlatformSettings.read();
         if (!settings.isOk()) {
             return settings.fold(f -> Reports.failed(err, f), s -> ExitCode.OK);
         }
-        GatewayProcess process = new GatewayProcess(settings.get(), Telemetry.create());
+        GatewayProcess process = new GatewayProcess(settings.get(), Telemetry.create(), mWallMs);
         process.start();
         Shutdown.onSignal(process::drain, process);
-        Reload.onSignal(PlatformSettings::read);
         return ExitCode.OK;
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/command/StorageCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/StorageCommand.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.command;
 
 import dev.cactusspan.gateway.StorageProcess;
+import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.settings.GatewaySettings;
@@ -12,6 +13,8 @@
 
     @Override
     public ExitCode run(PrintStream out, PrintStream err) throws IOException {
+        Reload.onSignal(PlatformSettings::read);
+        Decision.of("starting").with("role", "storage").info();
         Result<GatewaySettings> settings = PlatformSettings.read();
         if (!settings.isOk()) {
             return settings.fold(f -> Reports.failed(err, f), s -> ExitCode.OK);
@@ -19,7 +22,6 @@
         StorageProcess process = new StorageProcess(settings.get(), Telemetry.create());
         process.start();
         Shutdown.onSignal(() -> {}, process);
-        Reload.onSignal(PlatformSettings::read);
         return ExitCode.OK;
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -39,7 +39,9 @@
     public ExitCode run(PrintStream out, PrintStream err) throws IOException {
         List<Integer> ports = freePorts();
         GatewaySettings settings = settings(ports, ports.get(2));
-        try (GatewayProcess entry = new GatewayProcess(settings, Telemetry.create());
+        try (GatewayProcess entry =
+                        new GatewayProcess(
+                                settings, Telemetry.create(), System::currentTimeMillis);
                 StorageProcess storage =
                         new StorageProcess(settings(ports, ports.get(6)), Telemetry.create());
                 HttpCaller caller = HttpCaller.create()) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -36,6 +36,7 @@
 import java.net.URI;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
 
 /** An entry on a hosting platform: serves clients and trainers, and holds duties. */
 public final class GatewayProcess implements AutoCloseable {
@@ -54,11 +55,15 @@
     /** Time kept for handing over and closing before the kill, in milliseconds. */
     private static final long CLOSE_MS = 2_000;
 
+    /** Texts that grew reach the store within this time, in milliseconds. */
+    private static final long KEEP_MS = 300;
+
     /** The end of the lease reaches the store within this time, in milliseconds. */
     private static final long HAND_OVER_MS = 300;
 
     private final GatewaySettings mSettings;
     private final Telemetry mTelemetry;
+    private final LongSupplier mWallMs;
     private final HttpCaller mHttp;
     private final DutyThread mThread = new DutyThread("gateway", RING_TASKS, TICK_MS);
     private final SplittableRandom mRandom = new SplittableRandom();
@@ -87,11 +92,14 @@
      *
      * @param settings its settings
      * @param telemetry its metrics
+     * @param wallMs time of day in milliseconds since 1970, which may jump
      * @throws IOException if its threads cannot be started
      */
-    public GatewayProcess(GatewaySettings settings, Telemetry telemetry) throws IOException {
+    public GatewayProcess(GatewaySettings settings, Telemetry telemetry, LongSupplier wallMs)
+            throws IOException {
         mSettings = settings;
         mTelemetry = telemetry;
+        mWallMs = wallMs;
         mHttp = HttpCaller.create();
         NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
@@ -125,7 +133,7 @@
     private NodeRecord newRecord() {
         return new NodeRecord(
                 mSettings.vm(),
-                Long.toString(System.currentTimeMillis(), Character.MAX_RADIX),
+                Long.toString(mWallMs.getAsLong(), Character.MAX_RADIX),
                 mSettings.zone(),
                 mSettings.ip(),
                 mSettings.linkPort(),
@@ -153,7 +161,7 @@
                 mSettings.usageWindowS() * MS_PER_S,
                 mThread,
                 GatewayProcess::nowMs,
-                System::currentTimeMillis);
+                mWallMs);
     }
 
     private WeightMover newWeights(TargetPort port) {
@@ -193,7 +201,7 @@
                         mTelemetry,
                         backoff(),
                         GatewayProcess::nowMs,
-                        System::currentTimeMillis));
+                        mWallMs));
     }
 
     private Gateway newGateway() {
@@ -206,7 +214,7 @@
                 () -> mIsStopping,
                 mTelemetry,
                 GatewayProcess::nowMs,
-                System::currentTimeMillis);
+                mWallMs);
     }
 
     private PlatformServer newServer() {
@@ -303,11 +311,9 @@
         pause(LEAVE_ROTATION_MS);
         mIsStopping = true;
         mDrained.await(mSettings.stopS() * MS_PER_S - LEAVE_ROTATION_MS - CLOSE_MS);
-        mThread.execute(
-                () -> {
-                    mBatches.drain();
-                    mSession.close();
-                });
+        mThread.execute(mBatches::drain);
+        pause(KEEP_MS);
+        mThread.execute(mSession::close);
         pause(HAND_OVER_MS);
     }
 
