--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/StandInServer.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/StandInServer.java
@@ -10,13 +10,21 @@
 import java.util.Deque;
 
 /** Shared parts of the stand-ins' HTTP servers. */
-final class StandInServer {
+public final class StandInServer {
     private static final int IO_THREADS = 2;
     private static final int WORKER_THREADS = 8;
 
     private StandInServer() {}
 
-    static Undertow start(String ip, int port, HttpHandler handler) {
+    /**
+     * Starts a server.
+     *
+     * @param ip where it listens
+     * @param port its port, zero for a free one
+     * @param handler answers
+     * @return the running server
+     */
+    public static Undertow start(String ip, int port, HttpHandler handler) {
         Undertow server =
                 Undertow.builder()
                         .addHttpListener(port, ip)
@@ -28,17 +36,38 @@
         return server;
     }
 
-    static int port(Undertow server) {
+    /**
+     * Returns the port of a server.
+     *
+     * @param server the server
+     * @return its port
+     */
+    public static int port(Undertow server) {
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    static void json(HttpServerExchange exchange, int status, Object value) {
+    /**
+     * Answers with JSON.
+     *
+     * @param exchange the request
+     * @param status HTTP status
+     * @param value the body
+     */
+    public static void json(HttpServerExchange exchange, int status, Object value) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         exchange.getResponseSender().send(ByteBuffer.wrap(JsonText.write(value)));
     }
 
-    static String query(HttpServerExchange exchange, String name, String other) {
+    /**
+     * Returns a parameter of the query.
+     *
+     * @param exchange the request
+     * @param name its name
+     * @param other what to return if it is absent
+     * @return its first value
+     */
+    public static String query(HttpServerExchange exchange, String name, String other) {
         Deque<String> values = exchange.getQueryParameters().get(name);
         return values == null || values.isEmpty() ? other : values.getFirst();
     }
@@ -46,4 +75,16 @@
     static long number(HttpServerExchange exchange, String name, long other) {
         return Long.parseLong(query(exchange, name, Long.toString(other)));
     }
+
+    /**
+     * Returns a header.
+     *
+     * @param exchange the request
+     * @param name its name
+     * @return its first value, empty if it is absent
+     */
+    public static String header(HttpServerExchange exchange, String name) {
+        String value = exchange.getRequestHeaders().getFirst(name);
+        return value == null ? "" : value;
+    }
 }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/StoreEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/StoreEmulator.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.standin.hosted;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.standin.StandInServer;
 import dev.cactusspan.text.JsonText;
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
@@ -42,7 +43,7 @@
                                 e -> e.getRequestReceiver().receiveFullBytes(this::grant))
                         .post("/-/kv-keep/{lease}", this::keep)
                         .delete("/-/kv-lease-end/{lease}", this::end);
-        mServer = HostedServer.start(e -> faulty(e, routes));
+        mServer = StandInServer.start("127.0.0.1", 0, e -> faulty(e, routes));
         var unused =
                 mTimer.scheduleAtFixedRate(
                         () -> mStore.tick(nowMs()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -123,7 +124,7 @@
     }
 
     private void get(HttpServerExchange exchange) {
-        Optional<MemoryStore.Item> item = mStore.get(HostedServer.query(exchange, "key"));
+        Optional<MemoryStore.Item> item = mStore.get(StandInServer.query(exchange, "key", ""));
         if (item.isEmpty()) {
             exchange.setStatusCode(404);
             exchange.endExchange();
@@ -131,17 +132,17 @@
         }
         Map<String, Object> body = json(item.get());
         body.put("as_of", mStore.revision());
-        HostedServer.json(exchange, 200, body);
+        StandInServer.json(exchange, 200, body);
     }
 
     private void range(HttpServerExchange exchange) {
         List<MemoryStore.Item> items =
                 mStore.range(
-                        HostedServer.query(exchange, "prefix"),
-                        HostedServer.query(exchange, "after"));
+                        StandInServer.query(exchange, "prefix", ""),
+                        StandInServer.query(exchange, "after", ""));
         List<Map<String, Object>> page =
                 items.stream().limit(PAGE_ITEMS).map(StoreEmulator::json).toList();
-        HostedServer.json(
+        StandInServer.json(
                 exchange,
                 200,
                 Map.of(
@@ -154,9 +155,9 @@
     }
 
     private void watch(HttpServerExchange exchange) {
-        long after = Long.parseLong(HostedServer.query(exchange, "after"));
-        long waitMs = Long.parseLong(HostedServer.query(exchange, "wait_ms"));
-        String prefix = HostedServer.query(exchange, "prefix");
+        long after = Long.parseLong(StandInServer.query(exchange, "after", ""));
+        long waitMs = Long.parseLong(StandInServer.query(exchange, "wait_ms", ""));
+        String prefix = StandInServer.query(exchange, "prefix", "");
         exchange.dispatch();
         mStore.watch(
                 prefix,
@@ -173,7 +174,7 @@
         }
         List<Map<String, Object>> events =
                 watched.events().get().stream().map(StoreEmulator::json).toList();
-        HostedServer.json(exchange, 200, Map.of("events", events, "as_of", watched.asOf()));
+        StandInServer.json(exchange, 200, Map.of("events", events, "as_of", watched.asOf()));
     }
 
     private void txn(HttpServerExchange exchange, byte[] body) {
@@ -203,7 +204,7 @@
         if (isLost(exchange)) {
             return;
         }
-        HostedServer.json(
+        StandInServer.json(
                 exchange,
                 revision.isPresent() ? 200 : 412,
                 revision.isPresent() ? Map.of("revision", revision.get()) : Map.of());
@@ -212,7 +213,7 @@
     private void grant(HttpServerExchange exchange, byte[] body) {
         long ttlMs = JsonText.read(body, JsonNode.class).get().path("ttl_ms").asLong();
         long lease = mStore.grant(ttlMs, nowMs());
-        HostedServer.json(exchange, 200, Map.of("lease", lease, "ttl_ms", ttlMs));
+        StandInServer.json(exchange, 200, Map.of("lease", lease, "ttl_ms", ttlMs));
     }
 
     private void keep(HttpServerExchange exchange) {
@@ -220,7 +221,7 @@
         if (isLost(exchange)) {
             return;
         }
-        HostedServer.json(
+        StandInServer.json(
                 exchange, ttlMs.isPresent() ? 200 : 404, Map.of("ttl_ms", ttlMs.orElse(0L)));
     }
 
@@ -230,7 +231,7 @@
     }
 
     private static long lease(HttpServerExchange exchange) {
-        return Long.parseLong(HostedServer.query(exchange, "lease"));
+        return Long.parseLong(StandInServer.query(exchange, "lease", ""));
     }
 
     private static Map<String, Object> json(MemoryStore.Item item) {
@@ -268,7 +269,7 @@
      * @return the port
      */
     public int port() {
-        return HostedServer.port(mServer);
+        return StandInServer.port(mServer);
     }
 
     @Override
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.standin.hosted;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.standin.StandInServer;
 import dev.cactusspan.text.JsonText;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
@@ -66,7 +67,7 @@
         mModel = model;
         mWindowMs = windowMs;
         mRandom = new Random(id.hashCode());
-        mServer = HostedServer.start(this::handle);
+        mServer = StandInServer.start("127.0.0.1", 0, this::handle);
         mListedPort = port();
     }
 
@@ -162,7 +163,7 @@
     private void handle(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         if (path.equals("/-/report")) {
-            HostedServer.json(exchange, 200, Map.of("running", mRunning.get(), "waiting", 0));
+            StandInServer.json(exchange, 200, Map.of("running", mRunning.get(), "waiting", 0));
             return;
         }
         exchange.getRequestReceiver()
@@ -203,13 +204,13 @@
     }
 
     private void run(HttpServerExchange exchange, byte[] body) {
-        String id = HostedServer.header(exchange, "Attempt-Id");
+        String id = StandInServer.header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(REQUEST_ID, id);
-        if (!HostedServer.header(exchange, "Expect-Instance").equals(mId)) {
+        if (!StandInServer.header(exchange, "Expect-Instance").equals(mId)) {
             refuse(exchange, 421);
             return;
         }
-        if (!HostedServer.header(exchange, "X-Api-Key").isEmpty()) {
+        if (!StandInServer.header(exchange, "X-Api-Key").isEmpty()) {
             mLedger.broken(id + ": a key was passed on");
         }
         if (mIsLoading) {
@@ -241,7 +242,7 @@
 
     private void answer(HttpServerExchange exchange, String id, byte[] body) {
         long window = Math.floorDiv(System.currentTimeMillis(), mWindowMs);
-        mLedger.run(id, HostedServer.header(exchange, "Tenant"), window);
+        mLedger.run(id, StandInServer.header(exchange, "Tenant"), window);
         pause(WORK_MS);
         if (isDrawn(mCutOneIn)) {
             IoUtils.safeClose(exchange.getConnection());
@@ -253,7 +254,7 @@
     }
 
     private void generate(HttpServerExchange exchange, String id) {
-        String last = HostedServer.header(exchange, "Last-Event-Id");
+        String last = StandInServer.header(exchange, "Last-Event-Id");
         int from = last.isEmpty() ? 0 : Integer.parseInt(last);
         long version = mVersion.get();
         exchange.getResponseHeaders().put(VERSION, version);
@@ -307,7 +308,7 @@
      * @return the port
      */
     public int port() {
-        return HostedServer.port(mServer);
+        return StandInServer.port(mServer);
     }
 
     @Override
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/UsageEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/UsageEmulator.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.standin.hosted;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.cactusspan.standin.StandInServer;
 import dev.cactusspan.text.JsonText;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
@@ -16,7 +17,9 @@
 
     private UsageEmulator(Ledger ledger) {
         mLedger = ledger;
-        mServer = HostedServer.start(e -> e.getRequestReceiver().receiveFullBytes(this::report));
+        mServer =
+                StandInServer.start(
+                        "127.0.0.1", 0, e -> e.getRequestReceiver().receiveFullBytes(this::report));
     }
 
     /**
@@ -30,7 +33,7 @@
     }
 
     private void report(HttpServerExchange exchange, byte[] body) {
-        long fence = Long.parseLong(HostedServer.header(exchange, "Fencing-Token"));
+        long fence = Long.parseLong(StandInServer.header(exchange, "Fencing-Token"));
         if (fence < mFence.get()) {
             exchange.setStatusCode(409);
             exchange.endExchange();
@@ -52,7 +55,7 @@
      * @return the port
      */
     public int port() {
-        return HostedServer.port(mServer);
+        return StandInServer.port(mServer);
     }
 
     @Override
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchDeskTest.java
@@ -65,6 +65,15 @@
         return outcomes;
     }
 
+    /** Starts a node with a batch of one item, which is at a target. */
+    private BatchNode withOneRun() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 1, 1);
+        run(50);
+        return node;
+    }
+
     private List<ItemResult> stored() {
         return new BatchStore(mStore).load(ID).join().get().results();
     }
@@ -112,10 +121,7 @@
 
     @Test
     void shouldGoOnAfterTheLastEventElsewhere() {
-        BatchNode node = node("n1");
-        run(100);
-        submit(node, 1, 1);
-        run(50);
+        BatchNode node = withOneRun();
         FakeTargets.Sent first = node.port().last();
         first.begin(BatchNode.MIN_VERSION);
         first.events(2);
@@ -133,10 +139,7 @@
 
     @Test
     void shouldMoveARunWhoseEventsStop() {
-        BatchNode node = node("n1");
-        run(100);
-        submit(node, 1, 1);
-        run(50);
+        BatchNode node = withOneRun();
         FakeTargets.Sent first = node.port().last();
         first.begin(BatchNode.MIN_VERSION);
         first.events(1);
@@ -147,10 +150,7 @@
 
     @Test
     void shouldNotTakeEventsThatDoNotFollow() {
-        BatchNode node = node("n1");
-        run(100);
-        submit(node, 1, 1);
-        run(50);
+        BatchNode node = withOneRun();
         FakeTargets.Sent first = node.port().last();
         first.begin(BatchNode.MIN_VERSION);
         first.events(1);
@@ -162,10 +162,7 @@
 
     @Test
     void shouldStartAnewWhenTheWeightsGoBack() {
-        BatchNode node = node("n1");
-        run(100);
-        submit(node, 1, 1);
-        run(50);
+        BatchNode node = withOneRun();
         FakeTargets.Sent first = node.port().last();
         first.begin(3);
         first.event(1, "t1");
