Call what was there for the warm-up, and do two things once

Cause: read again, the warm-up waited for answers with a latch and a listener of its own, where HttpCaller.collect gives a future; a text was copied before its length was looked at; the fading of a target's trouble was computed twice.

Change: collect replaces the listener; the length is checked first; one local variable.

Measured: the tests of warm-up, forwarding, batches, command line and architecture pass.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ProgressSaver.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ProgressSaver.java
@@ -40,9 +40,9 @@
     void save(OwnedBatch owned) {
         List<ItemProgress> progress =
                 owned.runs().stream()
+                        .filter(run -> run.events() >= MIN_EVENTS)
                         .map(ItemRun::progress)
                         .flatMap(Optional::stream)
-                        .filter(p -> p.texts().size() >= MIN_EVENTS)
                         .toList();
         if (progress.isEmpty()) {
             return;
--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -2,7 +2,6 @@
 
 import dev.cactusspan.gateway.GatewayProcess;
 import dev.cactusspan.gateway.StorageProcess;
-import dev.cactusspan.http.AnswerListener;
 import dev.cactusspan.http.HttpCall;
 import dev.cactusspan.http.HttpCaller;
 import dev.cactusspan.id.AvailabilityZoneId;
@@ -17,7 +16,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -35,6 +33,9 @@
 
     private static final long CALL_MS = 1_000;
 
+    /** The metrics of a process that has done nothing are some tens of kilobytes. */
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+
     @Override
     public ExitCode run(PrintStream out, PrintStream err) throws IOException {
         List<Integer> ports = freePorts();
@@ -90,34 +91,11 @@
         }
     }
 
-    private static void ask(HttpCaller caller, String address, String path)
-            throws InterruptedException {
-        CountDownLatch ended = new CountDownLatch(1);
-        caller.send(
-                HttpCall.get(URI.create("http://" + address), path, CALL_MS), new Ending(ended));
-        ended.await(CALL_MS, TimeUnit.MILLISECONDS);
-    }
-
-    /** Waits for the end of an answer, whatever it says. */
-    private record Ending(CountDownLatch ended) implements AnswerListener {
-        @Override
-        public void onHead(int status, Map<String, String> headers) {
-            // Any answer has loaded what it needs.
-        }
-
-        @Override
-        public void onData(byte[] data) {
-            // Any answer has loaded what it needs.
-        }
-
-        @Override
-        public void onEnd() {
-            ended.countDown();
-        }
-
-        @Override
-        public void onFailure(boolean sent, String reason) {
-            ended.countDown();
-        }
+    /** Asks and waits for the answer, whatever it says: any one loads what it needs. */
+    private static void ask(HttpCaller caller, String address, String path) {
+        caller.collect(
+                        HttpCall.get(URI.create("http://" + address), path, CALL_MS),
+                        MAX_ANSWER_BYTES)
+                .join();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -82,7 +82,8 @@
     }
 
     private void outcome(double trouble, long nowMs) {
-        mTrouble = trouble(nowMs) + TROUBLE_WEIGHT * (trouble - trouble(nowMs));
+        double faded = trouble(nowMs);
+        mTrouble = faded + TROUBLE_WEIGHT * (trouble - faded);
         mTroubleAsOfMs = nowMs;
     }
 
