Keep an item from a target that it failed at

Ruled out: the error rate in the cost of a target, which moves work only while another target has a free slot.

Two tests replay it, a full target beside one that fails at once; both failed before.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -29,6 +29,8 @@
     private WeightVersion mVersion = WeightVersion.NONE;
     private int mFailures;
     private int mScoreFailures;
+    private final FailedTargets mFailedTargets = new FailedTargets();
+    private final FailedTargets mFailedScorers = new FailedTargets();
     private int mSendCount;
     private int mMoveCount;
     private long mEventIntervalMs;
@@ -113,14 +115,24 @@
         mLastEvent = OptionalLong.empty();
     }
 
-    int recordFailure() {
+    /** Counts a failure of the current target to generate the text; returns the failures so far. */
+    int recordFailure(long nowMs) {
+        mTarget.ifPresent(t -> mFailedTargets.add(t.record().id(), nowMs));
         return ++mFailures;
     }
 
-    int recordScoreFailure() {
+    /** Counts a failure of the current target to score the text; returns the failures so far. */
+    int recordScoreFailure(long nowMs) {
+        mTarget.ifPresent(t -> mFailedScorers.add(t.record().id(), nowMs));
         return ++mScoreFailures;
     }
 
+    /** Tells whether a target may generate or, if the text is complete, score it now. */
+    boolean allows(TargetState target, long nowMs) {
+        FailedTargets failed = state() == ItemState.SCORING ? mFailedScorers : mFailedTargets;
+        return failed.allows(target, nowMs);
+    }
+
     /** Counts a move away from a slow target. */
     void recordMove() {
         mMoveCount++;
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -169,7 +169,7 @@
         long eventIntervalMs = run.eventIntervalMs();
         return eventIntervalMs > 0
                 && run.moveCount() < MAX_MOVES
-                && candidates(owned.batch(), nowMs).stream()
+                && candidates(owned.batch(), run, nowMs).stream()
                         .anyMatch(
                                 t ->
                                         t.meanDurationMs() > 0
@@ -177,12 +177,13 @@
                                                         < eventIntervalMs);
     }
 
-    private List<TargetState> candidates(Batch batch, long nowMs) {
+    private List<TargetState> candidates(Batch batch, ItemRun run, long nowMs) {
         return mTargets.serving(
                 batch.service(),
                 t ->
                         t.inFlight() < t.record().slots()
                                 && !t.isAvoided(nowMs)
+                                && run.allows(t, nowMs)
                                 && isFresh(batch, t.record().version(batch.model())));
     }
 
@@ -191,7 +192,7 @@
         if (!run.meetsMinVersion(batch.minVersion())) {
             run.discardText();
         }
-        List<TargetState> candidates = candidates(batch, nowMs);
+        List<TargetState> candidates = candidates(batch, run, nowMs);
         Optional<TargetState> target = mChooser.choose(candidates, nowMs);
         if (target.isEmpty()) {
             return;
@@ -326,8 +327,10 @@
         }
         run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_DELAY_MS));
         boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
+        boolean isExhausted = false;
         if (isFailedAttempt) {
             run.target().ifPresent(t -> t.recordError(nowMs));
+            isExhausted = run.recordFailure(nowMs) >= owned.batch().maxAttempts();
         }
         if (head.isForThisRequest()) {
             run.endAttempt();
@@ -336,7 +339,7 @@
         }
         if (head.status() == UNPROCESSABLE && head.isForThisRequest()) {
             abandon(owned, run, "the target answered 422");
-        } else if (isFailedAttempt && run.recordFailure() >= owned.batch().maxAttempts()) {
+        } else if (isExhausted) {
             abandon(owned, run, "failed at each run");
         } else {
             interrupt(run, "the target answered " + head.status(), nowMs);
@@ -375,7 +378,10 @@
         List<TargetState> candidates =
                 mTargets.serving(
                         route.get().chooseService(0),
-                        t -> t.inFlight() < t.record().slots() && !t.isAvoided(nowMs));
+                        t ->
+                                t.inFlight() < t.record().slots()
+                                        && !t.isAvoided(nowMs)
+                                        && run.allows(t, nowMs));
         Optional<TargetState> target = mChooser.choose(candidates, nowMs);
         if (target.isEmpty()) {
             run.retryAt(nowMs + REFUSAL_DELAY_MS);
@@ -440,6 +446,9 @@
                 mRun.retryAt(nowMs + FAILURE_DELAY_MS);
                 return;
             }
+            boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
+            boolean isExhausted =
+                    isFailedAttempt && mRun.recordScoreFailure(nowMs) >= mMaxAttempts;
             mRun.endAttempt();
             if (head.isSuccessWithDigest()) {
                 target.recordSuccess(nowMs);
@@ -448,11 +457,10 @@
                 mOwned.finish(mRun, mRun.result(head.digest()), nowMs);
                 return;
             }
-            boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
             if (isFailedAttempt) {
                 target.recordError(nowMs);
             }
-            if (isFailedAttempt && mRun.recordScoreFailure() >= mMaxAttempts) {
+            if (isExhausted) {
                 abandon(mOwned, mRun, "scoring failed at each run");
                 return;
             }
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -185,6 +185,61 @@
         assertThat(node.port().sent(), hasSize(3));
     }
 
+    /**
+     * One target is full and the other fails at once, so it always has free slots: the items must
+     * not be given up there while the full target still works.
+     */
+    @Test
+    void shouldNotAbandonItemsToTheOnlyTargetWithFreeSlots() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 4, 2);
+        for (int i = 0; i < 30; i++) {
+            run(TICK_MS);
+            node.respondToAll(
+                    s -> {
+                        if (s.target().id().value().equals("lm-2")) {
+                            s.respond(500, "x", false);
+                        }
+                    });
+        }
+        List<FakeTargets.Sent> stillRunning =
+                node.port().sent().stream()
+                        .filter(s -> s.target().id().value().equals("lm-1"))
+                        .toList();
+        stillRunning.forEach(BatchNode::succeed);
+        runWithResponses(2_000);
+        assertThat(stored(), hasSize(8));
+        assertThat(stored().stream().map(ItemResult::isCompleted).toList(), everyItem(is(true)));
+    }
+
+    @Test
+    void shouldNotAbandonScoresToTheOnlyScorerWithFreeSlots() {
+        BatchNode node = node("n1");
+        node.addScorer("app-2");
+        run(100);
+        submit(node, 6, 4);
+        for (int i = 0; i < 60; i++) {
+            run(TICK_MS);
+            node.respondToAll(
+                    s -> {
+                        String target = s.target().id().value();
+                        if (target.equals("app-2")) {
+                            s.respond(500, "x", false);
+                        } else if (!target.equals("app-1")) {
+                            BatchNode.succeed(s);
+                        }
+                    });
+        }
+        node.port().sent().stream()
+                .filter(s -> s.target().id().value().equals("app-1") && !s.isCancelled())
+                .toList()
+                .forEach(BatchNode::succeed);
+        runWithResponses(2_000);
+        assertThat(stored(), hasSize(24));
+        assertThat(stored().stream().map(ItemResult::isCompleted).toList(), everyItem(is(true)));
+    }
+
     @Test
     void shouldStopRunsWhenTheBatchEnds() {
         BatchNode node = node("n1");
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -177,6 +177,10 @@
         mThread.runAll();
     }
 
+    void addScorer(String id) {
+        mTargets.put(FakeTargets.record(id, "app", 8, 0));
+    }
+
     /** Stops the process abruptly and deletes its registration. */
     void kill() {
         mIsAlive = false;
