--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -166,6 +166,25 @@
 
     // Accessors
 
+    /**
+     * Returns the largest resident memory of the process so far.
+     *
+     * @return KB, zero if the process has ended
+     */
+    public long peakMemoryKb() {
+        Path status = Path.of("/proc", Long.toString(mProcess.pid()), "status");
+        try {
+            return Files.readAllLines(status).stream()
+                    .filter(line -> line.startsWith("VmHWM:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                    .findFirst()
+                    .orElse(0);
+        } catch (IOException e) {
+            // The process has ended.
+            return 0;
+        }
+    }
+
     /**
      * Returns the port that serves clients.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -111,7 +111,13 @@
                     stamp.equals(TargetEmulator.responseDigest(id))
                             && response.body().equals("echo q of " + id);
             if (!isCorrect) {
-                mObservations.addViolation(id + ": the response belongs to another request");
+                mObservations.addViolation(
+                        id
+                                + ": the response belongs to another request: stamp "
+                                + stamp
+                                + ", "
+                                + response.body().length()
+                                + " characters");
             }
         }
         boolean isNotExecuted = response.statusCode() == 503 || response.statusCode() == 429;
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** Runs real processes of the product against an emulated platform, all on loopback. */
@@ -21,6 +22,7 @@
     private final StoreEmulator mStore = StoreEmulator.start();
     private final UsageEmulator mUsage = UsageEmulator.start(mObservations);
     private final List<TargetEmulator> mTargets = new ArrayList<>();
+    private final List<EndlessTarget> mEndlessTargets = new ArrayList<>();
     private final List<GatewayNode> mNodes = new ArrayList<>();
     private final long mStartMs = System.currentTimeMillis();
 
@@ -80,6 +82,14 @@
                         mStore, mObservations, id, service, model, WINDOW_S * MS_PER_S));
     }
 
+    /** Adds a plain service and an engine that answer with bytes without end. */
+    void addEndlessTargets(EndlessTarget.Shape shape) {
+        String name = "endless-" + shape.name().toLowerCase(Locale.ROOT);
+        mEndlessTargets.add(EndlessTarget.start(mStore, name + "-app", "slotdesk-app", "", shape));
+        mEndlessTargets.add(
+                EndlessTarget.start(mStore, name + "-engine", "advice-lm", MODEL, shape));
+    }
+
     private static Map<String, Object> desiredState() {
         return Map.of(
                 "version",
@@ -185,6 +195,10 @@
         return mTargets;
     }
 
+    List<EndlessTarget> endlessTargets() {
+        return mEndlessTargets;
+    }
+
     List<GatewayNode> nodes() {
         return mNodes;
     }
@@ -210,6 +224,7 @@
     public void close() {
         mNodes.forEach(GatewayNode::close);
         mTargets.forEach(TargetEmulator::close);
+        mEndlessTargets.forEach(EndlessTarget::close);
         mUsage.close();
         mStore.close();
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
@@ -58,7 +58,12 @@
                         dependencies.targets(),
                         dependencies.port(),
                         dependencies.chooser(),
-                        dependencies.desired(),
+                        new ItemScorer(
+                                dependencies.targets(),
+                                dependencies.port(),
+                                dependencies.chooser(),
+                                dependencies.desired(),
+                                dependencies.nowMs()),
                         dependencies.telemetry(),
                         dependencies.nowMs(),
                         dependencies.wallMs());
--- a/cactusspan/src/main/java/dev/cactusspan/batch/FailedTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/FailedTargets.java
@@ -27,8 +27,7 @@
      * @param nowMs monotonic clock in milliseconds
      */
     void add(TargetId target, long nowMs) {
-        mExcludedUntilMs =
-                nowMs + (BASE_EXCLUSION_MS << Math.min(MAX_DOUBLINGS, mTargets.size()));
+        mExcludedUntilMs = nowMs + (BASE_EXCLUSION_MS << Math.min(MAX_DOUBLINGS, mTargets.size()));
         mTargets.add(target);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -24,6 +24,7 @@
     private final BatchItem mItem;
     private final StateMachine<ItemState, ItemEvent> mPosition = StateMachine.of(CHART);
     private final List<String> mTexts = new ArrayList<>();
+    private int mTextChars;
     private final Set<WeightVersion> mVersions = new LinkedHashSet<>();
     private OptionalLong mLastEvent = OptionalLong.empty();
     private WeightVersion mVersion = WeightVersion.NONE;
@@ -51,6 +52,7 @@
     /** Restores the progress that a former owner saved. */
     void restore(ItemProgress progress) {
         mTexts.addAll(progress.texts());
+        mTextChars = mTexts.stream().mapToInt(String::length).sum();
         mVersions.addAll(progress.versions());
         mVersion = progress.version();
         mLastEvent = OptionalLong.of(progress.lastEvent());
@@ -103,6 +105,7 @@
         }
         mLastEvent = OptionalLong.of(event.id());
         mTexts.add(event.data());
+        mTextChars += event.data().length();
         mVersions.add(mVersion);
         mLastProgressMs = nowMs;
         return true;
@@ -111,6 +114,7 @@
     /** Discards the text so far, so that the next attempt starts from the beginning. */
     void discardText() {
         mTexts.clear();
+        mTextChars = 0;
         mVersions.clear();
         mLastEvent = OptionalLong.empty();
     }
@@ -195,6 +199,10 @@
         return mTexts.size();
     }
 
+    int textChars() {
+        return mTextChars;
+    }
+
     Set<WeightVersion> versions() {
         return mVersions;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -1,7 +1,5 @@
 package dev.cactusspan.batch;
 
-import dev.cactusspan.fleet.DesiredState;
-import dev.cactusspan.fleet.FleetRoute;
 import dev.cactusspan.fleet.ResponseHead;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetListener;
@@ -14,11 +12,8 @@
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 /**
  * Runs items at targets: generates the text, resumes it at another target after an interruption,
@@ -44,12 +39,6 @@
      */
     private static final long STALL_TIMEOUT_MS = 900;
 
-    /**
-     * A scoring request without a response within this time is retried at another target, in
-     * milliseconds.
-     */
-    private static final long SCORE_TIMEOUT_MS = 1_500;
-
     /**
      * A run is moved only to a target that is faster by this factor, as the new target must process
      * the text so far again.
@@ -59,6 +48,9 @@
     /** Number of events over which the event interval of an attempt is measured. */
     private static final int INTERVAL_EVENTS = 4;
 
+    /** Maximum length of a text; the store keeps values of up to 1 MB. */
+    private static final int MAX_TEXT_CHARS = 512 << 10;
+
     /** Maximum moves of one run, so that it does not alternate between targets. */
     private static final int MAX_MOVES = 3;
 
@@ -69,7 +61,7 @@
     private final TargetTable mTargets;
     private final TargetPort mPort;
     private final TargetChooser mChooser;
-    private final Supplier<Optional<DesiredState>> mDesired;
+    private final ItemScorer mScorer;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
     private final LongSupplier mWallMs;
@@ -78,14 +70,14 @@
             TargetTable targets,
             TargetPort port,
             TargetChooser chooser,
-            Supplier<Optional<DesiredState>> desired,
+            ItemScorer scorer,
             Telemetry telemetry,
             LongSupplier nowMs,
             LongSupplier wallMs) {
         mTargets = targets;
         mPort = port;
         mChooser = chooser;
-        mDesired = desired;
+        mScorer = scorer;
         mTelemetry = telemetry;
         mNowMs = nowMs;
         mWallMs = wallMs;
@@ -100,7 +92,7 @@
                 mWallMs.getAsLong() > owned.batch().submittedWallMs() + owned.batch().retentionMs();
         for (ItemRun run : List.copyOf(owned.runs())) {
             if (isExpired) {
-                abandon(owned, run, "retention");
+                owned.abandon(run, "retention", nowMs);
             } else if (run.target().isPresent()) {
                 checkProgress(owned, run, nowMs);
             } else if (nowMs >= run.nextAttemptMs()) {
@@ -111,7 +103,7 @@
 
     private void advance(OwnedBatch owned, ItemRun run, long nowMs) {
         if (run.state() == ItemState.SCORING) {
-            score(owned, run, nowMs);
+            mScorer.score(owned, run, nowMs);
             return;
         }
         generate(owned, run, nowMs);
@@ -122,7 +114,7 @@
         boolean isScoring = run.state() == ItemState.SCORING;
         long timeoutMs =
                 isScoring
-                        ? SCORE_TIMEOUT_MS
+                        ? ItemScorer.TIMEOUT_MS
                         : run.eventCount() == 0 ? FIRST_EVENT_TIMEOUT_MS : STALL_TIMEOUT_MS;
         if (idleMs < timeoutMs) {
             if (!isScoring && isSlow(owned, run, nowMs)) {
@@ -149,17 +141,6 @@
                 .info();
     }
 
-    private void abandon(OwnedBatch owned, ItemRun run, String reason) {
-        run.apply(ItemEvent.GIVE_UP);
-        run.cancelAttempt();
-        Decision.of("item_given_up")
-                .with("request", run.item().id().value())
-                .with("batch", owned.batch().id().value())
-                .with("reason", reason)
-                .info();
-        owned.finish(run, ItemResult.abandoned(run.item().id()), mNowMs.getAsLong());
-    }
-
     // Generation
 
     /**
@@ -263,18 +244,29 @@
         }
 
         @Override
-        public void onData(byte[] data) {
+        public void onData(byte[] data, Runnable consumed) {
+            consumed.run();
             if (!mRun.isCurrentAttempt(mAttempt)) {
                 return;
             }
             long nowMs = mNowMs.getAsLong();
-            for (TextEvent event : mDecoder.feed(data)) {
+            List<TextEvent> events = mDecoder.feed(data);
+            if (mDecoder.isOverLimit()) {
+                rejectText("an event is too large", nowMs);
+                return;
+            }
+            for (TextEvent event : events) {
                 measureInterval(nowMs);
                 if (!mRun.append(event, nowMs)) {
                     mRun.cancelAttempt();
                     interrupt(mRun, "event " + event.id() + " does not follow", nowMs);
                     return;
                 }
+                if (mRun.textChars() > MAX_TEXT_CHARS) {
+                    rejectText("the text is too large", nowMs);
+                    mRun.discardText();
+                    return;
+                }
                 if (!mRun.meetsMinVersion(mOwned.batch().minVersion())) {
                     mRun.cancelAttempt();
                     mRun.discardText();
@@ -284,6 +276,13 @@
             }
         }
 
+        /** Gives up what the target sends, which is no text. */
+        private void rejectText(String reason, long nowMs) {
+            mRun.target().ifPresent(t -> t.recordFailure(nowMs));
+            mRun.cancelAttempt();
+            interrupt(mRun, reason, nowMs);
+        }
+
         @Override
         public void onEnd() {
             if (!mRun.isCurrentAttempt(mAttempt)) {
@@ -338,9 +337,9 @@
             run.cancelAttempt();
         }
         if (head.status() == UNPROCESSABLE && head.isForThisRequest()) {
-            abandon(owned, run, "the target answered 422");
+            owned.abandon(run, "the target answered 422", nowMs);
         } else if (isExhausted) {
-            abandon(owned, run, "failed at each run");
+            owned.abandon(run, "failed at each run", nowMs);
         } else {
             interrupt(run, "the target answered " + head.status(), nowMs);
         }
@@ -362,121 +361,6 @@
             return;
         }
         run.apply(ItemEvent.TEXT_WHOLE);
-        score(owned, run, nowMs);
-    }
-
-    // Scores
-
-    private void score(OwnedBatch owned, ItemRun run, long nowMs) {
-        BatchItem.Scorer scorer = run.item().scorer().orElseThrow();
-        Optional<FleetRoute> route =
-                mDesired.get().flatMap(d -> d.route(scorer.host(), scorer.path()));
-        if (route.isEmpty()) {
-            run.retryAt(nowMs + REFUSAL_DELAY_MS);
-            return;
-        }
-        List<TargetState> candidates =
-                mTargets.serving(
-                        route.get().chooseService(0),
-                        t ->
-                                t.inFlight() < t.record().slots()
-                                        && !t.isAvoided(nowMs)
-                                        && run.allows(t, nowMs));
-        Optional<TargetState> target = mChooser.choose(candidates, nowMs);
-        if (target.isEmpty()) {
-            run.retryAt(nowMs + REFUSAL_DELAY_MS);
-            return;
-        }
-        int attempt = run.startAttempt(target.get(), nowMs);
-        TargetRequest request =
-                new TargetRequest(
-                        scorer.id(),
-                        "POST",
-                        scorer.path(),
-                        scorer.host(),
-                        Map.of(),
-                        scorer.body(),
-                        Optional.empty(),
-                        SCORE_TIMEOUT_MS,
-                        OptionalLong.empty());
-        int attempts = Math.max(owned.batch().maxAttempts(), route.get().maxAttempts());
-        run.setCancelAction(
-                mPort.send(
-                        target.get().record(),
-                        request,
-                        new ScoreListener(owned, run, attempt, attempts)));
-    }
-
-    /** Receives the response to a scoring request. */
-    private final class ScoreListener implements TargetListener {
-        private final OwnedBatch mOwned;
-        private final ItemRun mRun;
-        private final int mAttempt;
-        private final int mMaxAttempts;
-        private final long mStartedMs = mNowMs.getAsLong();
-        private Optional<ResponseHead> mHead = Optional.empty();
-
-        ScoreListener(OwnedBatch owned, ItemRun run, int attempt, int maxAttempts) {
-            mOwned = owned;
-            mRun = run;
-            mAttempt = attempt;
-            mMaxAttempts = maxAttempts;
-        }
-
-        @Override
-        public void onHead(ResponseHead head) {
-            mHead = Optional.of(head);
-        }
-
-        @Override
-        public void onData(byte[] data) {
-            // The body is ignored: the score is the digest in the response head.
-        }
-
-        @Override
-        public void onEnd() {
-            if (!mRun.isCurrentAttempt(mAttempt)) {
-                return;
-            }
-            long nowMs = mNowMs.getAsLong();
-            ResponseHead head = mHead.orElseThrow();
-            TargetState target = mRun.target().orElseThrow();
-            if (!head.isForThisRequest()) {
-                mRun.cancelAttempt();
-                mRun.retryAt(nowMs + FAILURE_DELAY_MS);
-                return;
-            }
-            boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
-            boolean isExhausted =
-                    isFailedAttempt && mRun.recordScoreFailure(nowMs) >= mMaxAttempts;
-            mRun.endAttempt();
-            if (head.isSuccessWithDigest()) {
-                target.recordSuccess(nowMs);
-                target.recordDuration(nowMs - mStartedMs);
-                mRun.apply(ItemEvent.SCORED);
-                mOwned.finish(mRun, mRun.result(head.digest()), nowMs);
-                return;
-            }
-            if (isFailedAttempt) {
-                target.recordError(nowMs);
-            }
-            if (isExhausted) {
-                abandon(mOwned, mRun, "scoring failed at each run");
-                return;
-            }
-            target.avoidUntil(nowMs + REFUSAL_DELAY_MS);
-            mRun.retryAt(nowMs + FAILURE_DELAY_MS);
-        }
-
-        @Override
-        public void onFailure(boolean sent, String reason) {
-            if (!mRun.isCurrentAttempt(mAttempt)) {
-                return;
-            }
-            long nowMs = mNowMs.getAsLong();
-            mRun.target().ifPresent(t -> t.recordFailure(nowMs));
-            mRun.endAttempt();
-            mRun.retryAt(nowMs + FAILURE_DELAY_MS);
-        }
+        mScorer.score(owned, run, nowMs);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.batch;
 
 import dev.cactusspan.id.ItemId;
+import dev.cactusspan.observe.Decision;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -66,6 +67,18 @@
         mIsGroupComplete |= unfinished == 0;
     }
 
+    /** Gives an item up, so that it is listed without a text. */
+    void abandon(ItemRun run, String reason, long nowMs) {
+        run.apply(ItemEvent.GIVE_UP);
+        run.cancelAttempt();
+        Decision.of("item_given_up")
+                .with("request", run.item().id().value())
+                .with("batch", mBatch.id().value())
+                .with("reason", reason)
+                .info();
+        finish(run, ItemResult.abandoned(run.item().id()), nowMs);
+    }
+
     /** Tells whether an append is due: a group is complete, or results have waited long enough. */
     boolean isAppendDue(long nowMs, long maxGatherMs) {
         if (mIsAppending || mReady.isEmpty() || mIsEnded || nowMs < mNextAppendMs) {
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetListener.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetListener.java
@@ -14,8 +14,10 @@
      * Handles a chunk of the body.
      *
      * @param data the bytes
+     * @param consumed to be run once the bytes are no longer held, on any thread; while too many
+     *     are held, nothing more is read from the target
      */
-    void onData(byte[] data);
+    void onData(byte[] data, Runnable consumed);
 
     /** Handles the end of a complete response. */
     void onEnd();
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetPort.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetPort.java
@@ -85,5 +85,12 @@
          * @return true if a stream that ends here is truncated
          */
         boolean isInsideEvent();
+
+        /**
+         * Returns whether an event exceeded the size limit; nothing is decoded after it.
+         *
+         * @return true if the stream is unusable
+         */
+        boolean isOverLimit();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
@@ -9,13 +9,16 @@
 final class Attempt {
     private final TargetState mTarget;
     private final long mStartedMs;
+    private final BodyBudget mBudget;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Runnable mCanceller = () -> {};
     private Optional<ResponseHead> mHead = Optional.empty();
     private boolean mIsFinished;
+    private boolean mIsBodyDropped;
 
-    Attempt(TargetState target, long startedMs) {
+    Attempt(TargetState target, BodyBudget budget, long startedMs) {
         mTarget = target;
+        mBudget = budget;
         mStartedMs = startedMs;
         target.recordSent();
     }
@@ -30,7 +33,18 @@
     }
 
     void appendBody(byte[] data) {
-        mBody.writeBytes(data);
+        if (!mIsBodyDropped) {
+            mBody.writeBytes(data);
+            mBudget.add(this, data.length);
+        }
+    }
+
+    /** Drops the body and cancels the exchange, which then reports a failure. */
+    void dropBody() {
+        mIsBodyDropped = true;
+        mBudget.release(this);
+        mBody.reset();
+        mCanceller.run();
     }
 
     /** Marks the attempt as finished; returns false if it was finished already. */
@@ -39,6 +53,7 @@
             return false;
         }
         mIsFinished = true;
+        mBudget.release(this);
         mTarget.recordEnded();
         return true;
     }
@@ -71,6 +86,10 @@
         return mBody.toByteArray();
     }
 
+    int bodyBytes() {
+        return mBody.size();
+    }
+
     boolean isFinished() {
         return mIsFinished;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ClientSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ClientSink.java
@@ -27,8 +27,9 @@
      * Writes a chunk of a streamed response.
      *
      * @param data the bytes
+     * @param written run once the bytes are written, on any thread
      */
-    void data(byte[] data);
+    void data(byte[] data, Runnable written);
 
     /** Ends a streamed response normally. */
     void end();
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -85,8 +85,10 @@
         mLastFailure = Optional.of(failure);
     }
 
-    void markStreaming() {
+    /** Passes the stream of an attempt on to the client; all other attempts are cancelled. */
+    void startStreaming(Attempt attempt) {
         mIsStreaming = true;
+        mAttempts.stream().filter(a -> a != attempt).forEach(Attempt::cancel);
     }
 
     ClientRequest request() {
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -49,6 +49,9 @@
     /** Retry-After hint for requests that have not run, in milliseconds. */
     private static final long RETRY_AFTER_MS = 60;
 
+    /** Maximum memory of the responses that are buffered at the same time. */
+    private static final long MAX_BUFFERED_BYTES = 16 << 20;
+
     private static final long DEFAULT_CLIENT_TIMEOUT_MS = 30_000;
     private static final int SERVER_ERROR = 500;
 
@@ -60,6 +63,7 @@
     private final Telemetry mTelemetry;
     private final SplittableRandom mRandom;
     private final LongSupplier mNowMs;
+    private final BodyBudget mBudget = new BodyBudget(MAX_BUFFERED_BYTES);
     private final Set<ForwardedRequest> mPending = new LinkedHashSet<>();
 
     /**
@@ -139,7 +143,7 @@
             return;
         }
         boolean isFirst = pending.sendCount() == 0;
-        Attempt attempt = pending.start(new Attempt(target.get(), nowMs));
+        Attempt attempt = pending.start(new Attempt(target.get(), mBudget, nowMs));
         TargetRequest request = targetRequest(pending, nowMs);
         attempt.setCanceller(
                 mPort.send(target.get().record(), request, new AttemptListener(pending, attempt)));
@@ -227,21 +231,23 @@
             }
             mAttempt.setHead(head);
             if (head.isEventStream() && head.isSuccessWithDigest() && !mRequest.isStreaming()) {
-                mRequest.markStreaming();
+                mRequest.startStreaming(mAttempt);
                 mRequest.sink().start(head.status(), head.headers());
             }
         }
 
         @Override
-        public void onData(byte[] data) {
+        public void onData(byte[] data, Runnable consumed) {
             if (mAttempt.isFinished()) {
                 return;
             }
             if (mRequest.isStreaming()) {
-                mRequest.sink().data(data);
+                mRequest.sink().data(data, consumed);
                 return;
             }
             mAttempt.appendBody(data);
+            consumed.run();
+            mBudget.findExcess().ifPresent(RequestForwarder::dropBody);
         }
 
         @Override
@@ -259,6 +265,15 @@
         }
     }
 
+    private static void dropBody(Attempt attempt) {
+        Decision.of("response_dropped")
+                .with("target", attempt.target().record().id().value())
+                .with("bytes", attempt.bodyBytes())
+                .with("reason", "the buffered responses exceed " + MAX_BUFFERED_BYTES + " bytes")
+                .warn();
+        attempt.dropBody();
+    }
+
     private void handleEnd(ForwardedRequest pending, Attempt attempt) {
         ResponseHead head = attempt.head().orElseThrow();
         long nowMs = mNowMs.getAsLong();
@@ -382,7 +397,8 @@
 
     private static boolean isHedgeDue(ForwardedRequest pending, long nowMs) {
         FleetRoute route = pending.route();
-        return route.kind() == RouteKind.IDEMPOTENT
+        return !pending.isStreaming()
+                && route.kind() == RouteKind.IDEMPOTENT
                 && route.sloMs() > 0
                 && mayRepeat(pending)
                 && nowMs - pending.lastSentMs() > HEDGE_SLO_FRACTION * route.sloMs();
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -46,11 +46,13 @@
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
 
     private final XnioWorker mWorker;
+    private final LimitingIoThread mIoThread;
     private final ByteBufferPool mBuffers;
     private final Map<URI, Deque<IdleConnection>> mIdle = new ConcurrentHashMap<>();
 
     private HttpClient(XnioWorker worker) {
         mWorker = worker;
+        mIoThread = new LimitingIoThread(worker.getIoThread());
         mBuffers = new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 0);
     }
 
@@ -84,8 +86,8 @@
      */
     public Runnable send(HttpRequest request, ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(this, request, listener);
-        mWorker.getIoThread().execute(() -> start(exchange));
-        return () -> mWorker.getIoThread().execute(() -> exchange.fail("cancelled"));
+        mIoThread.execute(() -> start(exchange));
+        return () -> mIoThread.execute(() -> exchange.fail("cancelled"));
     }
 
     /**
@@ -97,7 +99,7 @@
      */
     public CompletableFuture<Result<HttpResponse>> collect(HttpRequest request, int maxBytes) {
         CompletableFuture<Result<HttpResponse>> future = new CompletableFuture<>();
-        send(request, new Collector(future, maxBytes));
+        send(request.withMaxBytes(maxBytes), new Collector(future));
         return future;
     }
 
@@ -112,8 +114,8 @@
     public CompletableFuture<Result<HttpResponse>> collectWrite(HttpRequest request, int maxBytes) {
         CompletableFuture<Result<HttpResponse>> future = new CompletableFuture<>();
         send(
-                request,
-                new Collector(future, maxBytes) {
+                request.withMaxBytes(maxBytes),
+                new Collector(future) {
                     @Override
                     public void onFailure(boolean sent, String reason) {
                         ErrorKind kind =
@@ -125,8 +127,8 @@
     }
 
     private void start(HttpExchange exchange) {
-        exchange.startTimer(mWorker.getIoThread());
-        ClientConnection idle =
+        exchange.startTimer(mIoThread);
+        HttpConnection idle =
                 exchange.request().newConnection() ? null : pollIdle(exchange.request().server());
         if (idle != null) {
             exchange.send(idle);
@@ -137,7 +139,7 @@
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                exchange.send(connection);
+                                exchange.send(new HttpConnection(connection, mIoThread.latest()));
                             }
 
                             @Override
@@ -146,28 +148,28 @@
                             }
                         },
                         exchange.request().server(),
-                        mWorker.getIoThread(),
+                        mIoThread,
                         mBuffers,
                         OptionMap.EMPTY);
     }
 
-    private ClientConnection pollIdle(URI server) {
+    private HttpConnection pollIdle(URI server) {
         Deque<IdleConnection> connections = mIdle.get(server);
         while (connections != null && !connections.isEmpty()) {
             IdleConnection idle = connections.pollLast();
             boolean isFresh = nowMs() < idle.expiresMs();
-            if (isFresh && idle.connection().isOpen()) {
+            if (isFresh && idle.connection().connection().isOpen()) {
                 return idle.connection();
             }
-            IoUtils.safeClose(idle.connection());
+            IoUtils.safeClose(idle.connection().connection());
         }
         return null;
     }
 
-    void release(URI server, ClientConnection connection, String keepAlive) {
+    void release(URI server, HttpConnection connection, String keepAlive) {
         Deque<IdleConnection> connections = mIdle.computeIfAbsent(server, s -> new ArrayDeque<>());
-        if (!connection.isOpen() || connections.size() >= MAX_IDLE_PER_SERVER) {
-            IoUtils.safeClose(connection);
+        if (!connection.connection().isOpen() || connections.size() >= MAX_IDLE_PER_SERVER) {
+            IoUtils.safeClose(connection.connection());
             return;
         }
         connections.addLast(new IdleConnection(connection, nowMs() + idleMs(keepAlive)));
@@ -191,19 +193,17 @@
         mWorker.shutdownNow();
     }
 
-    private record IdleConnection(ClientConnection connection, long expiresMs) {}
+    private record IdleConnection(HttpConnection connection, long expiresMs) {}
 
     /** Collects a complete response. */
     private static class Collector implements ResponseListener {
         private final CompletableFuture<Result<HttpResponse>> mFuture;
-        private final int mMaxBytes;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private int mStatus;
         private Map<String, String> mHeaders = Map.of();
 
-        Collector(CompletableFuture<Result<HttpResponse>> future, int maxBytes) {
+        Collector(CompletableFuture<Result<HttpResponse>> future) {
             mFuture = future;
-            mMaxBytes = maxBytes;
         }
 
         @Override
@@ -213,13 +213,9 @@
         }
 
         @Override
-        public void onData(byte[] data) {
-            if (mBody.size() + data.length <= mMaxBytes) {
-                mBody.writeBytes(data);
-                return;
-            }
-            mFuture.complete(
-                    Result.fail(ErrorKind.PAYLOAD_TOO_LARGE, "answer is over " + mMaxBytes));
+        public void onData(byte[] data, Runnable consumed) {
+            mBody.writeBytes(data);
+            consumed.run();
         }
 
         @Override
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -1,7 +1,6 @@
 package dev.cactusspan.http;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.util.HeaderMap;
@@ -25,12 +24,18 @@
 final class HttpExchange {
     private static final int READ_BYTES = 16 << 10;
 
+    /** Maximum bytes read in one turn, so that one server does not occupy the I/O thread. */
+    private static final int MAX_TURN_BYTES = 128 << 10;
+
     private final HttpClient mClient;
     private final HttpRequest mRequest;
     private final ResponseListener mListener;
     private final ByteBuffer mReadBuffer = ByteBuffer.allocate(READ_BYTES);
-    private ClientConnection mConnection;
+    private final ReadWindow mWindow = new ReadWindow();
+    private HttpConnection mConnection;
+    private XnioIoThread mIoThread;
     private XnioExecutor.Key mTimer;
+    private long mBodyBytes;
     private String mKeepAlive = "";
     private boolean mSent;
     private boolean mDone;
@@ -46,6 +51,7 @@
     }
 
     void startTimer(XnioIoThread thread) {
+        mIoThread = thread;
         mTimer =
                 thread.executeAfter(
                         () -> fail("no answer within " + mRequest.timeoutMs() + " ms"),
@@ -53,12 +59,13 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    void send(ClientConnection connection) {
+    void send(HttpConnection connection) {
         if (mDone) {
-            IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection.connection());
             return;
         }
         mConnection = connection;
+        mConnection.limit().startResponse();
         mSent = true;
         ClientRequest request = new ClientRequest();
         request.setMethod(new HttpString(mRequest.method())).setPath(mRequest.path());
@@ -68,7 +75,7 @@
             headers.put(Headers.HOST, mRequest.server().getAuthority());
         }
         headers.put(Headers.CONTENT_LENGTH, mRequest.body().length);
-        connection.sendRequest(request, callback(this::onStarted));
+        connection.connection().sendRequest(request, callback(this::onStarted));
     }
 
     private void onStarted(ClientExchange exchange) {
@@ -125,7 +132,17 @@
 
     private void read(StreamSourceChannel channel) {
         try {
+            int turnBytes = 0;
             while (!mDone) {
+                if (!mWindow.isOpen()) {
+                    channel.suspendReads();
+                    return;
+                }
+                if (turnBytes >= MAX_TURN_BYTES) {
+                    channel.suspendReads();
+                    mIoThread.execute(() -> read(channel));
+                    return;
+                }
                 mReadBuffer.clear();
                 int count = channel.read(mReadBuffer);
                 if (count < 0) {
@@ -136,15 +153,33 @@
                     channel.resumeReads();
                     return;
                 }
-                byte[] data = new byte[count];
-                mReadBuffer.flip().get(data);
-                mListener.onData(data);
+                turnBytes += count;
+                pass(channel, count);
             }
         } catch (IOException e) {
             fail("answer cut: " + e.getMessage());
         }
     }
 
+    private void pass(StreamSourceChannel channel, int count) {
+        mBodyBytes += count;
+        mConnection.limit().addBody(count);
+        if (mBodyBytes > mRequest.maxBytes()) {
+            fail("the response body exceeds " + mRequest.maxBytes() + " bytes");
+            return;
+        }
+        byte[] data = new byte[count];
+        mReadBuffer.flip().get(data);
+        mWindow.add(count);
+        mListener.onData(data, () -> consumed(channel, count));
+    }
+
+    private void consumed(StreamSourceChannel channel, int count) {
+        if (mWindow.consume(count)) {
+            mIoThread.execute(() -> read(channel));
+        }
+    }
+
     private void complete() {
         if (markDone()) {
             mClient.release(mRequest.server(), mConnection, mKeepAlive);
@@ -154,7 +189,9 @@
 
     void fail(String reason) {
         if (markDone()) {
-            IoUtils.safeClose(mConnection);
+            if (mConnection != null) {
+                IoUtils.safeClose(mConnection.connection());
+            }
             mListener.onFailure(mSent, reason);
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -13,6 +13,7 @@
  *     is sent as the host
  * @param body body, empty if none
  * @param timeoutMs time-out for the complete response
+ * @param maxBytes maximum size of the response body; a response beyond it fails
  * @param newConnection true to open a new connection, so that a failure to connect proves that the
  *     request was not executed
  */
@@ -23,8 +24,23 @@
         Map<String, String> headers,
         byte[] body,
         long timeoutMs,
+        long maxBytes,
         boolean newConnection) {
 
+    /** Maximum size of a response body where the caller sets none, in bytes. */
+    public static final long DEFAULT_MAX_BYTES = 32L << 20;
+
+    /**
+     * Returns this request with another limit of its response.
+     *
+     * @param maxBytes maximum size of the response body
+     * @return the request
+     */
+    public HttpRequest withMaxBytes(long maxBytes) {
+        return new HttpRequest(
+                method, server, path, headers, body, timeoutMs, maxBytes, newConnection);
+    }
+
     /**
      * Returns a GET request without a body.
      *
@@ -34,7 +50,8 @@
      * @return the request
      */
     public static HttpRequest get(URI server, String path, long timeoutMs) {
-        return new HttpRequest("GET", server, path, Map.of(), new byte[0], timeoutMs, false);
+        return new HttpRequest(
+                "GET", server, path, Map.of(), new byte[0], timeoutMs, DEFAULT_MAX_BYTES, false);
     }
 
     /**
@@ -50,6 +67,7 @@
     public static HttpRequest json(
             String method, URI server, String path, byte[] body, long timeoutMs) {
         Map<String, String> headers = Map.of("Content-Type", "application/json");
-        return new HttpRequest(method, server, path, headers, body, timeoutMs, false);
+        return new HttpRequest(
+                method, server, path, headers, body, timeoutMs, DEFAULT_MAX_BYTES, false);
     }
 }
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -0,0 +1,81 @@
+package dev.cactusspan.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Limits the bytes that a server may send besides the body: status line, headers, interim
+ * responses, chunk sizes, chunk extensions and trailers. Load pattern: a server in trouble sends
+ * bytes without end that never become a response, and the parser would buffer them until the
+ * process is out of memory. A read beyond the limit fails, which closes the connection.
+ */
+final class ResponseLimit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /**
+     * Maximum bytes of a response that are not its body. It includes the bytes that are read ahead.
+     */
+    static final int MAX_HEAD_BYTES = 128 << 10;
+
+    /** A chunk of one byte has a size line of five bytes; twice that is allowed. */
+    private static final int MAX_FRAMING_PER_BODY_BYTE = 10;
+
+    private long mReadBytes;
+    private long mBodyBytes;
+
+    private ResponseLimit(StreamSourceConduit next) {
+        super(next);
+    }
+
+    /**
+     * Limits the responses on a connection.
+     *
+     * @param connection a new connection
+     * @return the limit
+     */
+    static ResponseLimit install(StreamConnection connection) {
+        ResponseLimit limit = new ResponseLimit(connection.getSourceChannel().getConduit());
+        connection.getSourceChannel().setConduit(limit);
+        return limit;
+    }
+
+    /** Starts to count the next response. */
+    void startResponse() {
+        mReadBytes = 0;
+        mBodyBytes = 0;
+    }
+
+    /** Counts bytes of the body that were received. */
+    void addBody(int bytes) {
+        mBodyBytes += bytes;
+    }
+
+    /** Returns the number of bytes read since the response was started. */
+    long readBytes() {
+        return mReadBytes;
+    }
+
+    @Override
+    public int read(ByteBuffer dst) throws IOException {
+        return (int) count(super.read(dst));
+    }
+
+    @Override
+    public long read(ByteBuffer[] dsts, int offset, int length) throws IOException {
+        return count(super.read(dsts, offset, length));
+    }
+
+    private long count(long bytes) throws IOException {
+        if (bytes <= 0) {
+            return bytes;
+        }
+        mReadBytes += bytes;
+        long maxBytes = MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * mBodyBytes;
+        if (mReadBytes - mBodyBytes > maxBytes) {
+            throw new IOException(
+                    "the response has more than " + maxBytes + " bytes besides its body");
+        }
+        return bytes;
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseListener.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseListener.java
@@ -20,8 +20,10 @@
      * Called when a part of the body has been received.
      *
      * @param data the bytes
+     * @param consumed to be run once the bytes are no longer held, on any thread; while too many
+     *     are held, nothing more is read from the server
      */
-    void onData(byte[] data);
+    void onData(byte[] data, Runnable consumed);
 
     /** Called when the complete response has been received. */
     void onEnd();
--- a/cactusspan/src/main/java/dev/cactusspan/platform/HttpKeyValueService.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/HttpKeyValueService.java
@@ -75,6 +75,7 @@
                         Map.of("Content-Type", "application/octet-stream"),
                         value,
                         TIMEOUT_MS,
+                        HttpRequest.DEFAULT_MAX_BYTES,
                         false);
         return mHttp.collect(request, MAX_VALUE_BYTES)
                 .thenApply(r -> r.flatMap(HttpKeyValueService::readVersion));
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformEvents.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformEvents.java
@@ -17,18 +17,26 @@
     private static final String ID_LINE = "id:";
     private static final String DATA_LINE = "data:";
 
+    /** Maximum size of an event in the buffer. */
+    static final int MAX_EVENT_BYTES = 128 << 10;
+
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
     private final StringBuilder mData = new StringBuilder();
     private boolean mHasData;
     private long mId = -1;
     private WeightVersion mVersion = WeightVersion.NONE;
+    private boolean mIsOverLimit;
 
     @Override
     public List<TextEvent> feed(byte[] data) {
         List<TextEvent> events = new ArrayList<>();
         for (byte b : data) {
+            if (mIsOverLimit) {
+                break;
+            }
             if (b != '\n') {
                 mLine.write(b);
+                mIsOverLimit = mLine.size() + mData.length() > MAX_EVENT_BYTES;
                 continue;
             }
             String line = mLine.toString(StandardCharsets.UTF_8);
@@ -62,6 +70,7 @@
         }
         mData.append(text.startsWith(" ") ? text.substring(1) : text);
         mHasData = true;
+        mIsOverLimit = mData.length() > MAX_EVENT_BYTES;
     }
 
     /**
@@ -84,4 +93,9 @@
     public boolean isInsideEvent() {
         return mLine.size() > 0 || mHasData || mId >= 0;
     }
+
+    @Override
+    public boolean isOverLimit() {
+        return mIsOverLimit;
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -25,7 +25,7 @@
     private static final double MS_PER_S = 1_000.0;
 
     private final HttpServerExchange mExchange;
-    private final Deque<byte[]> mUnsent = new ArrayDeque<>();
+    private final Deque<Chunk> mUnsent = new ArrayDeque<>();
     private boolean mIsSending;
     private boolean mIsEnding;
 
@@ -37,6 +37,9 @@
         return new PlatformSink(exchange);
     }
 
+    /** Bytes of a streamed response and what to run once they are written. */
+    private record Chunk(byte[] data, Runnable written) {}
+
     /** Runs a task on a thread if the client closes its connection before the response starts. */
     void onClientDisconnect(Executor thread, Runnable task) {
         onIoThread(() -> ClientDisconnectWatcher.start(mExchange, () -> thread.execute(task)));
@@ -90,10 +93,10 @@
     }
 
     @Override
-    public void data(byte[] data) {
+    public void data(byte[] data, Runnable written) {
         onIoThread(
                 () -> {
-                    mUnsent.add(data);
+                    mUnsent.add(new Chunk(data, written));
                     sendNext();
                 });
     }
@@ -111,7 +114,7 @@
         if (mIsSending) {
             return;
         }
-        byte[] next = mUnsent.poll();
+        Chunk next = mUnsent.poll();
         if (next == null) {
             if (mIsEnding) {
                 mExchange.endExchange();
@@ -122,11 +125,12 @@
         mExchange
                 .getResponseSender()
                 .send(
-                        ByteBuffer.wrap(next),
+                        ByteBuffer.wrap(next.data()),
                         new IoCallback() {
                             @Override
                             public void onComplete(HttpServerExchange exchange, Sender sender) {
                                 mIsSending = false;
+                                next.written().run();
                                 sendNext();
                             }
 
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -32,6 +32,9 @@
      */
     private static final long ORDER_TIMEOUT_MS = 1_000;
 
+    /** Maximum size of a target's response to a request. */
+    private static final long MAX_RESPONSE_BYTES = 8 << 20;
+
     private static final int MAX_ORDER_RESPONSE_BYTES = 16 << 10;
     private static final int MAX_REPORT_BYTES = 1 << 20;
 
@@ -59,6 +62,7 @@
                         headers(target, request),
                         request.body(),
                         request.timeLeftMs(),
+                        MAX_RESPONSE_BYTES,
                         false);
         return mHttp.send(httpRequest, new ResponseRelay(request.id(), listener));
     }
@@ -127,6 +131,7 @@
                         headers,
                         JsonText.write(order),
                         ORDER_TIMEOUT_MS,
+                        HttpRequest.DEFAULT_MAX_BYTES,
                         false);
         return mHttp.collectWrite(httpRequest, MAX_ORDER_RESPONSE_BYTES)
                 .thenApply(r -> r.map(PlatformTargets::outcome));
@@ -176,8 +181,8 @@
         }
 
         @Override
-        public void onData(byte[] data) {
-            mThread.execute(() -> mListener.onData(data));
+        public void onData(byte[] data, Runnable consumed) {
+            mThread.execute(() -> mListener.onData(data, consumed));
         }
 
         @Override
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformUsage.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformUsage.java
@@ -54,6 +54,7 @@
                                 Long.toString(fencing.number())),
                         JsonText.write(Map.of("window_id", window, "counts", counts)),
                         TIMEOUT_MS,
+                        HttpRequest.DEFAULT_MAX_BYTES,
                         false);
         return mHttp.collectWrite(request, MAX_RESPONSE_BYTES)
                 .thenApply(r -> r.map(PlatformUsage::outcome));
--- a/cactusspan/src/main/java/dev/cactusspan/platform/UsageClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/UsageClient.java
@@ -42,6 +42,7 @@
                                 fencing.toString()),
                         report,
                         TIMEOUT_MS,
+                        HttpRequest.DEFAULT_MAX_BYTES,
                         false);
         return mHttp.collect(request, MAX_RESPONSE_BYTES)
                 .thenApply(r -> r.map(HttpResponse::isSuccess));
--- a/cactusspan/src/main/java/dev/cactusspan/platform/VmListClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/VmListClient.java
@@ -56,6 +56,7 @@
                         headers,
                         new byte[0],
                         TIMEOUT_MS,
+                        HttpRequest.DEFAULT_MAX_BYTES,
                         false);
         return mHttp.collect(request, MAX_LIST_BYTES).thenApply(r -> r.flatMap(this::read));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/side/TargetDispatcher.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/TargetDispatcher.java
@@ -199,6 +199,7 @@
                         ForwardedHeaders.filter(submit.headers()),
                         submit.body(),
                         Math.max(1, item.deadlineMs() - mNowMs.getAsLong()),
+                        HttpRequest.DEFAULT_MAX_BYTES,
                         submit.requestClass() == RequestClass.NON_IDEMPOTENT);
         request.onCancel(mHttp.send(httpRequest, new DispatcherListener(request)));
     }
@@ -303,8 +304,12 @@
         }
 
         @Override
-        public void onData(byte[] data) {
-            mThread.execute(() -> handleData(mRequest, data));
+        public void onData(byte[] data, Runnable consumed) {
+            mThread.execute(
+                    () -> {
+                        handleData(mRequest, data);
+                        consumed.run();
+                    });
         }
 
         @Override
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -56,7 +56,7 @@
 
         public void respond(int status, String digest, boolean isNotRun) {
             mListener.onHead(head(status, digest, isNotRun, WeightVersion.NONE));
-            mListener.onData("ok".getBytes(StandardCharsets.UTF_8));
+            mListener.onData("ok".getBytes(StandardCharsets.UTF_8), () -> {});
             mListener.onEnd();
         }
 
@@ -64,9 +64,15 @@
             mListener.onHead(head(200, "s", false, WeightVersion.of(version)));
         }
 
+        /** Sends a status of success and the given bytes of a body. */
+        public void data(byte[] data) {
+            mListener.onHead(head(200, "s", false, WeightVersion.NONE));
+            mListener.onData(data, () -> {});
+        }
+
         /** Sends an event with the given number. */
         public void event(long id, String text) {
-            mListener.onData((id + "|" + text + "\n").getBytes(StandardCharsets.UTF_8));
+            mListener.onData((id + "|" + text + "\n").getBytes(StandardCharsets.UTF_8), () -> {});
         }
 
         /** Sends an event from which on the given weight version generates. */
@@ -167,6 +173,11 @@
             public boolean isInsideEvent() {
                 return false;
             }
+
+            @Override
+            public boolean isOverLimit() {
+                return false;
+            }
         };
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
@@ -72,8 +72,9 @@
         }
 
         @Override
-        public void data(byte[] data) {
+        public void data(byte[] data, Runnable written) {
             mBody.append(new String(data, StandardCharsets.UTF_8));
+            written.run();
         }
 
         @Override
@@ -193,6 +194,57 @@
         assertThat(sink.mStatuses, is(List.of(200)));
     }
 
+    /** An attempt beside a stream would end it as complete with its own response. */
+    @Test
+    void shouldNotHedgeAStream() {
+        targets(2);
+        Sink sink = new Sink();
+        submit("a", RouteKind.IDEMPOTENT, sink);
+        mPort.last().startStream(1);
+        mPort.last().event(1, "t1");
+        run(500);
+        assertThat(mPort.sent(), hasSize(1));
+        assertThat(sink.mLastCall, is(""));
+    }
+
+    @Test
+    void shouldCancelTheOtherAttemptOnceAStreamStarts() {
+        targets(2);
+        Sink sink = new Sink();
+        submit("a", RouteKind.IDEMPOTENT, sink);
+        FakeTargets.Sent first = mPort.last();
+        run(200);
+        FakeTargets.Sent second = mPort.last();
+        assertThat(second, is(not(first)));
+        second.startStream(1);
+        assertThat(first.isCancelled(), is(true));
+        first.succeed();
+        assertThat(sink.mLastCall, is(""));
+        second.event(1, "t1");
+        second.end();
+        assertThat(sink.mLastCall, is("end"));
+        assertThat(sink.mBody.toString(), is("1|t1\n"));
+    }
+
+    /** Bodies without end of several targets must not take the memory of the others. */
+    @Test
+    void shouldDropTheLargestBodyOverTheLimit() {
+        targets(3);
+        Sink endless = new Sink();
+        Sink other = new Sink();
+        submit("a", RouteKind.NON_IDEMPOTENT, endless);
+        FakeTargets.Sent first = mPort.last();
+        submit("b", RouteKind.NON_IDEMPOTENT, other);
+        FakeTargets.Sent second = mPort.last();
+        for (int i = 0; i < 17; i++) {
+            first.data(new byte[1 << 20]);
+        }
+        assertThat(first.isCancelled(), is(true));
+        assertThat(second.isCancelled(), is(false));
+        second.succeed();
+        assertThat(other.mStatuses, is(List.of(200)));
+    }
+
     @Test
     void shouldHedgeASlowTarget() {
         targets(2);
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -0,0 +1,217 @@
+package dev.cactusspan.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import dev.cactusspan.result.Result;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests responses that never end, arrive too fast or are not HTTP. */
+final class HttpClientTest {
+    private static final long LONG_TIMEOUT_MS = 60_000;
+    private static final int MAX_BODY_BYTES = 256 << 10;
+
+    /** What a server may have written when its connection is closed: limits and socket buffers. */
+    private static final long MAX_WRITTEN_BYTES = 16 << 20;
+
+    private static final String GOOD_RESPONSE =
+            String.join("\r\n", "HTTP/1.1 200 OK", "Content-Length: 2", "", "ok");
+
+    private static final String CHUNKED_HEAD =
+            String.join("\r\n", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", "");
+
+    private static final String CHUNKED_RESPONSE =
+            CHUNKED_HEAD + String.join("\r\n", "4", "body", "0", "", "");
+
+    private final HttpClient mHttp;
+
+    HttpClientTest() throws IOException {
+        mHttp = HttpClient.create();
+    }
+
+    @AfterEach
+    void close() {
+        mHttp.close();
+    }
+
+    private Result<HttpResponse> get(RawServer server, long timeoutMs) throws Exception {
+        return mHttp.collect(HttpRequest.get(server.uri(), "/", timeoutMs), MAX_BODY_BYTES)
+                .get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "status line|HTTP/1.1 200 |O",
+                "no protocol|x|x",
+                "header name|HTTP/1.1 200 OK\\r\\n|n",
+                "header value|HTTP/1.1 200 OK\\r\\nName: |v",
+                "headers|HTTP/1.1 200 OK\\r\\n|Name: value\\r\\n",
+                "interim responses|HTTP/1.1 |100 Continue\\r\\n\\r\\nHTTP/1.1 ",
+                "chunk size|CHUNKED|0",
+                "chunk extension|CHUNKED1;x=|y",
+                "trailers|CHUNKED0\\r\\n|Name: v\\r\\n",
+                "chunks|CHUNKED|1\\r\\nx\\r\\n",
+                "body|HTTP/1.1 200 OK\\r\\n\\r\\n|body",
+                "long body|HTTP/1.1 200 OK\\r\\nContent-Length: 999999999\\r\\n\\r\\n|body"
+            })
+    void shouldCloseConnectionOnEndless(String name, String prefix, String part) throws Exception {
+        try (RawServer server =
+                new RawServer(RawServer.endless(unescape(prefix), unescape(part)))) {
+            Result<HttpResponse> response = get(server, LONG_TIMEOUT_MS);
+            assertThat(name, response.isOk(), is(false));
+            assertThat(name, server.awaitClosedByPeer(LONG_TIMEOUT_MS), is(true));
+            assertThat(name, server.writtenBytes(), lessThan(MAX_WRITTEN_BYTES));
+        }
+    }
+
+    private static String unescape(String text) {
+        return text.replace("CHUNKED", CHUNKED_HEAD).replace("\\r\\n", "\r\n");
+    }
+
+    @Test
+    void shouldEndDripFedHeadAtTheTimeout() throws Exception {
+        try (RawServer server =
+                new RawServer(
+                        out -> {
+                            while (true) {
+                                out.write('H');
+                                Thread.sleep(20);
+                            }
+                        })) {
+            assertThat(get(server, 300).isOk(), is(false));
+            assertThat(server.awaitClosedByPeer(LONG_TIMEOUT_MS), is(true));
+        }
+    }
+
+    @Test
+    void shouldServeOthersBesideAnEndlessResponse() throws Exception {
+        byte[] good = GOOD_RESPONSE.getBytes(StandardCharsets.US_ASCII);
+        try (RawServer endless =
+                        new RawServer(RawServer.endless("HTTP/1.1 200 OK\r\n\r\n", "body"));
+                RawServer other = new RawServer(out -> out.write(good))) {
+            HttpRequest request =
+                    HttpRequest.get(endless.uri(), "/", LONG_TIMEOUT_MS)
+                            .withMaxBytes(Long.MAX_VALUE);
+            Runnable cancel = mHttp.send(request, new ConsumingListener());
+            for (int i = 0; i < 10; i++) {
+                assertThat(get(other, LONG_TIMEOUT_MS).isOk(), is(true));
+            }
+            cancel.run();
+            assertThat(endless.awaitClosedByPeer(LONG_TIMEOUT_MS), is(true));
+        }
+    }
+
+    /** A listener that holds all bytes makes the server wait. */
+    @Test
+    void shouldStopReadingWhileBytesAreHeld() throws Exception {
+        try (RawServer server =
+                new RawServer(RawServer.endless("HTTP/1.1 200 OK\r\n\r\n", "body"))) {
+            HoldingListener listener = new HoldingListener();
+            HttpRequest request =
+                    HttpRequest.get(server.uri(), "/", LONG_TIMEOUT_MS)
+                            .withMaxBytes(Long.MAX_VALUE);
+            Runnable cancel = mHttp.send(request, listener);
+            listener.mIsWindowFull.get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            long heldBytes = listener.mHeldBytes.get();
+            Thread.sleep(50);
+            assertThat(listener.mHeldBytes.get(), is(heldBytes));
+            listener.release();
+            listener.mIsMoreReceived.get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            cancel.run();
+        }
+    }
+
+    /** Whatever bytes arrive, a response or a failure is reported once. */
+    @Property(seed = "4711", tries = 60)
+    void shouldReportOneOutcomeForAnyBytes(@ForAll long seed) throws Exception {
+        Random random = new Random(seed);
+        byte[] bytes = mutate(random);
+        try (HttpClient http = HttpClient.create();
+                RawServer server = new RawServer(out -> out.write(bytes))) {
+            Result<HttpResponse> response =
+                    http.collect(HttpRequest.get(server.uri(), "/", 2_000), MAX_BODY_BYTES)
+                            .get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            int bodyBytes = response.fold(f -> 0, r -> r.body().length);
+            assertThat(bodyBytes <= bytes.length, is(true));
+        }
+    }
+
+    /** Cuts, doubles or overwrites parts of a valid response. */
+    private static byte[] mutate(Random random) {
+        StringBuilder text =
+                new StringBuilder(random.nextBoolean() ? GOOD_RESPONSE : CHUNKED_RESPONSE);
+        for (int i = random.nextInt(4); i >= 0; i--) {
+            int at = random.nextInt(text.length());
+            switch (random.nextInt(3)) {
+                case 0 -> text.setLength(Math.max(1, at));
+                case 1 -> text.insert(at, text.substring(at));
+                default -> text.setCharAt(at, (char) random.nextInt(256));
+            }
+        }
+        return text.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Consumes all bytes at once. */
+    private static class ConsumingListener implements ResponseListener {
+        @Override
+        public void onHead(int status, Map<String, String> headers) {}
+
+        @Override
+        public void onData(byte[] data, Runnable consumed) {
+            consumed.run();
+        }
+
+        @Override
+        public void onEnd() {}
+
+        @Override
+        public void onFailure(boolean sent, String reason) {}
+    }
+
+    /** Holds all bytes until they are released. */
+    private static final class HoldingListener extends ConsumingListener {
+        private final List<Runnable> mHeld = new ArrayList<>();
+        private final CompletableFuture<Boolean> mIsWindowFull = new CompletableFuture<>();
+        private final CompletableFuture<Boolean> mIsMoreReceived = new CompletableFuture<>();
+        private final AtomicLong mHeldBytes = new AtomicLong();
+        private volatile boolean mIsReleased;
+
+        @Override
+        public void onData(byte[] data, Runnable consumed) {
+            if (mIsReleased) {
+                mIsMoreReceived.complete(true);
+                return;
+            }
+            synchronized (mHeld) {
+                mHeld.add(consumed);
+            }
+            if (mHeldBytes.addAndGet(data.length) >= ReadWindow.MAX_UNCONSUMED_BYTES) {
+                mIsWindowFull.complete(true);
+            }
+        }
+
+        void release() {
+            mIsReleased = true;
+            synchronized (mHeld) {
+                mHeld.forEach(Runnable::run);
+            }
+        }
+    }
+}
