Divide the targets among the models by demand

Ruled out: slow tokens (an event takes 25.4 ms whatever runs beside it) and the order within a batch.

Change: the owner key of a batch names its model and the expected tokens; the holder of the weights follows these keys, sums the recent demand of each model, and gives each model a share of the targets by the square root of it, with at least two targets and changes only when a share is off by more than a target.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -108,14 +108,7 @@
     }
 
     private void create(Batch batch, Consumer<Result<Boolean>> done, boolean isFirst) {
-        BatchOwnership ownership =
-                new BatchOwnership(
-                        batch.id(),
-                        batch.account(),
-                        mOwner,
-                        false,
-                        batch.submittedWallMs(),
-                        batch.items().size());
+        BatchOwnership ownership = BatchOwnership.of(batch, mOwner);
         FutureResults.deliver(
                 mStore.create(batch, ownership),
                 mThread,
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchOwnership.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchOwnership.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.BatchId;
+import dev.cactusspan.id.ModelId;
 
 /**
  * The ownership of a batch. Appends expect its key in the store unchanged, which fences former
@@ -13,6 +14,8 @@
  * @param isEnded true after the trainer has ended it
  * @param submittedWallMs when it was accepted, milliseconds of the wall clock
  * @param total how many items it has
+ * @param model its model, empty if unknown
+ * @param expectedTokens expected length of all its texts in tokens, zero if unknown
  */
 public record BatchOwnership(
         BatchId id,
@@ -20,7 +23,33 @@
         String owner,
         boolean isEnded,
         long submittedWallMs,
-        int total) {
+        int total,
+        ModelId model,
+        long expectedTokens) {
+
+    /** Fills in the model that records of earlier releases do not name. */
+    public BatchOwnership {
+        model = model == null ? ModelId.of("") : model;
+    }
+
+    /**
+     * Returns the ownership of a new batch.
+     *
+     * @param batch the batch
+     * @param owner the process that runs it
+     * @return the ownership
+     */
+    static BatchOwnership of(Batch batch, String owner) {
+        return new BatchOwnership(
+                batch.id(),
+                batch.account(),
+                owner,
+                false,
+                batch.submittedWallMs(),
+                batch.items().size(),
+                batch.model(),
+                batch.items().stream().mapToLong(BatchItem::expectedTokens).sum());
+    }
 
     /**
      * Returns this ownership with another owner.
@@ -29,7 +58,8 @@
      * @return the ownership
      */
     public BatchOwnership withOwner(String newOwner) {
-        return new BatchOwnership(id, account, newOwner, isEnded, submittedWallMs, total);
+        return new BatchOwnership(
+                id, account, newOwner, isEnded, submittedWallMs, total, model, expectedTokens);
     }
 
     /**
@@ -38,6 +68,7 @@
      * @return the ownership
      */
     public BatchOwnership asEnded() {
-        return new BatchOwnership(id, account, owner, true, submittedWallMs, total);
+        return new BatchOwnership(
+                id, account, owner, true, submittedWallMs, total, model, expectedTokens);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/duty/ModelPlacement.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/ModelPlacement.java
@@ -4,7 +4,6 @@
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.TargetId;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -15,38 +14,32 @@
  * Assigns targets to the models whose weights change. Each model is kept up to date on its share of
  * the targets only, because weight loads slow each other down. The assignment is stateless: targets
  * that hold the newest versions of a model are preferred for it, up to the number of models per
- * target that an even distribution requires.
+ * target that the shares require.
  */
 final class ModelPlacement {
-    /** Minimum number of targets per model, so that one of them may load or fail. */
-    private static final int MIN_TARGETS = 2;
-
     private ModelPlacement() {}
 
     /**
      * Assigns targets to models.
      *
-     * @param models the models whose weights change
-     * @param unsorted the targets that hold them
+     * @param shares how many targets each model gets
+     * @param unsorted the targets that hold the models
      * @return the assigned targets of each model
      */
     static Map<ModelId, List<TargetRecord>> assign(
-            Collection<ModelId> models, List<TargetRecord> unsorted) {
+            Map<ModelId, Integer> shares, List<TargetRecord> unsorted) {
         List<TargetRecord> targets =
                 unsorted.stream().sorted(Comparator.comparing(TargetRecord::id)).toList();
         Map<ModelId, List<TargetRecord>> placement = new LinkedHashMap<>();
-        List<ModelId> sorted = models.stream().sorted().toList();
+        List<ModelId> sorted = shares.keySet().stream().sorted().toList();
         sorted.forEach(model -> placement.put(model, new ArrayList<>()));
-        int share = (targets.size() + models.size() - 1) / Math.max(1, models.size());
-        int targetsPerModel = Math.min(targets.size(), Math.max(MIN_TARGETS, share));
-        int maxModelsPerTarget =
-                (targetsPerModel * models.size() + targets.size() - 1)
-                        / Math.max(1, targets.size());
+        int assignments = shares.values().stream().mapToInt(Integer::intValue).sum();
+        int maxModelsPerTarget = (assignments + targets.size() - 1) / Math.max(1, targets.size());
         Map<TargetId, Integer> modelCountByTarget = new HashMap<>();
         for (Candidate candidate : candidates(sorted, targets)) {
             List<TargetRecord> assigned = placement.get(candidate.model());
             boolean hasCapacity =
-                    assigned.size() < targetsPerModel
+                    assigned.size() < shares.get(candidate.model())
                             && modelCountByTarget.getOrDefault(candidate.target().id(), 0)
                                     < maxModelsPerTarget;
             if (hasCapacity) {
--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.FencingNumber;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.TargetId;
@@ -75,6 +76,9 @@
     private final Map<ModelId, DesiredVersion> mDesired = new HashMap<>();
     private final Map<TargetId, Order> mOrders = new HashMap<>();
     private final Map<TargetId, Long> mLoadQueriedMs = new HashMap<>();
+    private final ModelDemand mDemand = new ModelDemand();
+    private final ModelShares mShares = new ModelShares();
+    private Map<ModelId, Integer> mLoggedShares = Map.of();
     private int mMaxLoading = MIN_LOADING;
 
     /**
@@ -141,6 +145,17 @@
                 .info();
     }
 
+    /**
+     * Records the work that a batch asks for; each batch counts once.
+     *
+     * @param batch the batch
+     * @param model its model
+     * @param tokens expected length of all its texts
+     */
+    public void recordBatch(BatchId batch, ModelId model, long tokens) {
+        mDemand.add(batch, model, tokens, mNowMs.getAsLong());
+    }
+
     /** Sends the orders that are due. */
     public void tick() {
         if (mDuty.fencing().isEmpty() || mDesired.isEmpty()) {
@@ -157,7 +172,17 @@
             }
         }
         mMaxLoading = Math.max(MIN_LOADING, (int) (holding.size() * LOADING_SHARE));
-        ModelPlacement.assign(models, holding).forEach(this::rollOut);
+        long nowMs = mNowMs.getAsLong();
+        Map<ModelId, Integer> shares =
+                mShares.update(models, holding.size(), m -> mDemand.tokens(m, nowMs));
+        if (!shares.equals(mLoggedShares)) {
+            mLoggedShares = Map.copyOf(shares);
+            Decision.of("shares_changed")
+                    .with("shares", shares.toString())
+                    .with("targets", holding.size())
+                    .info();
+        }
+        ModelPlacement.assign(shares, holding).forEach(this::rollOut);
     }
 
     private void rollOut(ModelId model, List<TargetRecord> assigned) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -122,7 +122,7 @@
     /**
      * Updates the mirrors that this process needs. Each response of the store has a cost, so only
      * the holder of the weights duty watches named versions and batches target changes for less
-     * time, and only owners of batches and the sweeper watch owners.
+     * time, and only owners of batches, the sweeper and that holder watch owners.
      */
     void tick(boolean isOrdering, boolean needsOwners) {
         mTargetMirror.setGatherMs(isOrdering ? ORDERING_GATHER_MS : DEFAULT_GATHER_MS);
@@ -132,7 +132,7 @@
         if (isOrdering) {
             mVersionMirror.tick();
         }
-        if (needsOwners) {
+        if (needsOwners || isOrdering) {
             mOwnerMirror.tick();
         }
         mTargets.tick(mNowMs.getAsLong());
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.batch.BatchManager;
 import dev.cactusspan.batch.BatchManagerFactory;
 import dev.cactusspan.batch.BatchStore;
+import dev.cactusspan.batch.KnownOwnership;
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
@@ -30,11 +31,13 @@
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.settings.GatewaySettings;
 import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.wire.Message;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 
@@ -129,13 +132,20 @@
                 new AdminServer(
                         settings.ip(), settings.metricsPort(), telemetry, () -> mIsReady, List::of);
         mFleet.setListeners(
-                mBatches::onOwnerKeyChanged,
+                this::onOwnerKeyChanged,
                 mUsageDuty::onKeyChanged,
                 mWeightDuty::onKeyChanged,
                 mWeights::setDesiredVersion,
                 mWeights::onTargetRecord);
     }
 
+    private void onOwnerKeyChanged(String key, Optional<StoredItem> item) {
+        mBatches.onOwnerKeyChanged(key, item);
+        mBatches.findOwnership(BatchStore.batchIdOf(key))
+                .map(KnownOwnership::ownership)
+                .ifPresent(o -> mWeights.recordBatch(o.id(), o.model(), o.expectedTokens()));
+    }
+
     private NodeRecord newRecord() {
         return new NodeRecord(
                 mSettings.vm(),
--- a/cactusspan/src/test/java/dev/cactusspan/duty/ModelPlacementTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/ModelPlacementTest.java
@@ -35,6 +35,12 @@
                 versions);
     }
 
+    private static Map<ModelId, Integer> shares(List<ModelId> models, int targets) {
+        Map<ModelId, Integer> shares = new HashMap<>();
+        models.forEach(m -> shares.put(m, targets));
+        return shares;
+    }
+
     private static List<TargetRecord> fresh(int count) {
         List<TargetRecord> targets = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -56,7 +62,8 @@
 
     @Test
     void shouldDistributeTargetsEvenly() {
-        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(MODELS, fresh(6));
+        Map<ModelId, List<TargetRecord>> placement =
+                ModelPlacement.assign(shares(MODELS, 2), fresh(6));
         assertThat(modelCountByTarget(placement).values(), everyItem(is(1)));
         assertThat(modelCountByTarget(placement).size(), is(6));
     }
@@ -64,7 +71,7 @@
     @Test
     void shouldAssignAllTargetsToSingleModel() {
         Map<ModelId, List<TargetRecord>> placement =
-                ModelPlacement.assign(List.of(MODELS.get(0)), fresh(6));
+                ModelPlacement.assign(Map.of(MODELS.get(0), 6), fresh(6));
         assertThat(placement.get(MODELS.get(0)).size(), is(6));
     }
 
@@ -73,19 +80,30 @@
         List<TargetRecord> targets = fresh(6);
         targets.set(5, target("t5", Map.of(MODELS.get(0), WeightVersion.of(4))));
         targets.set(4, target("t4", Map.of(MODELS.get(0), WeightVersion.of(3))));
-        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(MODELS, targets);
+        Map<ModelId, List<TargetRecord>> placement =
+                ModelPlacement.assign(shares(MODELS, 2), targets);
         assertThat(
                 placement.get(MODELS.get(0)).stream().map(TargetRecord::id).toList(),
                 is(List.of(TargetId.of("t5"), TargetId.of("t4"))));
     }
 
+    @Test
+    void shouldAssignTargetsByShare() {
+        Map<ModelId, Integer> shares = Map.of(MODELS.get(0), 3, MODELS.get(1), 7, MODELS.get(2), 2);
+        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(shares, fresh(12));
+        shares.forEach((m, share) -> assertThat(placement.get(m).size(), is(share)));
+        assertThat(modelCountByTarget(placement).values(), everyItem(is(1)));
+        assertThat(modelCountByTarget(placement).size(), is(12));
+    }
+
     @Test
     void shouldNotAssignAllModelsToNewTargetWithNewestVersions() {
         List<TargetRecord> targets = fresh(5);
         Map<ModelId, WeightVersion> newest = new HashMap<>();
         MODELS.forEach(m -> newest.put(m, WeightVersion.of(9)));
         targets.add(target("t9", newest));
-        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(MODELS, targets);
+        Map<ModelId, List<TargetRecord>> placement =
+                ModelPlacement.assign(shares(MODELS, 2), targets);
         assertThat(modelCountByTarget(placement).values(), everyItem(is(1)));
         placement.values().forEach(assigned -> assertThat(assigned.size(), is(2)));
     }
