Average the demand of a model over its batches

Ruled out: a wider hysteresis, which would also keep wrong shares. Change: the mean of the tokens of a model's batches. Test: a late trainer keeps its share (changed each few steps before).

--- a/cactusspan/src/main/java/dev/cactusspan/duty/ModelDemand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/ModelDemand.java
@@ -7,24 +7,24 @@
 import java.util.Map;
 
 /**
- * The work that the recent batches of each model asked for, in tokens. Older batches count less and
- * less.
+ * The work that a batch of each model asks for, in tokens, averaged over its recent batches. It
+ * does not depend on how often batches arrive: a trainer whose results are late asks for its next
+ * batch later, and must not lose targets for it.
  */
 final class ModelDemand {
-    /** Time after which a batch counts half, in milliseconds: a few steps of a trainer. */
-    private static final double HALF_LIFE_MS = 15_000;
+    /** Weight of the newest batch in the mean. */
+    private static final double NEWEST_WEIGHT = 0.3;
+
+    /** Time without a batch after which a model has no demand, in milliseconds. */
+    private static final long IDLE_MS = 120_000;
 
     private static final int MAX_BATCHES = 1_024;
 
     private final Map<BatchId, Boolean> mSeen = new LinkedHashMap<>();
-    private final Map<ModelId, Sum> mSums = new HashMap<>();
+    private final Map<ModelId, Mean> mMeans = new HashMap<>();
 
-    /** Tokens as of a time. */
-    private record Sum(double tokens, long asOfMs) {
-        double at(long nowMs) {
-            return tokens * Math.pow(0.5, (nowMs - asOfMs) / HALF_LIFE_MS);
-        }
-    }
+    /** Mean tokens of a batch and the time of the latest batch. */
+    private record Mean(double tokens, long latestMs) {}
 
     /**
      * Counts a batch once.
@@ -41,18 +41,20 @@
         if (mSeen.size() > MAX_BATCHES) {
             mSeen.remove(mSeen.keySet().iterator().next());
         }
-        mSums.put(model, new Sum(tokens(model, nowMs) + tokens, nowMs));
+        double before = tokens(model, nowMs);
+        double mean = before == 0 ? tokens : before + NEWEST_WEIGHT * (tokens - before);
+        mMeans.put(model, new Mean(mean, nowMs));
     }
 
     /**
-     * Returns the work that a model's recent batches asked for.
+     * Returns the work that a batch of a model asks for.
      *
      * @param model the model
      * @param nowMs monotonic clock in milliseconds
-     * @return tokens, zero if it had no batch
+     * @return tokens, zero if it had no batch for some time
      */
     double tokens(ModelId model, long nowMs) {
-        Sum sum = mSums.get(model);
-        return sum == null ? 0 : sum.at(nowMs);
+        Mean mean = mMeans.get(model);
+        return mean == null || nowMs - mean.latestMs() > IDLE_MS ? 0 : mean.tokens();
     }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/duty/ModelSharesTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/ModelSharesTest.java
@@ -9,10 +9,12 @@
 import dev.cactusspan.id.ModelId;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -56,15 +58,37 @@
     }
 
     @Test
-    void shouldCountEachBatchOnceAndForgetOldOnes() {
+    void shouldAverageBatchesAndCountEachOnce() {
         ModelDemand demand = new ModelDemand();
         demand.add(BatchId.of("a"), SHORT, 100, 0);
-        demand.add(BatchId.of("a"), SHORT, 100, 0);
+        demand.add(BatchId.of("a"), SHORT, 500, 0);
         assertThat(demand.tokens(SHORT, 0), is(100.0));
-        assertThat(demand.tokens(SHORT, 30_000), lessThanOrEqualTo(50.0));
+        demand.add(BatchId.of("b"), SHORT, 200, 8_000);
+        assertThat(demand.tokens(SHORT, 30_000), is(130.0));
+        assertThat(demand.tokens(SHORT, 200_000), is(0.0));
         assertThat(demand.tokens(LONG, 0), is(0.0));
     }
 
+    /** A trainer whose steps are late sends fewer batches, and still needs its targets. */
+    @Test
+    void shouldKeepSharesWhileATrainerIsLate() {
+        ModelDemand demand = new ModelDemand();
+        ModelShares shares = new ModelShares();
+        Set<Map<ModelId, Integer>> seen = new HashSet<>();
+        for (int step = 0; step < 10; step++) {
+            long nowMs = step * 4_000L;
+            demand.add(BatchId.of("s" + step), SHORT, 40_000 + 3_000 * (step % 3), nowMs);
+            if (step % 3 == 0) {
+                demand.add(BatchId.of("l" + step), LONG, 120_000 + 9_000 * (step % 2), nowMs);
+            }
+            seen.add(
+                    Map.copyOf(
+                            shares.update(
+                                    List.of(SHORT, LONG), TARGETS, m -> demand.tokens(m, nowMs))));
+        }
+        assertThat(seen.size(), is(1));
+    }
+
     /** All targets are shared out, and each model gets two of them if there are enough. */
     @Property(seed = "97", tries = 300)
     void shouldShareOutAllTargets(
