Keep a text to one weight version where its route asks it

Cause: the bound was read from the desired state and kept with the batch, but nothing looked at it. Change: when an event shows another version, the text starts anew. Test: a version that changes in mid-text.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -267,6 +267,12 @@
                     mRun.discardText();
                     return;
                 }
+                if (mOwned.batch().isSingleVersion() && mRun.versions().size() > 1) {
+                    mRun.cancelAttempt();
+                    mRun.discardText();
+                    interrupt(mRun, "weights changed to " + event.version(), nowMs);
+                    return;
+                }
                 if (!mRun.meetsMinVersion(mOwned.batch().minVersion())) {
                     mRun.cancelAttempt();
                     mRun.discardText();
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -172,6 +172,27 @@
         assertThat(node.port().last().request().resumeAfter().isPresent(), is(false));
     }
 
+    @Test
+    void shouldRestartTextOfSingleVersionRouteWhenWeightsChange() {
+        BatchNode node = node("n1");
+        run(100);
+        node.manager().submit(BatchNode.singleVersionBatch(ID.value(), mThread.nowMs()), r -> {});
+        mThread.runAll();
+        run(50);
+        FakeTargets.Sent first = node.port().last();
+        first.startStream(2);
+        first.event(1, "t1");
+        first.event(2, "t2", 3);
+        assertThat(first.isCancelled(), is(true));
+        run(100);
+        assertThat(node.port().last().request().resumeAfter().isPresent(), is(false));
+        node.port().last().startStream(3);
+        node.port().last().events(3);
+        node.port().last().end();
+        runWithResponses(1_000);
+        assertThat(stored().get(0).versions(), hasSize(1));
+    }
+
     @Test
     void shouldAbandonItemAfterMaxFailedAttempts() {
         BatchNode node = node("n1");
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -121,6 +121,15 @@
     }
 
     static Batch batch(String id, int groups, int size, long nowMs) {
+        return batch(id, groups, size, nowMs, false);
+    }
+
+    static Batch singleVersionBatch(String id, long nowMs) {
+        return batch(id, 1, 1, nowMs, true);
+    }
+
+    private static Batch batch(
+            String id, int groups, int size, long nowMs, boolean isSingleVersion) {
         List<BatchItem> items = new ArrayList<>();
         for (int i = 0; i < groups * size; i++) {
             items.add(
@@ -146,7 +155,7 @@
                 WeightVersion.of(MIN_VERSION),
                 groups,
                 3,
-                false,
+                isSingleVersion,
                 nowMs,
                 7_000,
                 600_000,
