Watch the store longer while it answers

Ruled out: leases (a tenth of the price) and writes.

Change: after a watch that the store has answered the next one waits 8 s. A watch under way is given up as soon as another call fails to reach the store, which lease renewals show within 1.9 s, and the keys are listed again; until a watch is answered again the wait is the short one. Entries that run no batch gather changes of targets for .48 of the drain time (2.4 s here, 1.2 s on small deployments as before).

--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -74,6 +74,7 @@
                 1,
                 1,
                 true,
+                1,
                 1);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -40,14 +40,18 @@
     /** How long target changes are batched in the process that sends orders, in milliseconds. */
     private static final long ORDERING_GATHER_MS = 100;
 
+    /** How long target changes are batched in processes that run items, in milliseconds. */
+    private static final long OWNER_GATHER_MS = 1_200;
+
     /**
-     * How long target changes are batched in other processes, in milliseconds. A change must be
-     * known everywhere within 2.5 s.
+     * How long target changes are batched in other processes, as a fraction of the time within
+     * which every process must stop sending to a leaving target.
      */
-    private static final long DEFAULT_GATHER_MS = 1_200;
+    private static final double DRAIN_GATHER_FRACTION = 0.48;
 
     private final NodeDirectory mNodes;
     private final LongSupplier mNowMs;
+    private final long mDefaultGatherMs;
     private final TargetTable mTargets = new TargetTable();
     private final PrefixMirror mDesiredStateMirror;
     private final PrefixMirror mTargetMirror;
@@ -66,8 +70,10 @@
             NodeDirectory nodes,
             Executor thread,
             Supplier<Backoff> backoffs,
+            long drainMs,
             LongSupplier nowMs) {
         mNodes = nodes;
+        mDefaultGatherMs = Math.max(OWNER_GATHER_MS, (long) (DRAIN_GATHER_FRACTION * drainMs));
         mNowMs = nowMs;
         mDesiredStateMirror =
                 new PrefixMirror(
@@ -124,8 +130,9 @@
      * the holder of the weights duty watches named versions and batches target changes for less
      * time, and only owners of batches, the sweeper and that holder watch owners.
      */
-    void tick(boolean isOrdering, boolean needsOwners) {
-        mTargetMirror.setGatherMs(isOrdering ? ORDERING_GATHER_MS : DEFAULT_GATHER_MS);
+    void tick(boolean isOrdering, boolean isOwner, boolean needsOwners) {
+        long gatherMs = isOwner ? OWNER_GATHER_MS : mDefaultGatherMs;
+        mTargetMirror.setGatherMs(isOrdering ? ORDERING_GATHER_MS : gatherMs);
         mDesiredStateMirror.tick();
         mTargetMirror.tick();
         mControlMirror.tick();
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -118,7 +118,14 @@
         mUsageDuty = duty(store, "usage");
         mWeightDuty = duty(store, "weights");
         mUsage = newUsage(store, self);
-        mFleet = new FleetView(store, mNodes, mThread, this::backoff, GatewayProcess::nowMs);
+        mFleet =
+                new FleetView(
+                        store,
+                        mNodes,
+                        mThread,
+                        this::backoff,
+                        settings.drainMs(),
+                        GatewayProcess::nowMs);
         TargetPort port = new PlatformTargets(mHttp, mThread);
         mWeights = newWeights(port);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
@@ -297,7 +304,7 @@
     private void tick() {
         boolean isSweeper = mFleet.isSweeper(mSession.self().owner());
         boolean isOwner = mBatches.openBatches() > 0;
-        mFleet.tick(mWeightDuty.fencing().isPresent(), isSweeper || isOwner);
+        mFleet.tick(mWeightDuty.fencing().isPresent(), isOwner, isSweeper || isOwner);
         mSession.tick();
         mPeers.tick();
         mUsageDuty.tick();
--- a/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
@@ -46,6 +46,7 @@
     private int mFailures;
     private long mRelayUntilMs;
     private long mNoRelayUntilMs;
+    private long mLastFailureMs = Long.MIN_VALUE / 2;
 
     /**
      * Creates a store.
@@ -125,6 +126,11 @@
         return mDirect.endLease(lease);
     }
 
+    @Override
+    public long lastFailureMs() {
+        return mLastFailureMs;
+    }
+
     private <T> CompletableFuture<Result<T>> call(
             Supplier<CompletableFuture<Result<T>>> direct,
             StoreOperation operation,
@@ -155,8 +161,8 @@
             mRelayUntilMs = 0;
             return false;
         }
-        mRelayUntilMs =
-                mNowMs.getAsLong() + (RELAY_PERIOD_MS << Math.min(MAX_DOUBLINGS, mFailures));
+        mLastFailureMs = mNowMs.getAsLong();
+        mRelayUntilMs = mLastFailureMs + (RELAY_PERIOD_MS << Math.min(MAX_DOUBLINGS, mFailures));
         mFailures++;
         return isUnreachable;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -25,6 +25,7 @@
  * @param usageWindowS length of a usage window in seconds
  * @param turnMs time within which two holders of a duty must not alternate, in milliseconds
  * @param isFencingChecked true if targets and the platform refuse older fencing numbers
+ * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
  * @param stopS time between the request to stop and the kill, in seconds
  */
 public record GatewaySettings(
@@ -41,7 +42,12 @@
         int usageWindowS,
         long turnMs,
         boolean isFencingChecked,
+        long drainMs,
         int stopS) {
+
+    /** Drain time where the settings name none, in milliseconds. */
+    private static final long DEFAULT_DRAIN_MS = 2_500;
+
     private static final List<String> TEXT_FIELDS =
             List.of("vm", "zone", "ip", "store_address", "usage_address");
     private static final List<String> NUMBER_FIELDS =
@@ -52,6 +58,7 @@
 
     /** Fills in the values of absent fields. */
     public GatewaySettings {
+        drainMs = drainMs <= 0 ? DEFAULT_DRAIN_MS : drainMs;
         clientAddress = clientAddress == null ? "" : clientAddress;
         readyAddress = readyAddress == null ? "" : readyAddress;
         zones = zones == null ? Map.of() : Map.copyOf(zones);
--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -23,12 +23,17 @@
 public final class PrefixMirror {
 
     /**
-     * How long a watch waits, in milliseconds. A watch that was started while the store was
-     * unreachable may hang for its full time after the connection is restored. Including the slack
-     * of the call and a back-off delay, it must end within 4 s, after which a process is considered
-     * reconnected.
+     * How long a watch waits while the store may be unreachable, in milliseconds. Such a watch may
+     * hang for its full time after the connection is restored. Including the slack of the call and
+     * a back-off delay, it must end within 4 s, after which a process is considered reconnected.
      */
-    private static final long WATCH_MS = 2_600;
+    private static final long SHORT_WATCH_MS = 2_600;
+
+    /**
+     * How long a watch waits after one that the store has answered, in milliseconds. It is given up
+     * once another call fails, and lease renewals call the store each second.
+     */
+    private static final long LONG_WATCH_MS = 8_000;
 
     /**
      * Default delay after a change, in milliseconds, so that changes in quick succession share a
@@ -53,6 +58,9 @@
     private long mAsOf;
     private long mConfirmedMs = Long.MIN_VALUE / 2;
     private long mRecoveredMs = Long.MIN_VALUE / 2;
+    private boolean mIsProven;
+    private long mWatchedSinceMs;
+    private int mCallNumber;
     private String mPageAfter = "";
     private final Set<String> mListedKeys = new HashSet<>();
 
@@ -102,10 +110,14 @@
     /** Starts the next call, if one is due. */
     public void tick() {
         long nowMs = mNowMs.getAsLong();
+        if (mIsBusy && mState == State.WATCHING && mStore.lastFailureMs() >= mWatchedSinceMs) {
+            abandonWatch();
+        }
         if (mIsBusy || nowMs < mNextMs) {
             return;
         }
         mIsBusy = true;
+        int number = ++mCallNumber;
         if (mState == State.LISTING) {
             FutureResults.deliver(
                     mStore.range(mPrefix, mPageAfter),
@@ -113,10 +125,24 @@
                     result -> result.fold(this::failed, this::listed));
             return;
         }
+        mWatchedSinceMs = nowMs;
         FutureResults.deliver(
-                mStore.watch(mPrefix, mAsOf, WATCH_MS),
+                mStore.watch(mPrefix, mAsOf, mIsProven ? LONG_WATCH_MS : SHORT_WATCH_MS),
                 mThread,
-                result -> result.fold(this::failed, this::changed));
+                result -> {
+                    if (number == mCallNumber) {
+                        result.fold(this::failed, this::changed);
+                    }
+                });
+    }
+
+    /** Ignores the watch under way, which may hang, and lists all keys again. */
+    private void abandonWatch() {
+        mCallNumber++;
+        mIsBusy = false;
+        mIsProven = false;
+        mState = State.LISTING;
+        mPageAfter = "";
     }
 
     /**
@@ -158,6 +184,7 @@
 
     private Void changed(KeyStore.Changes changes) {
         succeeded();
+        mIsProven = true;
         for (KeyStore.Change change : changes.changes()) {
             change.item().ifPresentOrElse(this::put, () -> remove(change.key(), change.revision()));
         }
@@ -204,6 +231,7 @@
 
     private Void failed(Failure failure) {
         mIsBusy = false;
+        mIsProven = false;
         if (failure.kind() == ErrorKind.CONFLICT) {
             Decision.of("history_gone").with("prefix", mPrefix).with("as_of", mAsOf).info();
             mState = State.LISTING;
