Derive the wait of a watch from the deployment's bound, and read less at rest

The watch of 8 s that was given up when another call failed is taken back: connections may go silent one by one, and a silent watch beside lease renewals that work would hide a desired state for 8.8 s.

--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -74,7 +74,8 @@
                 1,
                 1,
                 true,
-                1,
+                0,
+                0,
                 1);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -38,7 +38,7 @@
     private static final long HEALTHY_AFTER_MS = 2_500;
 
     /** How long target changes are batched in the process that sends orders, in milliseconds. */
-    private static final long ORDERING_GATHER_MS = 100;
+    private static final long ORDERING_GATHER_MS = 200;
 
     /** How long target changes are batched in processes that run items, in milliseconds. */
     private static final long OWNER_GATHER_MS = 1_200;
@@ -70,6 +70,7 @@
             NodeDirectory nodes,
             Executor thread,
             Supplier<Backoff> backoffs,
+            long reconnectMs,
             long drainMs,
             LongSupplier nowMs) {
         mNodes = nodes;
@@ -81,6 +82,7 @@
                         PlatformReader.DESIRED_STATE_KEY,
                         thread,
                         backoffs.get(),
+                        reconnectMs,
                         nowMs,
                         this::operatorChanged);
         mVersionMirror =
@@ -89,6 +91,7 @@
                         PlatformReader.VERSION_PREFIX,
                         thread,
                         backoffs.get(),
+                        reconnectMs,
                         nowMs,
                         this::operatorChanged);
         mOwnerMirror =
@@ -97,6 +100,7 @@
                         BatchStore.OWNER_PREFIX,
                         thread,
                         backoffs.get(),
+                        reconnectMs,
                         nowMs,
                         (key, item) -> mOnOwner.accept(key, item));
         mTargetMirror =
@@ -105,11 +109,18 @@
                         PlatformReader.TARGET_PREFIX,
                         thread,
                         backoffs.get(),
+                        reconnectMs,
                         nowMs,
                         this::targetChanged);
         mControlMirror =
                 new PrefixMirror(
-                        store, CONTROL_PREFIX, thread, backoffs.get(), nowMs, this::controlChanged);
+                        store,
+                        CONTROL_PREFIX,
+                        thread,
+                        backoffs.get(),
+                        reconnectMs,
+                        nowMs,
+                        this::controlChanged);
     }
 
     void setListeners(
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -124,6 +124,7 @@
                         mNodes,
                         mThread,
                         this::backoff,
+                        settings.reconnectMs(),
                         settings.drainMs(),
                         GatewayProcess::nowMs);
         TargetPort port = new PlatformTargets(mHttp, mThread);
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/StorageProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/StorageProcess.java
@@ -26,6 +26,12 @@
     private static final long TICK_MS = 200;
 
     /** Bounds of the delay after a failed call, in milliseconds. */
+    /**
+     * Time within which a request to empty the VM is known after the connection to the store is
+     * restored, in milliseconds. The platform allows many seconds for it.
+     */
+    private static final long RECONNECT_MS = 10_000;
+
     private static final long BACKOFF_BASE_MS = 100;
 
     private static final long BACKOFF_MAX_MS = 1_000;
@@ -57,6 +63,7 @@
                         PlatformReader.RETIRE_PREFIX + settings.vm().value(),
                         mThread,
                         new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, new SplittableRandom()),
+                        RECONNECT_MS,
                         StorageProcess::nowMs,
                         this::retireRequestChanged);
         mAdmin =
--- a/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
@@ -46,7 +46,6 @@
     private int mFailures;
     private long mRelayUntilMs;
     private long mNoRelayUntilMs;
-    private long mLastFailureMs = Long.MIN_VALUE / 2;
 
     /**
      * Creates a store.
@@ -126,11 +125,6 @@
         return mDirect.endLease(lease);
     }
 
-    @Override
-    public long lastFailureMs() {
-        return mLastFailureMs;
-    }
-
     private <T> CompletableFuture<Result<T>> call(
             Supplier<CompletableFuture<Result<T>>> direct,
             StoreOperation operation,
@@ -161,8 +155,8 @@
             mRelayUntilMs = 0;
             return false;
         }
-        mLastFailureMs = mNowMs.getAsLong();
-        mRelayUntilMs = mLastFailureMs + (RELAY_PERIOD_MS << Math.min(MAX_DOUBLINGS, mFailures));
+        mRelayUntilMs =
+                mNowMs.getAsLong() + (RELAY_PERIOD_MS << Math.min(MAX_DOUBLINGS, mFailures));
         mFailures++;
         return isUnreachable;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -25,6 +25,8 @@
  * @param usageWindowS length of a usage window in seconds
  * @param turnMs time within which two holders of a duty must not alternate, in milliseconds
  * @param isFencingChecked true if targets and the platform refuse older fencing numbers
+ * @param reconnectMs time within which the process must know all changes again after its connection
+ *     to the store is restored, in milliseconds
  * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
  * @param stopS time between the request to stop and the kill, in seconds
  */
@@ -42,9 +44,13 @@
         int usageWindowS,
         long turnMs,
         boolean isFencingChecked,
+        long reconnectMs,
         long drainMs,
         int stopS) {
 
+    /** Reconnection time where the settings name none, in milliseconds. */
+    private static final long DEFAULT_RECONNECT_MS = 4_000;
+
     /** Drain time where the settings name none, in milliseconds. */
     private static final long DEFAULT_DRAIN_MS = 2_500;
 
@@ -58,6 +64,7 @@
 
     /** Fills in the values of absent fields. */
     public GatewaySettings {
+        reconnectMs = reconnectMs <= 0 ? DEFAULT_RECONNECT_MS : reconnectMs;
         drainMs = drainMs <= 0 ? DEFAULT_DRAIN_MS : drainMs;
         clientAddress = clientAddress == null ? "" : clientAddress;
         readyAddress = readyAddress == null ? "" : readyAddress;
--- a/cactusspan/src/main/java/dev/cactusspan/store/KeyStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/KeyStore.java
@@ -12,16 +12,6 @@
  */
 public interface KeyStore {
 
-    /**
-     * Returns when a call, other than a watch, last failed to reach the store or to return from it.
-     * A watch that was waiting at that time may hang, also after the connection is restored.
-     *
-     * @return monotonic clock in milliseconds, far in the past if no call failed
-     */
-    default long lastFailureMs() {
-        return Long.MIN_VALUE / 2;
-    }
-
     /**
      * Reads a key.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -23,17 +23,12 @@
 public final class PrefixMirror {
 
     /**
-     * How long a watch waits while the store may be unreachable, in milliseconds. Such a watch may
-     * hang for its full time after the connection is restored. Including the slack of the call and
-     * a back-off delay, it must end within 4 s, after which a process is considered reconnected.
+     * Part of the time after which a process must be reconnected that is left for the slack of a
+     * call and a back-off delay, in milliseconds.
      */
-    private static final long SHORT_WATCH_MS = 2_600;
+    private static final long RECONNECT_RESERVE_MS = 1_400;
 
-    /**
-     * How long a watch waits after one that the store has answered, in milliseconds. It is given up
-     * once another call fails, and lease renewals call the store each second.
-     */
-    private static final long LONG_WATCH_MS = 8_000;
+    private static final long MIN_WATCH_MS = 500;
 
     /**
      * Default delay after a change, in milliseconds, so that changes in quick succession share a
@@ -45,6 +40,7 @@
     private final String mPrefix;
     private final Executor mThread;
     private final Backoff mBackoff;
+    private final long mWatchMs;
     private final LongSupplier mNowMs;
     private final Listener mListener;
     private final Map<String, StoredItem> mItems = new HashMap<>();
@@ -58,9 +54,6 @@
     private long mAsOf;
     private long mConfirmedMs = Long.MIN_VALUE / 2;
     private long mRecoveredMs = Long.MIN_VALUE / 2;
-    private boolean mIsProven;
-    private long mWatchedSinceMs;
-    private int mCallNumber;
     private String mPageAfter = "";
     private final Set<String> mListedKeys = new HashSet<>();
 
@@ -71,6 +64,9 @@
      * @param prefix the prefix
      * @param thread runs the callbacks; all methods are called on its thread
      * @param backoff delays after failures
+     * @param reconnectMs time within which changes must be known again after the connection to the
+     *     store is restored, in milliseconds; a watch that was started before may hang for its full
+     *     time, so its wait is shorter
      * @param nowMs monotonic clock in milliseconds
      * @param listener receives changes
      */
@@ -79,12 +75,14 @@
             String prefix,
             Executor thread,
             Backoff backoff,
+            long reconnectMs,
             LongSupplier nowMs,
             Listener listener) {
         mStore = store;
         mPrefix = prefix;
         mThread = thread;
         mBackoff = backoff;
+        mWatchMs = Math.max(MIN_WATCH_MS, reconnectMs - RECONNECT_RESERVE_MS);
         mNowMs = nowMs;
         mListener = listener;
     }
@@ -110,14 +108,10 @@
     /** Starts the next call, if one is due. */
     public void tick() {
         long nowMs = mNowMs.getAsLong();
-        if (mIsBusy && mState == State.WATCHING && mStore.lastFailureMs() >= mWatchedSinceMs) {
-            abandonWatch();
-        }
         if (mIsBusy || nowMs < mNextMs) {
             return;
         }
         mIsBusy = true;
-        int number = ++mCallNumber;
         if (mState == State.LISTING) {
             FutureResults.deliver(
                     mStore.range(mPrefix, mPageAfter),
@@ -125,24 +119,10 @@
                     result -> result.fold(this::failed, this::listed));
             return;
         }
-        mWatchedSinceMs = nowMs;
         FutureResults.deliver(
-                mStore.watch(mPrefix, mAsOf, mIsProven ? LONG_WATCH_MS : SHORT_WATCH_MS),
+                mStore.watch(mPrefix, mAsOf, mWatchMs),
                 mThread,
-                result -> {
-                    if (number == mCallNumber) {
-                        result.fold(this::failed, this::changed);
-                    }
-                });
-    }
-
-    /** Ignores the watch under way, which may hang, and lists all keys again. */
-    private void abandonWatch() {
-        mCallNumber++;
-        mIsBusy = false;
-        mIsProven = false;
-        mState = State.LISTING;
-        mPageAfter = "";
+                result -> result.fold(this::failed, this::changed));
     }
 
     /**
@@ -184,7 +164,6 @@
 
     private Void changed(KeyStore.Changes changes) {
         succeeded();
-        mIsProven = true;
         for (KeyStore.Change change : changes.changes()) {
             change.item().ifPresentOrElse(this::put, () -> remove(change.key(), change.revision()));
         }
@@ -231,7 +210,6 @@
 
     private Void failed(Failure failure) {
         mIsBusy = false;
-        mIsProven = false;
         if (failure.kind() == ErrorKind.CONFLICT) {
             Decision.of("history_gone").with("prefix", mPrefix).with("as_of", mAsOf).info();
             mState = State.LISTING;
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -41,6 +41,8 @@
     static final long MIN_VERSION = 2;
     static final DesiredState DESIRED = desired();
 
+    private static final long RECONNECT_MS = 4_000;
+
     private final FakeTargets mPort = new FakeTargets();
     private final TargetTable mTargets = new TargetTable();
     private final NodeDirectory mNodes = new NodeDirectory();
@@ -81,6 +83,7 @@
                         "cs/control/",
                         thread,
                         new Backoff(10, 50, new SplittableRandom(3)),
+                        RECONNECT_MS,
                         thread::nowMs,
                         this::onControlKeyChanged);
         mOwners =
@@ -89,6 +92,7 @@
                         BatchStore.OWNER_PREFIX,
                         thread,
                         new Backoff(10, 50, new SplittableRandom(4)),
+                        RECONNECT_MS,
                         thread::nowMs,
                         (key, item) -> mManager.onOwnerKeyChanged(key, item));
         mTargets.put(FakeTargets.record("lm-1", "lm", 4, MIN_VERSION));
--- a/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
@@ -29,6 +29,8 @@
     /** A report as received by the platform. */
     record Report(String node, long window, Map<String, Long> counts, FencingNumber fencing) {}
 
+    private static final long RECONNECT_MS = 4_000;
+
     private final ManualThread mThread;
     private final NodeDirectory mNodes = new NodeDirectory();
     private final NodeSession mSession;
@@ -85,6 +87,7 @@
                         "cs/control/",
                         thread,
                         backoff(),
+                        RECONNECT_MS,
                         thread::nowMs,
                         this::onControlKeyChanged);
     }
