Update busy targets after one second instead of two

Ruled out: the order of loads (a simulation of both trainers and 21 targets shows no gain from full targets first), and no wait at all (more loads, and waits of up to 7 s beside slow targets).

--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
@@ -53,7 +53,7 @@
     private static final long RETRY_MS = 300;
 
     /** Maximum wait for a target that is one version behind to become idle, in milliseconds. */
-    private static final long MAX_IDLE_WAIT_MS = 2_000;
+    private static final long MAX_IDLE_WAIT_MS = 1_000;
 
     /**
      * Delay after a new desired version before idle targets are ordered, in milliseconds. A step
