Read the targets more often while items wait for one

Cause: an owner gathered changes of the targets for 1.2 s. Ruled out: too few targets (13 of 6 slots held the newest version by the holder's own log).

Change: 200 ms while items wait, as before otherwise; a shorter interval takes effect at once. The decisions on models and on this interval are a package without I/O, placement, which ArchitectureTest holds.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -27,9 +27,6 @@
  */
 public final class BatchManager {
 
-    /** Delay between attempts to resolve a write whose outcome is unknown, in milliseconds. */
-    private static final long RETRY_DELAY_MS = 80;
-
     /** How long processes may take to register again after the store recovers, in milliseconds. */
     private static final long REGISTRATION_GRACE_MS = 2_000;
 
@@ -44,7 +41,7 @@
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
     private final Map<BatchId, KnownOwnership> mKnown = new HashMap<>();
     private final Set<BatchId> mAcquiring = new HashSet<>();
-    private final DelayedTasks mDelayed = new DelayedTasks();
+    private final DelayedTasks mDelayed;
     private boolean mIsStopping;
     private boolean mIsDraining;
 
@@ -77,6 +74,7 @@
         mAppender = appenderFactory.apply(this::onOwnershipLost);
         mSaver = saver;
         mNowMs = nowMs;
+        mDelayed = new DelayedTasks(nowMs);
     }
 
     // Accepting
@@ -145,7 +143,7 @@
             done.accept(Result.fail(failure));
             return null;
         }
-        scheduleRetry(() -> create(batch, done, false));
+        mDelayed.add(() -> create(batch, done, false));
         return null;
     }
 
@@ -157,7 +155,7 @@
                 r ->
                         r.fold(
                                 f -> {
-                                    scheduleRetry(() -> lookUpOwner(batch, done));
+                                    mDelayed.add(() -> lookUpOwner(batch, done));
                                     return null;
                                 },
                                 item -> {
@@ -184,10 +182,6 @@
         mOwned.put(stored.batch().id(), new OwnedBatch(stored, revision));
     }
 
-    private void scheduleRetry(Runnable task) {
-        mDelayed.add(mNowMs.getAsLong() + RETRY_DELAY_MS, task);
-    }
-
     // Ownership
 
     /**
@@ -275,7 +269,7 @@
                                     if (f.kind() == ErrorKind.CONFLICT) {
                                         refreshOwnership(id);
                                     } else {
-                                        scheduleRetry(() -> mAcquiring.remove(id));
+                                        mDelayed.add(() -> mAcquiring.remove(id));
                                     }
                                     return null;
                                 },
@@ -297,7 +291,7 @@
                 r ->
                         r.fold(
                                 f -> {
-                                    scheduleRetry(() -> refreshOwnership(id));
+                                    mDelayed.add(() -> refreshOwnership(id));
                                     return null;
                                 },
                                 item -> {
@@ -318,7 +312,7 @@
                 (Result<StoredBatch> r) ->
                         r.fold(
                                 f -> {
-                                    scheduleRetry(() -> loadBatch(id, revision));
+                                    mDelayed.add(() -> loadBatch(id, revision));
                                     return null;
                                 },
                                 stored -> {
@@ -453,7 +447,7 @@
      */
     public void tick(long storeRecoveredMs, boolean isSweeper) {
         long nowMs = mNowMs.getAsLong();
-        mDelayed.runDue(nowMs);
+        mDelayed.runDue();
         boolean isSettled = nowMs - storeRecoveredMs > REGISTRATION_GRACE_MS;
         if (!mIsStopping) {
             takeOverBatches(isSweeper && isSettled);
@@ -490,4 +484,13 @@
     public int openBatches() {
         return (int) mOwned.values().stream().filter(o -> !o.isDone()).count();
     }
+
+    /**
+     * Returns how many items of owned batches wait for a target.
+     *
+     * @return the number of items
+     */
+    public int waitingItems() {
+        return mOwned.values().stream().mapToInt(OwnedBatch::waitingCount).sum();
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -220,6 +220,11 @@
         return mRuns;
     }
 
+    /** Returns how many items wait for a target that generates their text. */
+    int waitingCount() {
+        return (int) mRuns.stream().filter(run -> run.state() == ItemState.WAITING).count();
+    }
+
     int listedCount() {
         return mListed.size();
     }
--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
@@ -12,6 +12,9 @@
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Decision;
+import dev.cactusspan.placement.ModelDemand;
+import dev.cactusspan.placement.ModelPlacement;
+import dev.cactusspan.placement.ModelShares;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.result.Result;
@@ -182,7 +185,9 @@
                     .with("targets", holding.size())
                     .info();
         }
-        ModelPlacement.assign(shares, holding).forEach(this::rollOut);
+        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(shares, holding);
+        placement.forEach(this::rollOut);
+
     }
 
     private void rollOut(ModelId model, List<TargetRecord> assigned) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -10,6 +10,7 @@
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.peer.NodeDirectory;
+import dev.cactusspan.placement.RefreshInterval;
 import dev.cactusspan.platform.PlatformReader;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
@@ -37,21 +38,9 @@
     /** Time after an outage until the store is considered healthy again, in milliseconds. */
     private static final long HEALTHY_AFTER_MS = 2_500;
 
-    /** How long target changes are batched in the process that sends orders, in milliseconds. */
-    private static final long ORDERING_GATHER_MS = 200;
-
-    /** How long target changes are batched in processes that run items, in milliseconds. */
-    private static final long OWNER_GATHER_MS = 1_200;
-
-    /**
-     * How long target changes are batched in other processes, as a fraction of the time within
-     * which every process must stop sending to a leaving target.
-     */
-    private static final double DRAIN_GATHER_FRACTION = 0.48;
-
     private final NodeDirectory mNodes;
     private final LongSupplier mNowMs;
-    private final long mDefaultGatherMs;
+    private final RefreshInterval mRefreshInterval;
     private final TargetTable mTargets = new TargetTable();
     private final PrefixMirror mDesiredStateMirror;
     private final PrefixMirror mTargetMirror;
@@ -74,7 +63,7 @@
             long drainMs,
             LongSupplier nowMs) {
         mNodes = nodes;
-        mDefaultGatherMs = Math.max(OWNER_GATHER_MS, (long) (DRAIN_GATHER_FRACTION * drainMs));
+        mRefreshInterval = new RefreshInterval(drainMs);
         mNowMs = nowMs;
         mDesiredStateMirror =
                 new PrefixMirror(
@@ -138,19 +127,18 @@
 
     /**
      * Updates the mirrors that this process needs. Each response of the store has a cost, so only
-     * the holder of the weights duty watches named versions and batches target changes for less
-     * time, and only owners of batches, the sweeper and that holder watch owners.
+     * the holder of the weights duty watches named versions, and only owners of batches, the
+     * sweeper and that holder watch owners.
      */
-    void tick(boolean isOrdering, boolean isOwner, boolean needsOwners) {
-        long gatherMs = isOwner ? OWNER_GATHER_MS : mDefaultGatherMs;
-        mTargetMirror.setGatherMs(isOrdering ? ORDERING_GATHER_MS : gatherMs);
+    void tick(boolean isOrdering, boolean isSweeper, int openBatches, int waitingItems) {
+        mTargetMirror.setGatherMs(mRefreshInterval.ms(isOrdering, openBatches, waitingItems));
         mDesiredStateMirror.tick();
         mTargetMirror.tick();
         mControlMirror.tick();
         if (isOrdering) {
             mVersionMirror.tick();
         }
-        if (needsOwners || isOrdering) {
+        if (openBatches > 0 || isSweeper || isOrdering) {
             mOwnerMirror.tick();
         }
         mTargets.tick(mNowMs.getAsLong());
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -304,8 +304,11 @@
 
     private void tick() {
         boolean isSweeper = mFleet.isSweeper(mSession.self().owner());
-        boolean isOwner = mBatches.openBatches() > 0;
-        mFleet.tick(mWeightDuty.fencing().isPresent(), isOwner, isSweeper || isOwner);
+        mFleet.tick(
+                mWeightDuty.fencing().isPresent(),
+                isSweeper,
+                mBatches.openBatches(),
+                mBatches.waitingItems());
         mSession.tick();
         mPeers.tick();
         mUsageDuty.tick();
--- a/cactusspan/src/main/java/dev/cactusspan/duty/ModelDemand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/placement/ModelDemand.java
@@ -1,4 +1,4 @@
-package dev.cactusspan.duty;
+package dev.cactusspan.placement;
 
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ModelId;
@@ -11,7 +11,7 @@
  * does not depend on how often batches arrive: a trainer whose results are late asks for its next
  * batch later, and must not lose targets for it.
  */
-final class ModelDemand {
+public final class ModelDemand {
     /** Weight of the newest batch in the mean. */
     private static final double NEWEST_WEIGHT = 0.3;
 
@@ -34,7 +34,7 @@
      * @param tokens expected length of all its texts
      * @param nowMs monotonic clock in milliseconds
      */
-    void add(BatchId batch, ModelId model, long tokens, long nowMs) {
+    public void add(BatchId batch, ModelId model, long tokens, long nowMs) {
         if (mSeen.putIfAbsent(batch, true) != null) {
             return;
         }
@@ -53,7 +53,7 @@
      * @param nowMs monotonic clock in milliseconds
      * @return tokens, zero if it had no batch for some time
      */
-    double tokens(ModelId model, long nowMs) {
+    public double tokens(ModelId model, long nowMs) {
         Mean mean = mMeans.get(model);
         return mean == null || nowMs - mean.latestMs() > IDLE_MS ? 0 : mean.tokens();
     }
--- a/cactusspan/src/main/java/dev/cactusspan/duty/ModelPlacement.java
+++ b/cactusspan/src/main/java/dev/cactusspan/placement/ModelPlacement.java
@@ -1,8 +1,9 @@
-package dev.cactusspan.duty;
+package dev.cactusspan.placement;
 
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.TargetId;
+import dev.cactusspan.id.WeightVersion;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -16,7 +17,7 @@
  * that hold the newest versions of a model are preferred for it, up to the number of models per
  * target that the shares require.
  */
-final class ModelPlacement {
+public final class ModelPlacement {
     private ModelPlacement() {}
 
     /**
@@ -26,7 +27,7 @@
      * @param unsorted the targets that hold the models
      * @return the assigned targets of each model
      */
-    static Map<ModelId, List<TargetRecord>> assign(
+    public static Map<ModelId, List<TargetRecord>> assign(
             Map<ModelId, Integer> shares, List<TargetRecord> unsorted) {
         List<TargetRecord> targets =
                 unsorted.stream().sorted(Comparator.comparing(TargetRecord::id)).toList();
@@ -50,6 +51,38 @@
         return placement;
     }
 
+    /**
+     * Selects targets of other models that should be updated for a model besides its own. Load
+     * pattern: a step has more items than its model's targets have slots, while the targets of a
+     * model with shorter texts are idle for most of the time. As a target that is one version
+     * behind still serves, each of them is updated at every other version only: those at even
+     * positions at even versions, so that half of them serve at any time.
+     *
+     * @param model the model
+     * @param version its desired version
+     * @param assigned its own targets
+     * @param unsorted the targets that hold the models
+     * @return the targets that should be updated for this version
+     */
+    public static List<TargetRecord> spill(
+            ModelId model,
+            WeightVersion version,
+            List<TargetRecord> assigned,
+            List<TargetRecord> unsorted) {
+        List<TargetRecord> others =
+                unsorted.stream()
+                        .filter(t -> !assigned.contains(t))
+                        .sorted(Comparator.comparing(TargetRecord::id))
+                        .toList();
+        List<TargetRecord> selected = new ArrayList<>();
+        for (int i = 0; i < others.size(); i++) {
+            if ((i + version.number()) % 2 == 0) {
+                selected.add(others.get(i));
+            }
+        }
+        return selected;
+    }
+
     /**
      * A target that may be assigned to a model, with the number of versions that it is behind the
      * newest one.
--- a/cactusspan/src/main/java/dev/cactusspan/duty/ModelShares.java
+++ b/cactusspan/src/main/java/dev/cactusspan/placement/ModelShares.java
@@ -1,4 +1,4 @@
-package dev.cactusspan.duty;
+package dev.cactusspan.placement;
 
 import dev.cactusspan.id.ModelId;
 import java.util.ArrayList;
@@ -20,7 +20,7 @@
  * time over all models for a given number of targets. As each change of a target's model costs a
  * load of weights, shares are kept until one of them is off by more than a target.
  */
-final class ModelShares {
+public final class ModelShares {
     /** Minimum number of targets per model, so that one of them may load or fail. */
     private static final int MIN_TARGETS = 2;
 
@@ -40,7 +40,7 @@
      * @param demand the demand of a model, zero if unknown
      * @return number of targets by model; all of them together unless there are too few targets
      */
-    Map<ModelId, Integer> update(
+    public Map<ModelId, Integer> update(
             Collection<ModelId> models, int targets, ToDoubleFunction<ModelId> demand) {
         List<ModelId> sorted = models.stream().sorted().toList();
         Map<ModelId, Double> ideal = ideal(sorted, targets, demand);
--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -50,6 +50,7 @@
     private boolean mIsLoaded;
     private long mGatherMs = DEFAULT_GATHER_MS;
     private long mNextMs;
+    private long mChangedMs = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAsOf;
     private long mConfirmedMs = Long.MIN_VALUE / 2;
@@ -108,7 +109,7 @@
     /** Starts the next call, if one is due. */
     public void tick() {
         long nowMs = mNowMs.getAsLong();
-        if (mIsBusy || nowMs < mNextMs) {
+        if (mIsBusy || nowMs < mNextMs || nowMs < mChangedMs + mGatherMs) {
             return;
         }
         mIsBusy = true;
@@ -126,7 +127,8 @@
     }
 
     /**
-     * Sets how long changes are batched, as each response of the store has a cost.
+     * Sets how long changes are batched, as each response of the store has a cost. It takes effect
+     * at once.
      *
      * @param gatherMs delay after a response with changes, in milliseconds
      */
@@ -169,7 +171,7 @@
         }
         mAsOf = Math.max(mAsOf, changes.asOf());
         if (!changes.changes().isEmpty()) {
-            mNextMs = mNowMs.getAsLong() + mGatherMs;
+            mChangedMs = mNowMs.getAsLong();
         }
         return null;
     }
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -28,6 +28,7 @@
                         "dev.cactusspan.lease",
                         "dev.cactusspan.usage",
                         "dev.cactusspan.scaling",
+                        "dev.cactusspan.placement",
                         "dev.cactusspan.chart",
                         "dev.cactusspan.id",
                         "dev.cactusspan.result")
--- a/cactusspan/src/test/java/dev/cactusspan/duty/ModelPlacementTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/placement/ModelPlacementTest.java
@@ -1,4 +1,4 @@
-package dev.cactusspan.duty;
+package dev.cactusspan.placement;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.everyItem;
@@ -13,6 +13,7 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -96,6 +97,24 @@
         assertThat(modelCountByTarget(placement).size(), is(12));
     }
 
+    /** Each other target gets every second version, and half of them get each version. */
+    @Test
+    void shouldSpillToOtherTargetsAtEveryOtherVersion() {
+        List<TargetRecord> targets = fresh(8);
+        List<TargetRecord> assigned = targets.subList(0, 2);
+        ModelId model = MODELS.get(0);
+        List<TargetRecord> even =
+                ModelPlacement.spill(model, WeightVersion.of(4), assigned, targets);
+        List<TargetRecord> odd =
+                ModelPlacement.spill(model, WeightVersion.of(5), assigned, targets);
+        assertThat(even.size(), is(3));
+        assertThat(odd.size(), is(3));
+        List<TargetRecord> all = new ArrayList<>(even);
+        all.addAll(odd);
+        assertThat(new HashSet<>(all), is(new HashSet<>(targets.subList(2, 8))));
+        assertThat(ModelPlacement.spill(model, WeightVersion.of(6), assigned, targets), is(even));
+    }
+
     @Test
     void shouldNotAssignAllModelsToNewTargetWithNewestVersions() {
         List<TargetRecord> targets = fresh(5);
--- a/cactusspan/src/test/java/dev/cactusspan/duty/ModelSharesTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/placement/ModelSharesTest.java
@@ -1,4 +1,4 @@
-package dev.cactusspan.duty;
+package dev.cactusspan.placement;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
--- a/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -98,6 +98,21 @@
         assertThat(new TreeMap<>(mMirrored), is(stored()));
     }
 
+    @Test
+    void shouldReadAtOnceWhenChangesAreNoLongerGathered() {
+        mMirror.setGatherMs(2_000);
+        mStore.put("a/1", new byte[0]);
+        run(200);
+        mStore.put("a/2", new byte[0]);
+        run(100);
+        mStore.put("a/3", new byte[0]);
+        run(500);
+        assertThat(mMirrored.containsKey("a/3"), is(false));
+        mMirror.setGatherMs(100);
+        run(100);
+        assertThat(mMirrored.containsKey("a/3"), is(true));
+    }
+
     /** A watch that hangs after an outage must end, with slack and back-off, within 4 s. */
     @Test
     void shouldLimitTheWaitOfAWatch() {
