Let the longest texts use the other models' targets at every other version

Change: targets of other models are updated for the model with the most work per target at every other version, half of them at each; one version behind still serves.

--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
@@ -187,7 +187,18 @@
         }
         Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(shares, holding);
         placement.forEach(this::rollOut);
-
+        mDesired.keySet().stream()
+                .filter(m -> mDemand.tokens(m, nowMs) > 0 && placement.containsKey(m))
+                .max(Comparator.comparingDouble(m -> mDemand.tokens(m, nowMs) / shares.get(m)))
+                .ifPresent(
+                        m ->
+                                rollOut(
+                                        m,
+                                        ModelPlacement.spill(
+                                                m,
+                                                mDesired.get(m).version(),
+                                                placement.get(m),
+                                                holding)));
     }
 
     private void rollOut(ModelId model, List<TargetRecord> assigned) {
