Measure the age of a batch by the steady clock

WallClock is a type of its own, so the compiler tells the two clocks apart, and ArchitectureTest lists who may read it: usage windows, ids of starts, times of acceptance, claims.

Test: random jumps of both owners' clocks with and without a take-over; without the allowed error it fails.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -37,6 +37,7 @@
     private final ItemRunner mRunner;
     private final ResultAppender mAppender;
     private final ProgressSaver mSaver;
+    private final BatchAge mAge;
     private final LongSupplier mNowMs;
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
     private final Map<BatchId, KnownOwnership> mKnown = new HashMap<>();
@@ -55,6 +56,7 @@
      * @param runner runs items
      * @param appenderFactory creates the result appender, given a listener for lost ownership
      * @param saver saves the progress of unfinished texts
+     * @param age converts times of acceptance
      * @param nowMs monotonic clock in milliseconds
      */
     BatchManager(
@@ -65,6 +67,7 @@
             ItemRunner runner,
             Function<Consumer<OwnedBatch>, ResultAppender> appenderFactory,
             ProgressSaver saver,
+            BatchAge age,
             LongSupplier nowMs) {
         mStore = store;
         mNodes = nodes;
@@ -73,6 +76,7 @@
         mRunner = runner;
         mAppender = appenderFactory.apply(this::onOwnershipLost);
         mSaver = saver;
+        mAge = age;
         mNowMs = nowMs;
         mDelayed = new DelayedTasks(nowMs);
     }
@@ -128,7 +132,7 @@
                 .with("revision", revision)
                 .info();
         mKnown.put(batch.id(), new KnownOwnership(ownership, revision));
-        addOwned(StoredBatch.ofNew(batch), revision);
+        addOwned(StoredBatch.ofNew(batch), revision, mAge.acceptedNowMs());
         done.accept(Result.of(true));
         return null;
     }
@@ -164,7 +168,8 @@
                                     if (isMine && !mOwned.containsKey(batch.id())) {
                                         addOwned(
                                                 StoredBatch.ofNew(batch),
-                                                item.orElseThrow().revision());
+                                                item.orElseThrow().revision(),
+                                                mAge.acceptedNowMs());
                                     }
                                     done.accept(Result.of(true));
                                     return null;
@@ -178,8 +183,8 @@
                 && !known.ownership().isEnded();
     }
 
-    private void addOwned(StoredBatch stored, long revision) {
-        mOwned.put(stored.batch().id(), new OwnedBatch(stored, revision));
+    private void addOwned(StoredBatch stored, long revision, long acceptedMs) {
+        mOwned.put(stored.batch().id(), new OwnedBatch(stored, revision, acceptedMs));
     }
 
     // Ownership
@@ -318,7 +323,7 @@
                                 stored -> {
                                     mAcquiring.remove(id);
                                     if (isMine(id) && !mOwned.containsKey(id)) {
-                                        addOwned(stored, revision);
+                                        addOwned(stored, revision, mAge.acceptedMs(stored.batch()));
                                     }
                                     return null;
                                 }));
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
@@ -7,6 +7,7 @@
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.time.WallClock;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -30,7 +31,7 @@
      * @param telemetry metrics
      * @param backoff retry delays after store failures
      * @param nowMs monotonic clock in milliseconds
-     * @param wallMs wall clock in milliseconds
+     * @param wallClock the time of day
      */
     public record Dependencies(
             BatchStore store,
@@ -44,7 +45,7 @@
             Telemetry telemetry,
             Backoff backoff,
             LongSupplier nowMs,
-            LongSupplier wallMs) {}
+            WallClock wallClock) {}
 
     /**
      * Creates a manager.
@@ -65,8 +66,7 @@
                                 dependencies.desired(),
                                 dependencies.nowMs()),
                         dependencies.telemetry(),
-                        dependencies.nowMs(),
-                        dependencies.wallMs());
+                        dependencies.nowMs());
         return new BatchManager(
                 dependencies.store(),
                 dependencies.nodes(),
@@ -82,6 +82,7 @@
                                 onOwnershipLost),
                 new ProgressSaver(
                         dependencies.store(), dependencies.thread(), dependencies.nowMs()),
+                new BatchAge(dependencies.nowMs(), dependencies.wallClock()),
                 dependencies.nowMs());
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -64,7 +64,6 @@
     private final ItemScorer mScorer;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
-    private final LongSupplier mWallMs;
 
     ItemRunner(
             TargetTable targets,
@@ -72,15 +71,13 @@
             TargetChooser chooser,
             ItemScorer scorer,
             Telemetry telemetry,
-            LongSupplier nowMs,
-            LongSupplier wallMs) {
+            LongSupplier nowMs) {
         mTargets = targets;
         mPort = port;
         mChooser = chooser;
         mScorer = scorer;
         mTelemetry = telemetry;
         mNowMs = nowMs;
-        mWallMs = wallMs;
     }
 
     // Dispatch
@@ -88,8 +85,7 @@
     /** Advances each item of a batch as far as possible. */
     void tick(OwnedBatch owned) {
         long nowMs = mNowMs.getAsLong();
-        boolean isExpired =
-                mWallMs.getAsLong() > owned.batch().submittedWallMs() + owned.batch().retentionMs();
+        boolean isExpired = owned.remainingMs(nowMs) <= 0;
         for (ItemRun run : List.copyOf(owned.runs())) {
             if (isExpired) {
                 owned.abandon(run, "retention", nowMs);
@@ -189,7 +185,7 @@
                         run.item().headers(),
                         run.item().body(),
                         Optional.of(batch.account()),
-                        remainingMs(batch),
+                        Math.max(1, owned.remainingMs(nowMs)),
                         run.lastEvent());
         run.setCancelAction(
                 mPort.send(
@@ -202,10 +198,6 @@
         return !batch.minVersion().isAfter(version);
     }
 
-    private long remainingMs(Batch batch) {
-        return Math.max(1, batch.submittedWallMs() + batch.retentionMs() - mWallMs.getAsLong());
-    }
-
     /** Receives the text of one attempt. */
     private final class TextListener implements TargetListener {
         private final OwnedBatch mOwned;
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -13,6 +13,7 @@
 /** A batch that this process owns and runs. */
 final class OwnedBatch {
     private final Batch mBatch;
+    private final long mAcceptedMs;
     private long mRevision;
     private final List<ItemRun> mRuns = new ArrayList<>();
     private final Map<String, Integer> mUnfinishedByGroup = new HashMap<>();
@@ -29,8 +30,16 @@
     private long mLastSaveMs;
     private int mLastSaveEventCount;
 
-    OwnedBatch(StoredBatch stored, long revision) {
+    /**
+     * Creates the batch.
+     *
+     * @param stored what is known of it
+     * @param revision revision of the owner key
+     * @param acceptedMs when it was accepted, or later, in milliseconds of the steady clock
+     */
+    OwnedBatch(StoredBatch stored, long revision, long acceptedMs) {
         mBatch = stored.batch();
+        mAcceptedMs = acceptedMs;
         mRevision = revision;
         mListed.addAll(stored.results());
         Set<ItemId> listed = new HashSet<>();
@@ -208,6 +217,11 @@
                 : mBatch.items().stream().filter(i -> i.id().equals(id)).findFirst();
     }
 
+    /** Returns the time until items may be abandoned, in milliseconds; negative afterwards. */
+    long remainingMs(long nowMs) {
+        return mAcceptedMs + mBatch.retentionMs() - nowMs;
+    }
+
     Batch batch() {
         return mBatch;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/claim/ClaimService.java
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimService.java
@@ -7,10 +7,10 @@
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.time.WallClock;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 /**
  * The claims of an environment: executes the steps of each {@link ClaimPartition} at the key-value
@@ -25,7 +25,7 @@
     private final EnvironmentId mEnvironment;
     private final KeyValueService mKeyValues;
     private final Executor mThread;
-    private final LongSupplier mWallMs;
+    private final WallClock mWallClock;
     private final Telemetry mTelemetry;
     private final String mTokenPrefix;
     private final ClaimPartition[] mPartitions = new ClaimPartition[PARTITIONS];
@@ -38,7 +38,7 @@
      * @param environment the environment
      * @param keyValues the key-value service that stores the claims
      * @param thread executor of the caller's thread, on which outcomes are reported
-     * @param wallMs wall clock in milliseconds
+     * @param wallClock the time of day
      * @param telemetry metrics
      * @param tokenPrefix prefix of claim tokens, unique to each start of each process
      */
@@ -46,13 +46,13 @@
             EnvironmentId environment,
             KeyValueService keyValues,
             Executor thread,
-            LongSupplier wallMs,
+            WallClock wallClock,
             Telemetry telemetry,
             String tokenPrefix) {
         mEnvironment = environment;
         mKeyValues = keyValues;
         mThread = thread;
-        mWallMs = wallMs;
+        mWallClock = wallClock;
         mTelemetry = telemetry;
         mTokenPrefix = tokenPrefix;
         for (int i = 0; i < PARTITIONS; i++) {
@@ -73,7 +73,7 @@
      */
     public void acquire(
             ClaimKey key, String digest, long runsMs, long ttlMs, Consumer<ClaimOutcome> callback) {
-        long nowMs = mWallMs.getAsLong();
+        long nowMs = mWallClock.wallMs();
         String token = mTokenPrefix + "-" + mTokenCount++;
         Claim claim = new Claim(digest, token, nowMs + runsMs, nowMs + ttlMs, null);
         int partition = key.partition(PARTITIONS);
@@ -155,7 +155,7 @@
 
     /** Retries failed steps; called periodically on the caller's thread. */
     public void tick() {
-        long nowMs = mWallMs.getAsLong();
+        long nowMs = mWallClock.wallMs();
         for (int i = 0; i < PARTITIONS; i++) {
             if (mPartitions[i].isPending() && nowMs >= mNextTryMs[i]) {
                 advance(i);
@@ -165,7 +165,7 @@
 
     private void advance(int index) {
         ClaimPartition partition = mPartitions[index];
-        partition.nextStep(mWallMs.getAsLong()).ifPresent(step -> execute(index, partition, step));
+        partition.nextStep(mWallClock.wallMs()).ifPresent(step -> execute(index, partition, step));
     }
 
     private void execute(int index, ClaimPartition partition, ClaimPartition.Step step) {
@@ -183,18 +183,18 @@
     }
 
     private void onWritten(int index, ClaimPartition partition, Result<Long> result) {
-        partition.onWritten(result, mWallMs.getAsLong());
+        partition.onWritten(result, mWallClock.wallMs());
         advance(index);
     }
 
     private void onRead(
             int index, ClaimPartition partition, Result<Optional<KeyValueService.Entry>> result) {
-        partition.onRead(result, mWallMs.getAsLong());
+        partition.onRead(result, mWallClock.wallMs());
         if (result.isOk()) {
             advance(index);
             return;
         }
-        mNextTryMs[index] = mWallMs.getAsLong() + RETRY_MS;
+        mNextTryMs[index] = mWallClock.wallMs() + RETRY_MS;
     }
 
     private String key(int partition) {
--- a/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/EntryCommand.java
@@ -8,10 +8,10 @@
 import dev.cactusspan.settings.EntrySettings;
 import dev.cactusspan.settings.GatewaySettings;
 import dev.cactusspan.settings.SettingsReader;
+import dev.cactusspan.time.WallClock;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.function.LongSupplier;
 import org.kohsuke.args4j.Option;
 
 /** Runs an entry process until it receives SIGTERM. */
@@ -22,20 +22,20 @@
             usage = "settings of the entry; if absent, the file that CACTUSSPAN_CONFIG names")
     private Path mSettings;
 
-    private final LongSupplier mWallMs;
+    private final WallClock mWallClock;
 
     /** Creates the command with the system's wall clock. */
     public EntryCommand() {
-        this(System::currentTimeMillis);
+        this(WallClock.ofSystem());
     }
 
     /**
      * Creates the command.
      *
-     * @param wallMs wall clock in milliseconds since 1970, for an entry on a hosting platform
+     * @param wallClock the time of day
      */
-    public EntryCommand(LongSupplier wallMs) {
-        mWallMs = wallMs;
+    public EntryCommand(WallClock wallClock) {
+        mWallClock = wallClock;
     }
 
     @Override
@@ -68,7 +68,7 @@
         if (!settings.isOk()) {
             return settings.fold(f -> FailurePrinter.print(err, f), s -> ExitCode.OK);
         }
-        GatewayProcess process = new GatewayProcess(settings.get(), Telemetry.create(), mWallMs);
+        GatewayProcess process = new GatewayProcess(settings.get(), Telemetry.create(), mWallClock);
         process.start();
         Shutdown.onSignal(process::drain, process);
         return ExitCode.OK;
--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.settings.GatewaySettings;
+import dev.cactusspan.time.WallClock;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
@@ -41,8 +42,7 @@
         List<Integer> ports = freePorts();
         GatewaySettings settings = settings(ports, ports.get(2));
         try (GatewayProcess entry =
-                        new GatewayProcess(
-                                settings, Telemetry.create(), System::currentTimeMillis);
+                        new GatewayProcess(settings, Telemetry.create(), WallClock.ofSystem());
                 StorageProcess storage =
                         new StorageProcess(settings(ports, ports.get(6)), Telemetry.create());
                 HttpClient client = HttpClient.create()) {
--- a/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
@@ -17,6 +17,7 @@
 import dev.cactusspan.store.Transaction.Expectation;
 import dev.cactusspan.store.Transaction.Write;
 import dev.cactusspan.text.JsonText;
+import dev.cactusspan.time.WallClock;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -57,7 +58,7 @@
     private final UsagePort mPort;
     private final Executor mThread;
     private final LongSupplier mNowMs;
-    private final LongSupplier mWallMs;
+    private final WallClock mWallClock;
     private final UsageCounts mCounts;
     private long mLastFlushedWindow;
     private boolean mIsFlushing;
@@ -77,7 +78,7 @@
      * @param windowMs length of a window, in milliseconds
      * @param thread the single thread on which all calls and callbacks run
      * @param nowMs monotonic clock in milliseconds
-     * @param wallMs wall clock in milliseconds
+     * @param wallClock the time of day
      */
     public UsageReporter(
             KeyStore store,
@@ -88,7 +89,7 @@
             long windowMs,
             Executor thread,
             LongSupplier nowMs,
-            LongSupplier wallMs) {
+            WallClock wallClock) {
         mStore = store;
         mDuty = duty;
         mNodes = nodes;
@@ -96,9 +97,9 @@
         mPort = port;
         mThread = thread;
         mNowMs = nowMs;
-        mWallMs = wallMs;
+        mWallClock = wallClock;
         mCounts = new UsageCounts(windowMs);
-        mLastFlushedWindow = mCounts.windowOf(wallMs.getAsLong()) - 1;
+        mLastFlushedWindow = mCounts.windowOf(wallClock.wallMs()) - 1;
         mLastReportedWindow = mLastFlushedWindow - LOOK_BACK_WINDOWS;
     }
 
@@ -110,12 +111,12 @@
      * @param account the client account
      */
     public void count(AccountId account) {
-        mCounts.count(account, mWallMs.getAsLong());
+        mCounts.count(account, mWallClock.wallMs());
     }
 
     /** Writes own counts and reports windows when they are due. */
     public void tick() {
-        long wallMs = mWallMs.getAsLong();
+        long wallMs = mWallClock.wallMs();
         if (!mIsFlushing
                 && mNowMs.getAsLong() >= mNextFlushMs
                 && wallMs >= mCounts.endMs(mLastFlushedWindow + 1) + FLUSH_AFTER_MS) {
@@ -312,6 +313,6 @@
      * @return true if no counts would be lost if the process stopped now
      */
     public boolean isFlushed() {
-        return !mIsFlushing && mCounts.counts(mCounts.windowOf(mWallMs.getAsLong())).isEmpty();
+        return !mIsFlushing && mCounts.counts(mCounts.windowOf(mWallClock.wallMs())).isEmpty();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.time.WallClock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -51,7 +52,7 @@
     private final BooleanSupplier mIsStopping;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
-    private final LongSupplier mWallMs;
+    private final WallClock mWallClock;
     private final List<Submission> mSubmissions = new ArrayList<>();
 
     Gateway(
@@ -63,7 +64,7 @@
             BooleanSupplier isStopping,
             Telemetry telemetry,
             LongSupplier nowMs,
-            LongSupplier wallMs) {
+            WallClock wallClock) {
         mDesired = desired;
         mForwarder = forwarder;
         mBatches = batches;
@@ -72,7 +73,7 @@
         mIsStopping = isStopping;
         mTelemetry = telemetry;
         mNowMs = nowMs;
-        mWallMs = wallMs;
+        mWallClock = wallClock;
     }
 
     /** A batch submission that waits for its outcome and gets exactly one response. */
@@ -162,7 +163,7 @@
     private void submit(
             ClientRequest request, FleetRoute route, Optional<AccountId> account, ClientSink sink) {
         Result<Batch> batch =
-                mCodec.read(request, route, account.orElse(AccountId.of("")), mWallMs.getAsLong());
+                mCodec.read(request, route, account.orElse(AccountId.of("")), mWallClock.wallMs());
         if (!batch.isOk()) {
             refuse(request, sink, batch);
             return;
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -32,6 +32,7 @@
 import dev.cactusspan.settings.GatewaySettings;
 import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.time.WallClock;
 import dev.cactusspan.wire.Message;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -39,7 +40,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.function.LongSupplier;
 
 /** An entry process on a hosting platform that serves clients and trainers, and holds duties. */
 public final class GatewayProcess implements AutoCloseable {
@@ -72,7 +72,7 @@
 
     private final GatewaySettings mSettings;
     private final Telemetry mTelemetry;
-    private final LongSupplier mWallMs;
+    private final WallClock mWallClock;
     private final HttpClient mHttp;
     private final TaskThread mThread = new TaskThread("gateway", QUEUE_TASKS, TICK_MS);
     private final SplittableRandom mRandom = new SplittableRandom();
@@ -101,14 +101,14 @@
      *
      * @param settings its settings
      * @param telemetry its metrics
-     * @param wallMs wall-clock time in milliseconds since 1970, which may jump
+     * @param wallClock the time of day
      * @throws IOException if its threads cannot be started
      */
-    public GatewayProcess(GatewaySettings settings, Telemetry telemetry, LongSupplier wallMs)
+    public GatewayProcess(GatewaySettings settings, Telemetry telemetry, WallClock wallClock)
             throws IOException {
         mSettings = settings;
         mTelemetry = telemetry;
-        mWallMs = wallMs;
+        mWallClock = wallClock;
         mHttp = HttpClient.create();
         NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
@@ -157,7 +157,7 @@
     private NodeRecord newRecord() {
         return new NodeRecord(
                 mSettings.vm(),
-                Long.toString(mWallMs.getAsLong(), Character.MAX_RADIX),
+                Long.toString(mWallClock.wallMs(), Character.MAX_RADIX),
                 mSettings.zone(),
                 mSettings.ip(),
                 mSettings.linkPort(),
@@ -185,7 +185,7 @@
                 mSettings.usageWindowS() * MS_PER_S,
                 mThread,
                 GatewayProcess::nowMs,
-                mWallMs);
+                mWallClock);
     }
 
     private WeightRollout newWeights(TargetPort port) {
@@ -225,7 +225,7 @@
                         mTelemetry,
                         backoff(),
                         GatewayProcess::nowMs,
-                        mWallMs));
+                        mWallClock));
     }
 
     private Gateway newGateway() {
@@ -238,7 +238,7 @@
                 () -> mIsStopping,
                 mTelemetry,
                 GatewayProcess::nowMs,
-                mWallMs);
+                mWallClock);
     }
 
     private PlatformServer newServer() {
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -49,6 +49,40 @@
                 .check(CLASSES);
     }
 
+    /** The time of day may jump; whatever lasts or is due is measured by the steady clock. */
+    @Test
+    void shouldReadTheTimeOfDayOnlyWhereARuleNamesIt() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackages(
+                        "dev.cactusspan.time",
+                        "dev.cactusspan.command",
+                        "dev.cactusspan.entry",
+                        "dev.cactusspan.claim",
+                        "dev.cactusspan.gateway",
+                        "dev.cactusspan.standin..")
+                .and()
+                .doNotHaveSimpleName("UsageReporter")
+                .and()
+                .doNotHaveSimpleName("BatchAge")
+                .and()
+                .haveSimpleNameNotStartingWith("BatchManagerFactory")
+                .and()
+                .doNotHaveFullyQualifiedName(
+                        "dev.cactusspan.batch.BatchManagerFactory$Dependencies")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("dev.cactusspan.time")
+                .check(CLASSES);
+        noClasses()
+                .that()
+                .resideOutsideOfPackages(
+                        "dev.cactusspan.time", "dev.cactusspan.entry", "dev.cactusspan.standin..")
+                .should()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(CLASSES);
+    }
+
     @Test
     void shouldNotDependOnEntryOrCommandFromOtherPackages() {
         noClasses()
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -364,6 +364,48 @@
         assertThat(stored(), is(before));
     }
 
+    /**
+     * No item is abandoned before its retention time, whatever the time of day does at the owner
+     * and at the process that takes the batch over.
+     */
+    @Property(seed = "67", tries = 60)
+    void shouldNotAbandonItemsEarlyWhenClocksJump(@ForAll long seed) {
+        new BatchManagerTest().playClockJumps(new Random(seed));
+    }
+
+    private void playClockJumps(Random random) {
+        long[] offsetMs = {0, 0};
+        BatchNode first = new BatchNode("n1", mStore, mThread, () -> mThread.nowMs() + offsetMs[0]);
+        BatchNode second =
+                new BatchNode("n2", mStore, mThread, () -> mThread.nowMs() + offsetMs[1]);
+        mNodes.addAll(List.of(first, second));
+        run(100);
+        offsetMs[0] = random.nextLong(10_000) - 5_000;
+        long acceptedMs = mThread.nowMs();
+        first.manager()
+                .submit(
+                        BatchNode.batch(ID.value(), 1, 2, acceptedMs + offsetMs[0]),
+                        accepted -> {});
+        mThread.runAll();
+        boolean isTakenOver = random.nextBoolean();
+        long retentionMs = BatchNode.batch(ID.value(), 1, 2, 0).retentionMs();
+        for (int part = 0; part < 10; part++) {
+            offsetMs[0] = random.nextLong(10_000) - 5_000;
+            offsetMs[1] = random.nextLong(10_000) - 5_000;
+            mThread.advance(retentionMs / 10 - 100);
+            run(50);
+            if (part == 4 && isTakenOver) {
+                first.kill();
+                run(50);
+            }
+        }
+        assertThat(mThread.nowMs() - acceptedMs < retentionMs, is(true));
+        assertThat(stored(), is(empty()));
+        mThread.advance(BatchAge.MAX_CLOCK_ERROR_MS * 2);
+        run(2_000);
+        assertThat(stored(), hasSize(2));
+    }
+
     /** Each position keeps its result, and no item is listed at two positions. */
     @Property(seed = "41", tries = 60)
     void shouldKeepPositionsUnderLostResponsesAndDeadOwners(@ForAll long seed) {
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -28,6 +28,7 @@
 import dev.cactusspan.store.PrefixMirror;
 import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.text.JsonText;
+import dev.cactusspan.time.WallClock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,10 @@
     private int mRespondedCount;
 
     BatchNode(String name, FakeKeyStore store, ManualThread thread) {
+        this(name, store, thread, thread::nowMs);
+    }
+
+    BatchNode(String name, FakeKeyStore store, ManualThread thread, WallClock wallClock) {
         mThread = thread;
         mStore = store;
         mSelf =
@@ -76,7 +81,7 @@
                                 Telemetry.create(),
                                 new Backoff(10, 50, new SplittableRandom(2)),
                                 thread::nowMs,
-                                thread::nowMs));
+                                wallClock));
         mMirror =
                 new PrefixMirror(
                         store,
