Move runs only to targets that are known to be faster

Change: a run moves only to a target whose mean is known and lower by the ratio that the rule asked of any target before; a target that loses a run for it counts as slow at once; slowness has a cost of its own, so that an idle slow target comes after fast ones with free slots; six moves at most.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -178,9 +178,7 @@
 
     private boolean isMine(BatchId id) {
         KnownOwnership known = mKnown.get(id);
-        return known != null
-                && known.ownership().owner().equals(mOwner)
-                && !known.ownership().isEnded();
+        return known != null && known.ownership().isOpenAt(mOwner);
     }
 
     private void addOwned(StoredBatch stored, long revision, long acceptedMs) {
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchOwnership.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchOwnership.java
@@ -51,6 +51,16 @@
                 batch.items().stream().mapToLong(BatchItem::expectedTokens).sum());
     }
 
+    /**
+     * Tells whether a process owns the batch and the trainer has not ended it.
+     *
+     * @param process the process
+     * @return true if it should run the batch
+     */
+    public boolean isOpenAt(String process) {
+        return owner.equals(process) && !isEnded;
+    }
+
     /**
      * Returns this ownership with another owner.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -39,21 +39,12 @@
      */
     private static final long STALL_TIMEOUT_MS = 900;
 
-    /**
-     * A run is moved only to a target that is faster by this factor, as the new target must process
-     * the text so far again.
-     */
-    private static final double SLOW_RATIO = 1.8;
-
     /** Number of events over which the event interval of an attempt is measured. */
     private static final int INTERVAL_EVENTS = 4;
 
     /** Maximum length of a text; the store keeps values of up to 1 MB. */
     private static final int MAX_TEXT_CHARS = 512 << 10;
 
-    /** Maximum moves of one run, so that it does not alternate between targets. */
-    private static final int MAX_MOVES = 3;
-
     private static final int SERVER_ERROR = 500;
     private static final int UNPROCESSABLE = 422;
     private static final int SUCCESS = 200;
@@ -113,11 +104,8 @@
                         ? ItemScorer.TIMEOUT_MS
                         : run.eventCount() == 0 ? FIRST_EVENT_TIMEOUT_MS : STALL_TIMEOUT_MS;
         if (idleMs < timeoutMs) {
-            if (!isScoring && isSlow(owned, run, nowMs)) {
-                run.cancelAttempt();
-                interrupt(run, "the target is slow", nowMs);
-                run.recordMove();
-                generate(owned, run, nowMs);
+            if (!isScoring) {
+                moveIfSlow(owned, run, nowMs);
             }
             return;
         }
@@ -139,19 +127,23 @@
 
     // Generation
 
-    /**
-     * Tells whether a target with free slots is much faster than the target of the current attempt.
-     */
-    private boolean isSlow(OwnedBatch owned, ItemRun run, long nowMs) {
-        long eventIntervalMs = run.eventIntervalMs();
-        return eventIntervalMs > 0
-                && run.moveCount() < MAX_MOVES
-                && candidates(owned.batch(), run, nowMs).stream()
-                        .anyMatch(
-                                t ->
-                                        t.meanDurationMs() > 0
-                                                && t.meanDurationMs() * SLOW_RATIO
-                                                        < eventIntervalMs);
+    private void moveIfSlow(OwnedBatch owned, ItemRun run, long nowMs) {
+        long intervalMs = run.eventIntervalMs();
+        if (intervalMs <= 0) {
+            return;
+        }
+        List<TargetState> faster =
+                MoveRule.fasterTargets(
+                        intervalMs, run.moveCount(), candidates(owned.batch(), run, nowMs));
+        mChooser.choose(faster, nowMs)
+                .ifPresent(
+                        target -> {
+                            run.target().ifPresent(t -> t.recordSlow(intervalMs));
+                            run.cancelAttempt();
+                            interrupt(run, "the target is slow", nowMs);
+                            run.recordMove();
+                            send(owned, run, target, nowMs);
+                        });
     }
 
     private List<TargetState> candidates(Batch batch, ItemRun run, long nowMs) {
@@ -170,12 +162,13 @@
             run.discardText();
         }
         List<TargetState> candidates = candidates(batch, run, nowMs);
-        Optional<TargetState> target = mChooser.choose(candidates, nowMs);
-        if (target.isEmpty()) {
-            return;
-        }
+        mChooser.choose(candidates, nowMs).ifPresent(t -> send(owned, run, t, nowMs));
+    }
+
+    private void send(OwnedBatch owned, ItemRun run, TargetState target, long nowMs) {
+        Batch batch = owned.batch();
         run.apply(ItemEvent.DISPATCH);
-        int attempt = run.startAttempt(target.get(), nowMs);
+        int attempt = run.startAttempt(target, nowMs);
         TargetRequest request =
                 new TargetRequest(
                         run.item().id().value(),
@@ -188,10 +181,7 @@
                         Math.max(1, owned.remainingMs(nowMs)),
                         run.lastEvent());
         run.setCancelAction(
-                mPort.send(
-                        target.get().record(),
-                        request,
-                        new TextListener(owned, run, attempt, nowMs)));
+                mPort.send(target.record(), request, new TextListener(owned, run, attempt, nowMs)));
     }
 
     private static boolean isFresh(Batch batch, WeightVersion version) {
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetChooser.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetChooser.java
@@ -26,6 +26,13 @@
      */
     private static final double ERROR_RATE_COST = 2;
 
+    /**
+     * Cost in units of load of each multiple of the fastest target's duration. With this value a
+     * target that is four times as slow costs more than a fast one that is nearly full, even when
+     * it has no load.
+     */
+    private static final double SLOWNESS_COST = 0.25;
+
     /** Maximum random cost, which breaks ties and is too small to outweigh any other cost. */
     private static final double MAX_JITTER_COST = 0.02;
 
@@ -83,6 +90,12 @@
                 };
         double avoidance = target.isAvoided(nowMs) ? AVOIDED_COST : 0;
         double errors = ERROR_RATE_COST * target.errorRate(nowMs);
-        return load + distance + avoidance + errors + MAX_JITTER_COST * mRandom.nextDouble();
+        double delay = SLOWNESS_COST * (slowness - 1);
+        return load
+                + delay
+                + distance
+                + avoidance
+                + errors
+                + MAX_JITTER_COST * mRandom.nextDouble();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -120,6 +120,16 @@
                         : mMeanDurationMs + DURATION_WEIGHT * (durationMs - mMeanDurationMs);
     }
 
+    /**
+     * Records that a run was taken away because this target is slow. Its mean must not lag behind,
+     * or the slots that the run leaves free would attract the next one.
+     *
+     * @param durationMs duration of the latest unit of work in milliseconds
+     */
+    public void recordSlow(long durationMs) {
+        mMeanDurationMs = Math.max(mMeanDurationMs, (double) durationMs);
+    }
+
     /**
      * Returns the mean duration of a unit of work.
      *
