Poll the store while it is reached only through another process

Ruled out: refusing batches while cut off (the trainer's other entries may be cut off too). Change: while direct calls fail, mirrors list their keys each 500 ms through the other process instead of watching. Test: a process behind such a cut keeps up with each change.

--- a/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
@@ -125,6 +125,11 @@
         return mDirect.endLease(lease);
     }
 
+    @Override
+    public boolean isDirect() {
+        return mFailures == 0;
+    }
+
     private <T> CompletableFuture<Result<T>> call(
             Supplier<CompletableFuture<Result<T>>> direct,
             StoreOperation operation,
--- a/cactusspan/src/main/java/dev/cactusspan/store/KeyStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/KeyStore.java
@@ -12,6 +12,16 @@
  */
 public interface KeyStore {
 
+    /**
+     * Returns whether this process reaches the store itself. Otherwise calls may still succeed
+     * through another process, but a watch would hang.
+     *
+     * @return false after a failed call until one succeeds
+     */
+    default boolean isDirect() {
+        return true;
+    }
+
     /**
      * Reads a key.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -17,7 +17,8 @@
 
 /**
  * Mirrors all keys of the store with a prefix. It reads the keys page by page, watches them from
- * the first page's revision on, and lists them again when the store no longer has the history. An
+ * the first page's revision on, and lists them again when the store no longer has the history.
+ * While the store is reached only through another process, it lists them at intervals instead. An
  * item never reverts to an older revision. All methods are called on one thread.
  */
 public final class PrefixMirror {
@@ -30,6 +31,12 @@
 
     private static final long MIN_WATCH_MS = 500;
 
+    /**
+     * Minimum interval between lists while the store is reached only through another process, in
+     * milliseconds.
+     */
+    private static final long POLL_MS = 500;
+
     /**
      * Default delay after a change, in milliseconds, so that changes in quick succession share a
      * call.
@@ -112,6 +119,9 @@
         if (mIsBusy || nowMs < mNextMs || nowMs < mChangedMs + mGatherMs) {
             return;
         }
+        if (mState == State.WATCHING && !mStore.isDirect()) {
+            mState = State.LISTING;
+        }
         mIsBusy = true;
         if (mState == State.LISTING) {
             FutureResults.deliver(
@@ -155,6 +165,9 @@
         removed.forEach(key -> remove(key, mAsOf));
         mPageAfter = "";
         mState = State.WATCHING;
+        if (!mStore.isDirect()) {
+            mNextMs = mNowMs.getAsLong() + Math.max(POLL_MS, mGatherMs);
+        }
         mIsLoaded = true;
         Decision.of("mirror_loaded")
                 .with("prefix", mPrefix)
--- a/cactusspan/src/test/java/dev/cactusspan/store/FakeKeyStore.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/FakeKeyStore.java
@@ -15,6 +15,9 @@
 public final class FakeKeyStore implements KeyStore {
     private static final int PAGE_ITEMS = 3;
 
+    /** Time allowed to a watch beyond its requested wait, in milliseconds. */
+    private static final long WATCH_SLACK_MS = 800;
+
     private final ManualThread mThread;
     private final TreeMap<String, StoredItem> mItems = new TreeMap<>();
     private final List<Change> mHistory = new ArrayList<>();
@@ -30,6 +33,7 @@
     private int mCalls;
     private long mLongestWaitMs;
     private boolean mHangsOnLostHistory;
+    private boolean mIsDirect = true;
 
     public FakeKeyStore(ManualThread thread) {
         mThread = thread;
@@ -68,6 +72,20 @@
                 w -> w.future().complete(Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, "cut")));
     }
 
+    /** Serves calls through another process; watches hang until their time-out. */
+    public void setDirect(boolean isDirect) {
+        mIsDirect = isDirect;
+        if (!isDirect) {
+            mWatches.replaceAll(
+                    w -> new Watch("none", w.after(), w.untilMs() + WATCH_SLACK_MS, w.future()));
+        }
+    }
+
+    @Override
+    public boolean isDirect() {
+        return mIsDirect;
+    }
+
     public void expireLease(long lease) {
         mLeaseUntilMs.put(lease, 0L);
         step();
@@ -179,7 +197,7 @@
         if (refused.isPresent()) {
             return refused.get();
         }
-        if (afterRevision < mHistoryFrom && mHangsOnLostHistory) {
+        if (!mIsDirect || (afterRevision < mHistoryFrom && mHangsOnLostHistory)) {
             CompletableFuture<Result<Changes>> hanging = new CompletableFuture<>();
             mWatches.add(new Watch("none", mRevision, mThread.nowMs() + waitMs, hanging));
             return hanging;
--- a/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -113,6 +113,31 @@
         assertThat(mMirrored.containsKey("a/3"), is(true));
     }
 
+    /**
+     * A process that is cut off from the store but reaches it through another one must not wait for
+     * watches that hang: its batches would keep to targets that they know from before the cut.
+     */
+    @Test
+    void shouldListAtIntervalsWhileTheStoreIsReachedThroughOthers() {
+        mStore.put("a/1", new byte[0]);
+        run(500);
+        mStore.setDirect(false);
+        run(4_000);
+        for (int i = 2; i < 8; i++) {
+            mStore.put("a/" + i, new byte[0]);
+            run(700);
+            assertThat(new TreeMap<>(mMirrored), is(stored()));
+        }
+        int callsBefore = mStore.calls();
+        run(5_000);
+        assertThat(mStore.calls() - callsBefore <= 30, is(true));
+        mStore.setDirect(true);
+        run(1_000);
+        int callsAfter = mStore.calls();
+        run(5_000);
+        assertThat(mStore.calls() - callsAfter <= 3, is(true));
+    }
+
     /** A watch that hangs after an outage must end, with slack and back-off, within 4 s. */
     @Test
     void shouldLimitTheWaitOfAWatch() {
