Log each read of a batch's results

The rule asks a line for each decision that touches a request; a late step could not be told from a late read. It names the batch, the position, how many results were returned or why none, and the time taken.

--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -206,7 +206,23 @@
             int after,
             long waitMs,
             Consumer<Result<ResultsView>> consumer) {
-        withBatch(id, key, consumer, known -> mReader.readResults(known, after, waitMs, consumer));
+        long sinceMs = mNowMs.getAsLong();
+        Consumer<Result<ResultsView>> logged =
+                result -> {
+                    logRead(id, after, sinceMs, result);
+                    consumer.accept(result);
+                };
+        withBatch(id, key, logged, known -> mReader.readResults(known, after, waitMs, logged));
+    }
+
+    private void logRead(BatchId id, int after, long sinceMs, Result<ResultsView> result) {
+        Decision.of("results_read")
+                .with("batch", id.value())
+                .with("after", after)
+                .with("results", result.fold(f -> 0, view -> view.results().size()))
+                .with("failure", result.fold(Failure::toString, view -> ""))
+                .with("took_ms", mNowMs.getAsLong() - sinceMs)
+                .info();
     }
 
     /**
