Never list fewer results than the store holds

Cause: an append whose response was lost had taken effect; another process read its results from the store, then the batch was ended, and the owner, which retries nothing after the end, went on to list its batch without them. Ruled out: a cache of ended batches (it is filled only after the end is durable).

Change: while the outcome of an append is open, the owner does not answer for the batch and readers go to the store; waiting reads wait on. Log lines of items name the target. Test: the owner after a lost response and an end by another process, red before.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -38,6 +38,7 @@
     private final ResultAppender mAppender;
     private final ProgressSaver mSaver;
     private final BatchAge mAge;
+    private final BatchEnder mEnder;
     private final LongSupplier mNowMs;
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
     private final Map<BatchId, KnownOwnership> mKnown = new HashMap<>();
@@ -77,6 +78,13 @@
         mAppender = appenderFactory.apply(this::onOwnershipLost);
         mSaver = saver;
         mAge = age;
+        mEnder =
+                new BatchEnder(
+                        store,
+                        thread,
+                        this::findOwnership,
+                        item -> onOwnerKeyChanged(item.key(), Optional.of(item)),
+                        this::onEndedHere);
         mNowMs = nowMs;
         mDelayed = new DelayedTasks(nowMs);
     }
@@ -336,60 +344,13 @@
      * @param done receives the outcome; {@code not_found} if there is no such batch
      */
     public void end(BatchId id, Consumer<Result<Boolean>> done) {
-        KnownOwnership known = mKnown.get(id);
-        if (known != null && known.ownership().isEnded()) {
-            done.accept(Result.of(true));
-            return;
-        }
-        if (known == null) {
-            readThenEnd(id, done);
-            return;
-        }
-        BatchOwnership ended = known.ownership().asEnded();
-        FutureResults.deliver(
-                mStore.putOwnership(ended, known.revision()),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> {
-                                    if (f.kind() == ErrorKind.PLATFORM_UNAVAILABLE) {
-                                        done.accept(Result.fail(f));
-                                    } else {
-                                        readThenEnd(id, done);
-                                    }
-                                    return null;
-                                },
-                                revision -> {
-                                    mKnown.put(id, new KnownOwnership(ended, revision));
-                                    OwnedBatch owned = mOwned.get(id);
-                                    if (owned != null) {
-                                        onEnded(owned, revision);
-                                    }
-                                    done.accept(Result.of(true));
-                                    return null;
-                                }));
+        mEnder.end(id, done);
     }
 
-    private void readThenEnd(BatchId id, Consumer<Result<Boolean>> done) {
-        FutureResults.deliver(
-                mStore.readOwnerKey(id),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> {
-                                    done.accept(Result.fail(f));
-                                    return null;
-                                },
-                                item -> {
-                                    if (item.isEmpty()) {
-                                        done.accept(
-                                                Result.fail(ErrorKind.NOT_FOUND, "no batch " + id));
-                                        return null;
-                                    }
-                                    onOwnerKeyChanged(item.get().key(), item);
-                                    end(id, done);
-                                    return null;
-                                }));
+    private void onEndedHere(KnownOwnership ended) {
+        BatchId id = ended.ownership().id();
+        mKnown.put(id, ended);
+        Optional.ofNullable(mOwned.get(id)).ifPresent(o -> onEnded(o, ended.revision()));
     }
 
     // Reading
@@ -401,11 +362,11 @@
      * @param after position of the first result
      * @param waitMs how long to wait for a result, in milliseconds
      * @param receiver receives the results
-     * @return false if this process does not own the batch
+     * @return false if this process does not own the batch, or does not know all its results
      */
     public boolean readResults(BatchId id, int after, long waitMs, Consumer<ResultsView> receiver) {
         OwnedBatch owned = mOwned.get(id);
-        if (owned == null) {
+        if (owned == null || owned.mayBeIncomplete()) {
             return false;
         }
         if (after < owned.listedCount() || waitMs <= 0 || owned.isEnded()) {
@@ -417,6 +378,16 @@
         return true;
     }
 
+    /**
+     * Tells whether this process is the owner.
+     *
+     * @param ownership the ownership of a batch
+     * @return true if it is
+     */
+    public boolean isOwner(BatchOwnership ownership) {
+        return ownership.owner().equals(mOwner);
+    }
+
     /**
      * Finds an item without a listed result in a batch that this process owns.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -38,6 +38,7 @@
     private long mNextAttemptMs;
     private long mLastProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
+    private String mLatestTarget = "";
     private Runnable mCancelAction = () -> {};
 
     /** Number of the current attempt, used to ignore late events of former attempts. */
@@ -65,6 +66,7 @@
     /** Starts an attempt, which generates or scores the text at a target; returns its number. */
     int startAttempt(TargetState target, long nowMs) {
         mTarget = Optional.of(target);
+        mLatestTarget = target.record().id().value();
         target.recordSent();
         mSendCount++;
         mLastProgressMs = nowMs;
@@ -232,6 +234,11 @@
         return mSendCount;
     }
 
+    /** Returns the id of the target of the latest attempt, empty if there was none. */
+    String latestTarget() {
+        return mLatestTarget;
+    }
+
     Optional<TargetState> target() {
         return mTarget;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -120,6 +120,7 @@
         mTelemetry.count("item_interrupts_total");
         Decision.of("item_interrupted")
                 .with("request", run.item().id().value())
+                .with("target", run.latestTarget())
                 .with("events", run.eventCount())
                 .with("reason", reason)
                 .info();
@@ -340,6 +341,7 @@
                 .with("batch", owned.batch().id().value())
                 .with("events", run.eventCount())
                 .with("expected_tokens", run.item().expectedTokens())
+                .with("target", run.latestTarget())
                 .with("sends", run.sendCount())
                 .with("versions", run.versions())
                 .info();
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -23,6 +23,7 @@
     private boolean mIsGroupComplete;
     private long mReadySinceMs;
     private boolean mIsAppending;
+    private boolean mIsAppendUnknown;
     private long mNextAppendMs;
     private int mAppendFailures;
     private boolean mIsEnded;
@@ -104,14 +105,23 @@
 
     void onAppended(List<ItemResult> results) {
         mIsAppending = false;
+        mIsAppendUnknown = false;
         mAppendFailures = 0;
         mListed.addAll(results);
         mReady.removeAll(results);
         completePendingReads();
     }
 
-    int onAppendFailed(long retryAtMs) {
+    /**
+     * Handles a failed append.
+     *
+     * @param isUnknown true if it may have taken effect
+     * @param retryAtMs when to try again, in milliseconds
+     * @return number of failures in a row
+     */
+    int onAppendFailed(boolean isUnknown, long retryAtMs) {
         mIsAppending = false;
+        mIsAppendUnknown |= isUnknown;
         mIsGroupComplete = true;
         mNextAppendMs = retryAtMs;
         return ++mAppendFailures;
@@ -124,6 +134,7 @@
     /** Replaces the listed results with those in the store. */
     void onReloaded(StoredBatch stored) {
         mIsAppending = false;
+        mIsAppendUnknown = false;
         Set<ItemId> listed = new HashSet<>();
         stored.results().forEach(r -> listed.add(r.id()));
         mListed.clear();
@@ -161,6 +172,14 @@
 
     // Readers
 
+    /**
+     * Tells whether the store may hold results that this process has not listed, because the
+     * outcome of an append is open. Another process may have read them there.
+     */
+    boolean mayBeIncomplete() {
+        return mIsAppendUnknown || (mIsEnded && mIsAppending);
+    }
+
     ResultsView view(int after) {
         return ResultsView.of(mBatch.items().size(), mListed, after);
     }
@@ -178,8 +197,9 @@
         List<PendingRead> due = new ArrayList<>();
         mPendingReads.removeIf(
                 read -> {
-                    boolean isDue =
-                            read.after() < mListed.size() || nowMs >= read.deadlineMs() || mIsEnded;
+                    boolean hasNews =
+                            read.after() < mListed.size() || (mIsEnded && !mayBeIncomplete());
+                    boolean isDue = hasNews || nowMs >= read.deadlineMs();
                     return isDue && due.add(read);
                 });
         due.forEach(read -> read.receiver().accept(view(read.after())));
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -75,13 +75,13 @@
             reconcile(owned);
             return null;
         }
-        retryLater(owned);
+        retryLater(owned, failure.kind() == ErrorKind.OUTCOME_UNKNOWN);
         return null;
     }
 
-    private void retryLater(OwnedBatch owned) {
+    private void retryLater(OwnedBatch owned, boolean isUnknown) {
         long delayMs = mBackoff.delayMs(owned.appendFailureCount() + 1);
-        owned.onAppendFailed(mNowMs.getAsLong() + delayMs);
+        owned.onAppendFailed(isUnknown, mNowMs.getAsLong() + delayMs);
     }
 
     private void reconcile(OwnedBatch owned) {
@@ -91,7 +91,7 @@
                 r ->
                         r.fold(
                                 f -> {
-                                    retryLater(owned);
+                                    retryLater(owned, true);
                                     return null;
                                 },
                                 item -> {
@@ -114,7 +114,7 @@
                 (Result<StoredBatch> r) ->
                         r.fold(
                                 f -> {
-                                    retryLater(owned);
+                                    retryLater(owned, true);
                                     return null;
                                 },
                                 stored -> {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
@@ -102,7 +102,8 @@
             return;
         }
         Optional<NodeRecord> owner = mNodes.find(known.ownership().owner());
-        if (owner.isEmpty() || known.ownership().isEnded()) {
+        boolean isOwnUncertain = mManager.isOwner(known.ownership());
+        if (owner.isEmpty() || known.ownership().isEnded() || isOwnUncertain) {
             refreshOwner(id, fresh -> readStoredResults(fresh.orElse(known), after, consumer));
             return;
         }
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -119,6 +119,34 @@
         assertThat(stored(), hasSize(2));
     }
 
+    /**
+     * Results whose append took effect although its response was lost may have been read from the
+     * store by another process; the owner must not list fewer, also after the end of the batch.
+     */
+    @Test
+    void shouldNotListFewerResultsThanTheStoreAfterALostResponse() {
+        BatchNode node = node("n1");
+        BatchNode other = node("n2");
+        run(100);
+        submit(node, 1, 2);
+        run(50);
+        node.respondToAll(BatchNode::succeed);
+        mStore.setFaults(new Random(1), 1.0, 0);
+        node.respondToAll(BatchNode::succeed);
+        run(TICK_MS * 2);
+        assertThat(stored(), hasSize(2));
+        mStore.setFaults(new Random(1), 0, 0);
+        other.manager().end(ID, ended -> {});
+        mThread.runAll();
+        for (int i = 0; i < 100; i++) {
+            List<ResultsView> views = new ArrayList<>();
+            boolean isOwner = node.manager().readResults(ID, 0, 0, views::add);
+            mThread.runAll();
+            assertThat(isOwner && views.get(0).results().size() < 2, is(false));
+            run(TICK_MS);
+        }
+    }
+
     @Test
     void shouldResumeAfterLastEventOnAnotherTarget() {
         BatchNode node = startWithOneRun();
--- a/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
@@ -65,26 +65,8 @@
                         1,
                         false);
         mSession = new NodeSession(store, self, thread, backoff(), thread::nowMs);
-        mUsageDuty =
-                new DutyHolder(
-                        store,
-                        mSession,
-                        mNodes,
-                        "usage",
-                        TURN_MS,
-                        bootWaitMs,
-                        thread,
-                        thread::nowMs);
-        mWeightDuty =
-                new DutyHolder(
-                        store,
-                        mSession,
-                        mNodes,
-                        "weights",
-                        TURN_MS,
-                        bootWaitMs,
-                        thread,
-                        thread::nowMs);
+        mUsageDuty = duty(store, "usage", bootWaitMs);
+        mWeightDuty = duty(store, "weights", bootWaitMs);
         UsagePort port =
                 (window, counts, holder, fencing) -> {
                     reports.add(new Report(name, window, counts, fencing));
@@ -115,6 +97,11 @@
                         this::onControlKeyChanged);
     }
 
+    private DutyHolder duty(FakeKeyStore store, String name, long bootWaitMs) {
+        return new DutyHolder(
+                store, mSession, mNodes, name, TURN_MS, bootWaitMs, mThread, mThread::nowMs);
+    }
+
     private static Backoff backoff() {
         return new Backoff(10, 50, new SplittableRandom(1));
     }
