--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -8,12 +8,16 @@
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.settings.GatewaySettings;
+import dev.cactusspan.settings.SettingsReader;
+import dev.cactusspan.text.JsonText;
 import dev.cactusspan.time.WallClock;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -59,7 +63,19 @@
         return ExitCode.OK;
     }
 
-    private static GatewaySettings settings(List<Integer> ports, int metricsPort) {
+    /** Writes and reads settings as a start does, so that the classes for it are archived. */
+    private static GatewaySettings settings(List<Integer> ports, int metricsPort)
+            throws IOException {
+        Path file = Files.createTempFile("warm-up", ".json");
+        try {
+            Files.write(file, JsonText.write(newSettings(ports, metricsPort)));
+            return SettingsReader.gateway(file).get();
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static GatewaySettings newSettings(List<Integer> ports, int metricsPort) {
         return new GatewaySettings(
                 VmId.of("warm-up"),
                 AvailabilityZoneId.of("zone"),
