Tell engines how urgent each run is

Cause: both trainers of the large fleet send their steps at the same moment; the route with long texts is the more urgent one for the operators (priority 0 against 1), but engines were told nothing, so its long items queued behind short ones that end early in any case.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -83,7 +84,8 @@
                         scorer.body(),
                         Optional.empty(),
                         TIMEOUT_MS,
-                        OptionalLong.empty());
+                        OptionalLong.empty(),
+                        OptionalInt.empty());
         int attempts = Math.max(owned.batch().maxAttempts(), route.get().maxAttempts());
         run.setCancelAction(
                 mPort.send(
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -159,6 +159,7 @@
                 RouteId.of("r"),
                 "h",
                 ENGINE,
+                0,
                 1,
                 ModelId.of("m"),
                 WeightVersion.of(MIN_VERSION),
