--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
@@ -24,6 +24,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -176,29 +177,39 @@
         }
         mMaxLoading = Math.max(MIN_LOADING, (int) (holding.size() * LOADING_SHARE));
         long nowMs = mNowMs.getAsLong();
+        Map<ModelId, Integer> shares = updateShares(models, holding.size(), nowMs);
+        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(shares, holding);
+        placement.forEach(this::rollOut);
+        findBusiest(shares, nowMs)
+                .ifPresent(
+                        model ->
+                                rollOut(
+                                        model,
+                                        ModelPlacement.spill(
+                                                model,
+                                                mDesired.get(model).version(),
+                                                placement.get(model),
+                                                holding)));
+    }
+
+    private Map<ModelId, Integer> updateShares(Set<ModelId> models, int targets, long nowMs) {
         Map<ModelId, Integer> shares =
-                mShares.update(models, holding.size(), m -> mDemand.tokens(m, nowMs));
+                mShares.update(models, targets, m -> mDemand.tokens(m, nowMs));
         if (!shares.equals(mLoggedShares)) {
             mLoggedShares = Map.copyOf(shares);
             Decision.of("shares_changed")
                     .with("shares", shares.toString())
-                    .with("targets", holding.size())
+                    .with("targets", targets)
                     .info();
         }
-        Map<ModelId, List<TargetRecord>> placement = ModelPlacement.assign(shares, holding);
-        placement.forEach(this::rollOut);
-        mDesired.keySet().stream()
-                .filter(m -> mDemand.tokens(m, nowMs) > 0 && placement.containsKey(m))
-                .max(Comparator.comparingDouble(m -> mDemand.tokens(m, nowMs) / shares.get(m)))
-                .ifPresent(
-                        m ->
-                                rollOut(
-                                        m,
-                                        ModelPlacement.spill(
-                                                m,
-                                                mDesired.get(m).version(),
-                                                placement.get(m),
-                                                holding)));
+        return shares;
+    }
+
+    /** Returns the model with the most work per target, empty if no demand is known. */
+    private Optional<ModelId> findBusiest(Map<ModelId, Integer> shares, long nowMs) {
+        return mDesired.keySet().stream()
+                .filter(m -> mDemand.tokens(m, nowMs) > 0 && shares.containsKey(m))
+                .max(Comparator.comparingDouble(m -> mDemand.tokens(m, nowMs) / shares.get(m)));
     }
 
     private void rollOut(ModelId model, List<TargetRecord> assigned) {
