--- a/cactusspan/src/main/java/dev/cactusspan/batch/Batch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/Batch.java
@@ -16,7 +16,6 @@
  * @param route the route through which it was submitted
  * @param host host of the route
  * @param service the service whose targets run its items
- * @param priority priority of its route, where 0 is the highest
  * @param step the trainer's step
  * @param model the model
  * @param minVersion the oldest weight version that may generate its texts
@@ -34,7 +33,6 @@
         RouteId route,
         String host,
         ServiceId service,
-        int priority,
         long step,
         ModelId model,
         WeightVersion minVersion,
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -13,7 +13,6 @@
 import dev.cactusspan.observe.Telemetry;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.function.LongSupplier;
 
 /**
@@ -181,8 +180,7 @@
                         run.item().body(),
                         Optional.of(batch.account()),
                         Math.max(1, owned.remainingMs(nowMs)),
-                        run.lastEvent(),
-                        OptionalInt.of(owned.priority(run)));
+                        run.lastEvent());
         run.setCancelAction(
                 mPort.send(target.record(), request, new TextListener(owned, run, attempt, nowMs)));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -84,8 +83,7 @@
                         scorer.body(),
                         Optional.empty(),
                         TIMEOUT_MS,
-                        OptionalLong.empty(),
-                        OptionalInt.empty());
+                        OptionalLong.empty());
         int attempts = Math.max(owned.batch().maxAttempts(), route.get().maxAttempts());
         run.setCancelAction(
                 mPort.send(
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -2,7 +2,6 @@
 
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.observe.Decision;
-import dev.cactusspan.placement.RunPriority;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,12 +12,8 @@
 
 /** A batch that this process owns and runs. */
 final class OwnedBatch {
-    /** Items beyond this fraction of the lengths in a batch are among its longest. */
-    private static final double LONG_FRACTION = 0.75;
-
     private final Batch mBatch;
     private final long mAcceptedMs;
-    private final long mLongTokens;
     private long mRevision;
     private final List<ItemRun> mRuns = new ArrayList<>();
     private final Map<String, Integer> mUnfinishedByGroup = new HashMap<>();
@@ -46,7 +41,6 @@
     OwnedBatch(StoredBatch stored, long revision, long acceptedMs) {
         mBatch = stored.batch();
         mAcceptedMs = acceptedMs;
-        mLongTokens = longTokens(mBatch);
         mRevision = revision;
         mListed.addAll(stored.results());
         Set<ItemId> listed = new HashSet<>();
@@ -63,18 +57,6 @@
         }
     }
 
-    /** Returns the expected length from which on an item is among the longest of its batch. */
-    private static long longTokens(Batch batch) {
-        long[] tokens =
-                batch.items().stream().mapToLong(BatchItem::expectedTokens).sorted().toArray();
-        return tokens[(int) (tokens.length * LONG_FRACTION)];
-    }
-
-    /** Returns how urgent a run is for its target. */
-    int priority(ItemRun run) {
-        return RunPriority.of(mBatch.priority(), run.item().expectedTokens() > mLongTokens);
-    }
-
     /** A read that waits for further results. */
     record PendingRead(int after, long deadlineMs, ResultsReceiver receiver) {}
 
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
@@ -3,7 +3,6 @@
 import dev.cactusspan.id.AccountId;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -19,8 +18,6 @@
  * @param timeLeftMs time that the target has left to process the request
  * @param resumeAfter id of the event after which to resume a stream, empty to start from the
  *     beginning
- * @param priority how urgent it is for an engine, 0 to 9 where 0 is first, empty for the engine's
- *     default
  */
 public record TargetRequest(
         String id,
@@ -31,5 +28,4 @@
         byte[] body,
         Optional<AccountId> account,
         long timeLeftMs,
-        OptionalLong resumeAfter,
-        OptionalInt priority) {}
+        OptionalLong resumeAfter) {}
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -14,14 +14,12 @@
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
-import dev.cactusspan.placement.RunPriority;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -167,10 +165,7 @@
                 request.body(),
                 pending.account(),
                 Math.max(1, pending.deadlineMs() - nowMs),
-                pending.route().isResumable() ? request.resumeAfter() : OptionalLong.empty(),
-                pending.route().kind() == RouteKind.STREAMING
-                        ? OptionalInt.of(RunPriority.of(pending.route().priority(), false))
-                        : OptionalInt.empty());
+                pending.route().isResumable() ? request.resumeAfter() : OptionalLong.empty());
     }
 
     private Optional<TargetState> choose(ForwardedRequest pending, long nowMs) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
@@ -55,7 +55,6 @@
                 route.name(),
                 request.host(),
                 route.chooseService(0),
-                route.priority(),
                 node.path("step").asLong(0),
                 ModelId.of(node.path("model").asText()),
                 WeightVersion.of(Math.max(0, node.path("min_version").asLong(0))),
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -31,7 +31,6 @@
     static final String LENGTH_ESTIMATE = "Length-Hint";
     static final String DUTY_HOLDER = "Duty-Holder";
     static final String FENCING_NUMBER = "Fencing-Token";
-    static final String PRIORITY = "Request-Priority";
     static final String WAIT_MS = "Wait-Ms";
 
     /** Hop-by-hop headers, and headers that only the system may set; in lower case. */
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -76,8 +76,6 @@
         request.account().ifPresent(a -> headers.put(PlatformHeaders.ACCOUNT, a.value()));
         request.resumeAfter()
                 .ifPresent(n -> headers.put(PlatformHeaders.LAST_EVENT_ID, Long.toString(n)));
-        request.priority()
-                .ifPresent(p -> headers.put(PlatformHeaders.PRIORITY, Integer.toString(p)));
         return headers;
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -159,7 +159,6 @@
                 RouteId.of("r"),
                 "h",
                 ENGINE,
-                0,
                 1,
                 ModelId.of("m"),
                 WeightVersion.of(MIN_VERSION),
--- a/cactusspan/src/test/java/dev/cactusspan/batch/DispatchOrderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/DispatchOrderTest.java
@@ -33,7 +33,6 @@
                 shape.route(),
                 shape.host(),
                 shape.service(),
-                shape.priority(),
                 0,
                 shape.model(),
                 shape.minVersion(),
