Let the raw server of HttpClientTest read requests before it closes

The raw server read one byte of each request and closed its socket, and a close with unread bytes resets the connection, also before the client has read the response; besides, the client could take a connection from its pool that the server had just closed. Read from the code, not shown by a run of the old test that fails again. Change: the server reads the whole head, and each request of the test opens a connection. The assertions are the same.

--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -50,8 +50,18 @@
     }
 
     private Result<HttpResponse> get(RawServer server, long timeoutMs) throws Exception {
-        return mHttp.collect(HttpRequest.get(server.uri(), "/", timeoutMs), MAX_BODY_BYTES)
-                .get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        // The server closes each connection, so none is used again.
+        HttpRequest request =
+                new HttpRequest(
+                        "GET",
+                        server.uri(),
+                        "/",
+                        Map.of(),
+                        new byte[0],
+                        timeoutMs,
+                        MAX_BODY_BYTES,
+                        true);
+        return mHttp.collect(request, MAX_BODY_BYTES).get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     @ParameterizedTest
--- a/cactusspan/src/test/java/dev/cactusspan/http/RawServer.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/RawServer.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -13,8 +14,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Accepts connections and writes given bytes after the first byte of a request. */
+/** Accepts connections and writes given bytes after the head of a request. */
 final class RawServer implements AutoCloseable {
+    private static final String HEAD_END = "\r\n\r\n";
+
     private final ServerSocket mSocket;
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final AtomicLong mWritten = new AtomicLong();
@@ -54,7 +57,7 @@
 
     private void serve(Socket socket, Script script) {
         try (socket) {
-            socket.getInputStream().read();
+            readHead(socket.getInputStream());
             script.play(new CountingStream(socket.getOutputStream()));
             // Without an end of its own, the response ends when the connection closes.
         } catch (IOException e) {
@@ -64,6 +67,18 @@
         }
     }
 
+    /** Reads the whole request: closing a socket with unread bytes would reset the response. */
+    private static void readHead(InputStream in) throws IOException {
+        int matched = 0;
+        while (matched < HEAD_END.length()) {
+            int next = in.read();
+            if (next < 0) {
+                return;
+            }
+            matched = next == HEAD_END.charAt(matched) ? matched + 1 : next == '\r' ? 1 : 0;
+        }
+    }
+
     private final class CountingStream extends OutputStream {
         private final OutputStream mOut;
 
