Log the request limits that targets name

No process read that header, so logs could not tell whether one process alone exceeds a limit or only all of them together.

Change: the head of a response carries the limit, and each process logs when a target names, changes or ends one, with its own sends of the last 4 s. No decision uses it yet.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -67,7 +67,7 @@
     int startAttempt(TargetState target, long nowMs) {
         mTarget = Optional.of(target);
         mLatestTarget = target.record().id().value();
-        target.recordSent();
+        target.recordSent(nowMs);
         mSendCount++;
         mLastProgressMs = nowMs;
         mEventIntervalMs = 0;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/LimitObservingTargets.java
@@ -0,0 +1,92 @@
+package dev.cactusspan.fleet;
+
+import dev.cactusspan.id.FencingNumber;
+import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.VmId;
+import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.Result;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+
+/** Sends requests through another port, and records the request limits that targets name. */
+public final class LimitObservingTargets implements TargetPort {
+    private final TargetPort mPort;
+    private final TargetTable mTargets;
+    private final LongSupplier mNowMs;
+
+    /**
+     * Creates the port.
+     *
+     * @param port sends the requests
+     * @param targets known targets
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public LimitObservingTargets(TargetPort port, TargetTable targets, LongSupplier nowMs) {
+        mPort = port;
+        mTargets = targets;
+        mNowMs = nowMs;
+    }
+
+    @Override
+    public Runnable send(TargetRecord target, TargetRequest request, TargetListener listener) {
+        return mPort.send(target, request, new HeadObserver(target, listener));
+    }
+
+    @Override
+    public EventDecoder newDecoder() {
+        return mPort.newDecoder();
+    }
+
+    @Override
+    public CompletableFuture<Result<TargetLoad>> load(TargetRecord target) {
+        return mPort.load(target);
+    }
+
+    @Override
+    public CompletableFuture<Result<OrderOutcome>> orderVersion(
+            TargetRecord target,
+            ModelId model,
+            WeightVersion version,
+            VmId holder,
+            FencingNumber fencing,
+            long expectedOrders) {
+        return mPort.orderVersion(target, model, version, holder, fencing, expectedOrders);
+    }
+
+    /** Reads the limit from the head of one response before the head is handled. */
+    private final class HeadObserver implements TargetListener {
+        private final TargetRecord mTarget;
+        private final TargetListener mListener;
+        private final long mSentMs = mNowMs.getAsLong();
+
+        HeadObserver(TargetRecord target, TargetListener listener) {
+            mTarget = target;
+            mListener = listener;
+        }
+
+        @Override
+        public void onHead(ResponseHead head) {
+            if (head.isForThisRequest() && !head.isFromOtherTarget()) {
+                mTargets.find(mTarget.id())
+                        .filter(state -> state.record().startedMs() == mTarget.startedMs())
+                        .ifPresent(state -> state.recordHead(head, mSentMs, mNowMs.getAsLong()));
+            }
+            mListener.onHead(head);
+        }
+
+        @Override
+        public void onData(byte[] data, Runnable consumed) {
+            mListener.onData(data, consumed);
+        }
+
+        @Override
+        public void onEnd() {
+            mListener.onEnd();
+        }
+
+        @Override
+        public void onFailure(boolean sent, String reason) {
+            mListener.onFailure(sent, reason);
+        }
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.WeightVersion;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * Status and headers of a response from a target.
@@ -14,6 +15,8 @@
  * @param isForThisRequest false if the response belongs to another request
  * @param version weight version at the start of the response, {@link WeightVersion#NONE} if none
  * @param isEventStream true if the body is a stream of events
+ * @param requestLimitPerS requests per second that the target accepts from all processes together,
+ *     empty if it does not limit them
  */
 public record ResponseHead(
         int status,
@@ -23,7 +26,8 @@
         boolean isFromOtherTarget,
         boolean isForThisRequest,
         WeightVersion version,
-        boolean isEventStream) {
+        boolean isEventStream,
+        OptionalDouble requestLimitPerS) {
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
 
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -16,6 +16,7 @@
     /** Half-life of the error rate of a target that receives no work, in milliseconds. */
     private static final double ERROR_HALF_LIFE_MS = 3_000;
 
+    private final RequestAllowance mAllowance;
     private TargetRecord mRecord;
     private double mErrorRate;
     private long mErrorRateAsOfMs;
@@ -27,6 +28,7 @@
 
     TargetState(TargetRecord record) {
         mRecord = record;
+        mAllowance = new RequestAllowance(record.id());
     }
 
     void update(TargetRecord record) {
@@ -38,9 +40,19 @@
         mMissingSinceMs = nowMs;
     }
 
-    /** Records that a request was sent. */
-    public void recordSent() {
+    /**
+     * Records that a request was sent.
+     *
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void recordSent(long nowMs) {
         mInFlight++;
+        mAllowance.recordSent(nowMs);
+    }
+
+    /** Records the request limit in the head of a response, or that it has none. */
+    void recordHead(ResponseHead head, long sentMs, long nowMs) {
+        mAllowance.recordResponse(head.requestLimitPerS(), head.status(), sentMs, nowMs);
     }
 
     /** Records that a request has ended, whatever its outcome. */
--- a/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
@@ -20,7 +20,7 @@
         mTarget = target;
         mBudget = budget;
         mStartedMs = startedMs;
-        target.recordSent();
+        target.recordSent(startedMs);
     }
 
     /** Sets the action that cancels the exchange with the target. */
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
+import dev.cactusspan.fleet.LimitObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
 import dev.cactusspan.forward.RequestForwarder;
@@ -127,7 +128,11 @@
                         settings.reconnectMs(),
                         settings.drainMs(),
                         GatewayProcess::nowMs);
-        TargetPort port = new PlatformTargets(mHttp, mThread);
+        TargetPort port =
+                new LimitObservingTargets(
+                        new PlatformTargets(mHttp, mThread),
+                        mFleet.targets(),
+                        GatewayProcess::nowMs);
         mWeights = newWeights(port);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
         mForwarder = newForwarder(port, chooser);
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -1,8 +1,10 @@
 package dev.cactusspan.platform;
 
+import com.google.common.primitives.Doubles;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** Names of the platform's HTTP headers. */
@@ -20,6 +22,9 @@
     /** The target's digest of its response. */
     static final String RESPONSE_DIGEST = "Server-Stamp";
 
+    /** Requests per second that the target accepts from all processes together, a decimal number. */
+    static final String REQUEST_LIMIT = "Server-Limit";
+
     static final String NOT_EXECUTED = "Not-Executed";
 
     /** A single version, which produced the start of the response. */
@@ -64,6 +69,18 @@
         return lowerCase.getOrDefault(name.toLowerCase(Locale.ROOT), "");
     }
 
+    /**
+     * Reads the request limit of a response.
+     *
+     * @param lowerCase response headers with names in lower case
+     * @return requests per second; empty if there is none, or one that is not a number of at least zero
+     */
+    static OptionalDouble requestLimit(Map<String, String> lowerCase) {
+        Double limitPerS = Doubles.tryParse(get(lowerCase, REQUEST_LIMIT).strip());
+        boolean isValid = limitPerS != null && limitPerS >= 0 && Double.isFinite(limitPerS);
+        return isValid ? OptionalDouble.of(limitPerS) : OptionalDouble.empty();
+    }
+
     static Map<String, String> forwarded(Map<String, String> headers) {
         Map<String, String> forwarded = new LinkedHashMap<>();
         headers.forEach(
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -177,7 +177,8 @@
                     version.matches("[0-9]{1,18}")
                             ? WeightVersion.of(Long.parseLong(version))
                             : WeightVersion.NONE,
-                    headers.getOrDefault("content-type", "").startsWith("text/event-stream"));
+                    headers.getOrDefault("content-type", "").startsWith("text/event-stream"),
+                    PlatformHeaders.requestLimit(headers));
         }
 
         @Override
--- a/cactusspan/src/test/java/dev/cactusspan/batch/MoveRuleTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/MoveRuleTest.java
@@ -63,7 +63,7 @@
         for (int i = 0; i < TARGETS; i++) {
             target(i).recordDuration(FAST_MS);
             for (int run = 0; run < SLOTS / 2; run++) {
-                target(i).recordSent();
+                target(i).recordSent(0);
             }
         }
         for (int slow = 0; slow < SLOW_TARGETS; slow++) {
@@ -78,7 +78,7 @@
                 TargetState to =
                         mChooser.choose(MoveRule.fasterTargets(SLOW_MS, 0, candidates()), 0)
                                 .orElseThrow();
-                to.recordSent();
+                to.recordSent(0);
                 chosen.add(to);
             }
         }
@@ -94,7 +94,7 @@
         target(1).recordSlow(SLOW_MS);
         int before = 0;
         while (mChooser.choose(candidates(), 0).orElseThrow() == target(0)) {
-            target(0).recordSent();
+            target(0).recordSent(0);
             before++;
         }
         assertThat(before, greaterThanOrEqualTo(SLOTS));
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -30,6 +31,7 @@
         private final TargetRequest mRequest;
         private final TargetListener mListener;
         private boolean mIsCancelled;
+        private OptionalDouble mRequestLimitPerS = OptionalDouble.empty();
 
         Sent(TargetRecord target, TargetRequest request, TargetListener listener) {
             mTarget = target;
@@ -49,6 +51,12 @@
             return mIsCancelled;
         }
 
+        /** Has the target name a request limit in the responses that follow. */
+        public Sent withLimit(double requestLimitPerS) {
+            mRequestLimitPerS = OptionalDouble.of(requestLimitPerS);
+            return this;
+        }
+
         /** Sends a complete success response with the target's digest. */
         public void succeed() {
             respond(200, "stamp-" + mRequest.id(), false);
@@ -103,13 +111,29 @@
         public void respondForOtherRequest() {
             mListener.onHead(
                     new ResponseHead(
-                            200, Map.of(), "x", false, false, false, WeightVersion.NONE, false));
-        }
-
-        private static ResponseHead head(
+                            200,
+                            Map.of(),
+                            "x",
+                            false,
+                            false,
+                            false,
+                            WeightVersion.NONE,
+                            false,
+                            OptionalDouble.empty()));
+        }
+
+        private ResponseHead head(
                 int status, String digest, boolean isNotRun, WeightVersion version) {
             return new ResponseHead(
-                    status, Map.of(), digest, isNotRun, false, true, version, version.number() > 0);
+                    status,
+                    Map.of(),
+                    digest,
+                    isNotRun,
+                    false,
+                    true,
+                    version,
+                    version.number() > 0,
+                    mRequestLimitPerS);
         }
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
@@ -52,7 +52,7 @@
     @Test
     void shouldResetTheStateOfARestartedTarget() {
         mTable.put(FakeTargets.record("t1", "app", 4, 0));
-        mTable.find(T1).orElseThrow().recordSent();
+        mTable.find(T1).orElseThrow().recordSent(0);
         TargetRecord first = FakeTargets.record("t1", "app", 4, 0);
         mTable.put(
                 new TargetRecord(
@@ -74,7 +74,7 @@
                 new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1));
         mTable.put(FakeTargets.record("t1", "app", 4, 0));
         mTable.put(FakeTargets.record("t2", "app", 4, 0));
-        mTable.find(T1).orElseThrow().recordSent();
+        mTable.find(T1).orElseThrow().recordSent(0);
         assertThat(chooser.choose(serving(), 0).orElseThrow().record().id(), is(TargetId.of("t2")));
         mTable.find(TargetId.of("t2")).orElseThrow().recordFailure(0);
         assertThat(chooser.choose(serving(), 10).orElseThrow().record().id(), is(T1));
