Divide the request limits of targets among all processes

Cause: no process read the limit, and no process could have kept it alone. Class of fault: a limit that holds for all processes together, handled without any state that they share. Ruled out: resends after refusals (all responses that named a limit had status 200, none was refused).

Change: while a target names a limit, each request to it takes a permit. One entry, chosen by rendezvous hashing, issues the permits of a target at the rate of its limit to those that have work for it. The three senders (client requests, items, scoring calls) choose among candidates of the same table, so that none passes it by. A request that cannot get a permit in time is refused at once, with the expected time as Retry-After.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -195,6 +195,10 @@
         return mTargets;
     }
 
+    TargetEmulator target(String id) {
+        return mTargets.stream().filter(t -> t.id().equals(id)).findFirst().orElseThrow();
+    }
+
     List<EndlessTarget> endlessTargets() {
         return mEndlessTargets;
     }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -29,6 +30,8 @@
     private static final HttpString RESPONSE_DIGEST = new HttpString("Server-Stamp");
     private static final HttpString NOT_EXECUTED = new HttpString("Not-Executed");
     private static final HttpString WEIGHT_VERSIONS = new HttpString("Weight-Versions");
+    private static final HttpString REQUEST_LIMIT = new HttpString("Server-Limit");
+    private static final long NS_PER_MS = 1_000_000;
     private static final long EVENT_MS = 12;
     private static final long WORK_MS = 8;
     private static final long LOAD_MS = 300;
@@ -51,6 +54,7 @@
     private volatile boolean mIsDraining;
     private volatile int mTruncateOneIn;
     private volatile int mFailOneIn;
+    private volatile Optional<RequestLimitCheck> mLimit = Optional.empty();
     private volatile int mRegisteredPort;
 
     private TargetEmulator(
@@ -129,6 +133,15 @@
         mFailOneIn = oneIn;
     }
 
+    /**
+     * Names a request limit in all responses from now on, and checks that it is kept.
+     *
+     * @param limitPerS requests per second from all processes together
+     */
+    public void limitRequests(double limitPerS) {
+        mLimit = Optional.of(new RequestLimitCheck(mId, limitPerS, mObservations));
+    }
+
     /** Reports that the target is draining; it still serves new requests. */
     public void startDraining() {
         mIsDraining = true;
@@ -220,6 +233,11 @@
     private void run(HttpServerExchange exchange, byte[] body) {
         String id = StandInServer.header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(ATTEMPT_ID, id);
+        mLimit.ifPresent(
+                limit -> {
+                    limit.recordRequest(System.nanoTime() / NS_PER_MS);
+                    exchange.getResponseHeaders().put(REQUEST_LIMIT, limit.headerValue());
+                });
         if (!StandInServer.header(exchange, "Expect-Instance").equals(mId)) {
             refuse(exchange, 421);
             return;
@@ -316,6 +334,15 @@
         }
     }
 
+    /**
+     * Returns the id.
+     *
+     * @return the id under which it is registered
+     */
+    public String id() {
+        return mId;
+    }
+
     /**
      * Returns the port.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Runs items at targets: generates the text, resumes it at another target after an interruption,
@@ -135,7 +136,10 @@
         }
         List<TargetState> faster =
                 MoveRule.fasterTargets(
-                        intervalMs, run.moveCount(), candidates(owned.batch(), run, nowMs));
+                        intervalMs,
+                        run.moveCount(),
+                        mTargets.serving(
+                                owned.batch().service(), filter(owned.batch(), run, nowMs)));
         mChooser.choose(faster, nowMs)
                 .ifPresent(
                         target -> {
@@ -147,14 +151,12 @@
                         });
     }
 
-    private List<TargetState> candidates(Batch batch, ItemRun run, long nowMs) {
-        return mTargets.serving(
-                batch.service(),
-                t ->
-                        t.inFlight() < t.record().slots()
-                                && !t.isAvoided(nowMs)
-                                && run.allows(t, nowMs)
-                                && isFresh(batch, t.record().version(batch.model())));
+    private static Predicate<TargetState> filter(Batch batch, ItemRun run, long nowMs) {
+        return t ->
+                t.inFlight() < t.record().slots()
+                        && !t.isAvoided(nowMs)
+                        && run.allows(t, nowMs)
+                        && isFresh(batch, t.record().version(batch.model()));
     }
 
     private void generate(OwnedBatch owned, ItemRun run, long nowMs) {
@@ -162,7 +164,8 @@
         if (!run.meetsMinVersion(batch.minVersion())) {
             run.discardText();
         }
-        List<TargetState> candidates = candidates(batch, run, nowMs);
+        List<TargetState> candidates =
+                mTargets.candidates(batch.service(), filter(batch, run, nowMs));
         mChooser.choose(candidates, nowMs).ifPresent(t -> send(owned, run, t, nowMs));
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -61,7 +61,7 @@
             return;
         }
         List<TargetState> candidates =
-                mTargets.serving(
+                mTargets.candidates(
                         route.get().chooseService(0),
                         t ->
                                 t.inFlight() < t.record().slots()
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -1,5 +1,8 @@
 package dev.cactusspan.fleet;
 
+import java.util.Optional;
+import java.util.OptionalLong;
+
 /** A target's registration entry and the load and errors that this process has observed. */
 public final class TargetState {
     /** Time that a target is avoided after a failure; doubles with each consecutive failure. */
@@ -50,6 +53,49 @@
         mAllowance.recordSent(nowMs);
     }
 
+    /**
+     * Returns whether a request may be sent without exceeding the limit that the target names.
+     *
+     * @return false if the target limits its requests and this process has no permit
+     */
+    boolean admitsRequest() {
+        return mAllowance.admits();
+    }
+
+    /** Notes that a request could be sent to this target if there were a permit. */
+    void wantPermit() {
+        mAllowance.wantPermit();
+    }
+
+    void tick(long nowMs) {
+        mAllowance.tick(nowMs);
+    }
+
+    /**
+     * Returns the request for permits that is due now.
+     *
+     * @param nowMs monotonic clock in milliseconds
+     * @return the request, empty if no permits are wanted
+     */
+    public Optional<PermitRequest> nextPermitRequest(long nowMs) {
+        return mAllowance.nextRequest(nowMs);
+    }
+
+    /**
+     * Handles the response to a request for permits.
+     *
+     * @param grant the permits
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void onPermits(PermitGrant grant, long nowMs) {
+        mAllowance.onPermits(grant, nowMs);
+    }
+
+    /** Returns the expected time until the next permit, empty if the target has no limit. */
+    OptionalLong permitWaitMs(long nowMs) {
+        return mAllowance.permitWaitMs(nowMs);
+    }
+
     /** Records the request limit in the head of a response, or that it has none. */
     void recordHead(ResponseHead head, long sentMs, long nowMs) {
         mAllowance.recordResponse(head.requestLimitPerS(), head.status(), sentMs, nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 
 /**
@@ -58,12 +59,13 @@
     }
 
     /**
-     * Removes targets that did not register again in time.
+     * Removes targets that did not register again in time, and permits that have lapsed.
      *
      * @param nowMs monotonic clock in milliseconds
      */
     public void tick(long nowMs) {
         mTargets.values().removeIf(state -> state.isMissingFor(nowMs, REREGISTRATION_TIMEOUT_MS));
+        mTargets.values().forEach(state -> state.tick(nowMs));
     }
 
     // Accessors
@@ -79,7 +81,8 @@
     }
 
     /**
-     * Returns the targets of a service that accept new work.
+     * Returns the targets of a service that accept a request now. A target that limits its requests
+     * is among them only while this process holds a permit for it.
      *
      * @param service the service
      * @param filter selects among these targets
@@ -88,14 +91,57 @@
     public List<TargetState> serving(ServiceId service, Predicate<TargetState> filter) {
         List<TargetState> serving = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
-            TargetRecord record = state.record();
-            if (record.service().equals(service) && !record.isLeaving() && filter.test(state)) {
+            if (isServing(state, service) && state.admitsRequest() && filter.test(state)) {
                 serving.add(state);
             }
         }
         return serving;
     }
 
+    /**
+     * Returns the targets of a service to which a request that is due may be sent, and requests
+     * permits for those that limit their requests.
+     *
+     * @param service the service
+     * @param filter selects among these targets
+     * @return the matching targets
+     */
+    public List<TargetState> candidates(ServiceId service, Predicate<TargetState> filter) {
+        for (TargetState state : mTargets.values()) {
+            if (isServing(state, service) && filter.test(state)) {
+                state.wantPermit();
+            }
+        }
+        return serving(service, filter);
+    }
+
+    private static boolean isServing(TargetState state, ServiceId service) {
+        return state.record().service().equals(service) && !state.record().isLeaving();
+    }
+
+    /**
+     * Returns the expected time until a permit for any target of a service, if all of them limit
+     * their requests.
+     *
+     * @param service the service
+     * @param nowMs monotonic clock in milliseconds
+     * @return milliseconds; empty if a target has no limit, or if there is no target
+     */
+    public OptionalLong permitWaitMs(ServiceId service, long nowMs) {
+        long shortestMs = Long.MAX_VALUE;
+        for (TargetState state : mTargets.values()) {
+            if (!isServing(state, service)) {
+                continue;
+            }
+            OptionalLong waitMs = state.permitWaitMs(nowMs);
+            if (waitMs.isEmpty()) {
+                return OptionalLong.empty();
+            }
+            shortestMs = Math.min(shortestMs, waitMs.getAsLong());
+        }
+        return shortestMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(shortestMs);
+    }
+
     /**
      * Returns all known targets.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -46,6 +46,12 @@
     /** Fraction of the latency objective that a request waits for a target before it fails. */
     private static final double WAIT_SLO_FRACTION = 0.2;
 
+    /**
+     * Fraction of its time-out that a request waits for a permit while all targets limit their
+     * requests.
+     */
+    private static final double PERMIT_WAIT_FRACTION = 0.5;
+
     /** Retry-After hint for requests that have not run, in milliseconds. */
     private static final long RETRY_AFTER_MS = 60;
 
@@ -173,7 +179,7 @@
                 || pending.possibleRunCount() >= pending.route().maxAttempts()) {
             return Optional.empty();
         }
-        List<TargetState> serving = mTargets.serving(pending.service(), t -> true);
+        List<TargetState> serving = mTargets.candidates(pending.service(), t -> true);
         List<TargetState> untried = new ArrayList<>(serving);
         untried.removeIf(t -> pending.triedTargets().contains(t.record().id()));
         return mChooser.choose(untried.isEmpty() ? serving : untried, nowMs);
@@ -187,14 +193,26 @@
         boolean isExhausted =
                 pending.sendCount() >= MAX_SENDS
                         || pending.possibleRunCount() >= pending.route().maxAttempts();
-        if (isExhausted || waitedMs > WAIT_SLO_FRACTION * pending.route().sloMs()) {
-            fail(pending);
+        OptionalLong permitWaitMs = mTargets.permitWaitMs(pending.service(), nowMs);
+        long maxWaitMs = maxWaitMs(pending, permitWaitMs.isPresent());
+        if (isExhausted || waitedMs + permitWaitMs.orElse(0) > maxWaitMs) {
+            fail(pending, Math.max(RETRY_AFTER_MS, permitWaitMs.orElse(0)));
             return;
         }
         pending.retryAt(nowMs + RETRY_DELAY_MS);
     }
 
-    private void fail(ForwardedRequest pending) {
+    /**
+     * Returns how long a request may wait for a target. Targets that limit their requests will take
+     * it once there is a permit, so it waits longer for them than for targets that refuse it.
+     */
+    private static long maxWaitMs(ForwardedRequest pending, boolean areAllLimited) {
+        return areAllLimited
+                ? (long) (PERMIT_WAIT_FRACTION * (pending.deadlineMs() - pending.arrivedMs()))
+                : (long) (WAIT_SLO_FRACTION * pending.route().sloMs());
+    }
+
+    private void fail(ForwardedRequest pending, long retryAfterMs) {
         Failure failure =
                 pending.possibleRunCount() > 0
                         ? pending.lastFailure()
@@ -203,7 +221,7 @@
                         : pending.lastFailure()
                                 .filter(Failure::isNotRun)
                                 .orElse(Failure.of(ErrorKind.NO_TARGET, "no target takes it"));
-        pending.sink().fail(failure, failure.isNotRun() ? RETRY_AFTER_MS : 0);
+        pending.sink().fail(failure, failure.isNotRun() ? retryAfterMs : 0);
         finish(pending, failure.kind().wireName());
     }
 
@@ -359,7 +377,7 @@
             return;
         }
         if (!pending.hasActiveAttempt()) {
-            fail(pending);
+            fail(pending, RETRY_AFTER_MS);
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -86,6 +86,7 @@
     private final DutyHolder mWeightDuty;
     private final UsageReporter mUsage;
     private final WeightRollout mWeights;
+    private final PermitExchange mPermits;
     private final RequestForwarder mForwarder;
     private final BatchManager mBatches;
     private final BatchReader mReader;
@@ -133,6 +134,15 @@
                         new PlatformTargets(mHttp, mThread),
                         mFleet.targets(),
                         GatewayProcess::nowMs);
+        mPermits =
+                new PermitExchange(
+                        mFleet.targets(),
+                        mNodes,
+                        self.owner(),
+                        mPeers,
+                        mThread,
+                        telemetry,
+                        GatewayProcess::nowMs);
         mWeights = newWeights(port);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
         mForwarder = newForwarder(port, chooser);
@@ -304,6 +314,10 @@
             RelayedStore.respond(storeRequest, mDirect, consumer);
             return;
         }
+        if (request instanceof Message.PermitsRequest permitsRequest) {
+            mPermits.respond(permitsRequest, consumer);
+            return;
+        }
         mReader.respond(request, consumer);
     }
 
@@ -322,6 +336,7 @@
         mWeights.tick();
         mBatches.tick(mFleet.recoveredMs(), isSweeper);
         mGateway.tick();
+        mPermits.tick();
         mIsReady = mFleet.isLoaded();
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
--- a/cactusspan/src/main/java/dev/cactusspan/peer/PeerClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/PeerClient.java
@@ -207,7 +207,9 @@
     }
 
     private static boolean isRequest(Message message) {
-        return message instanceof Message.ResultsRequest || message instanceof Message.StoreRequest;
+        return message instanceof Message.ResultsRequest
+                || message instanceof Message.StoreRequest
+                || message instanceof Message.PermitsRequest;
     }
 
     private void disconnected(Link link, String reason) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -22,7 +22,9 @@
     /** The target's digest of its response. */
     static final String RESPONSE_DIGEST = "Server-Stamp";
 
-    /** Requests per second that the target accepts from all processes together, a decimal number. */
+    /**
+     * Requests per second that the target accepts from all processes together, a decimal number.
+     */
     static final String REQUEST_LIMIT = "Server-Limit";
 
     static final String NOT_EXECUTED = "Not-Executed";
@@ -73,7 +75,8 @@
      * Reads the request limit of a response.
      *
      * @param lowerCase response headers with names in lower case
-     * @return requests per second; empty if there is none, or one that is not a number of at least zero
+     * @return requests per second; empty if there is none, or one that is not a number of at least
+     *     zero
      */
     static OptionalDouble requestLimit(Map<String, String> lowerCase) {
         Double limitPerS = Doubles.tryParse(get(lowerCase, REQUEST_LIMIT).strip());
--- a/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/Message.java
@@ -40,6 +40,7 @@
     @JsonSubTypes.Type(value = Message.PeerHello.class, name = "ph"),
     @JsonSubTypes.Type(value = Message.ResultsRequest.class, name = "ar"),
     @JsonSubTypes.Type(value = Message.StoreRequest.class, name = "as"),
+    @JsonSubTypes.Type(value = Message.PermitsRequest.class, name = "ap"),
     @JsonSubTypes.Type(value = Message.Reply.class, name = "rp"),
 })
 public sealed interface Message {
@@ -246,6 +247,14 @@
      */
     record StoreRequest(long ask, byte[] body) implements Message {}
 
+    /**
+     * Requests permits to send to a target that limits its requests.
+     *
+     * @param ask number of the request on this link
+     * @param body the target, its limit and the number of permits, as JSON
+     */
+    record PermitsRequest(long ask, byte[] body) implements Message {}
+
     /**
      * The reply to a request.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
@@ -9,13 +9,17 @@
 
 import dev.cactusspan.fleet.FakeTargets;
 import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.LimitObservingTargets;
+import dev.cactusspan.fleet.PermitGrant;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetChooser;
+import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.ZoneDistance;
@@ -44,7 +48,7 @@
     private final RequestForwarder mForwarder =
             new RequestForwarder(
                     mTargets,
-                    mPort,
+                    new LimitObservingTargets(mPort, mTargets, mThread::nowMs),
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
                     Optional::empty,
                     mUsage::add,
@@ -147,6 +151,50 @@
         }
     }
 
+    /** Has the only target name a limit, and returns its state. */
+    private TargetState limitTarget(double limitPerS) {
+        targets(1);
+        Sink first = new Sink();
+        submit("first", RouteKind.IDEMPOTENT, first);
+        mPort.last().withLimit(limitPerS).succeed();
+        return mTargets.find(TargetId.of("t0")).orElseThrow();
+    }
+
+    @Test
+    void shouldSendToALimitedTargetOnceThereIsAPermit() {
+        TargetState target = limitTarget(2);
+        Sink sink = new Sink();
+        submit("a", RouteKind.IDEMPOTENT, sink);
+        assertThat(mPort.sent(), hasSize(1));
+        assertThat(target.nextPermitRequest(mThread.nowMs()).isPresent(), is(true));
+        mThread.advance(300);
+        target.onPermits(new PermitGrant(1, 500), mThread.nowMs());
+        mForwarder.tick();
+        assertThat(mPort.sent(), hasSize(2));
+        mPort.last().withLimit(2).succeed();
+        assertThat(sink.mStatuses, is(List.of(200)));
+    }
+
+    @Test
+    void shouldRejectAtOnceIfNoPermitIsExpectedInTime() {
+        TargetState target = limitTarget(0.5);
+        target.onPermits(new PermitGrant(0, 2_000), mThread.nowMs());
+        Sink sink = new Sink();
+        submit("a", RouteKind.IDEMPOTENT, sink);
+        assertThat(mPort.sent(), hasSize(1));
+        assertThat(sink.mFailures.get(0).isNotRun(), is(true));
+        assertThat(sink.mRetryAfterMs, is(2_000L));
+    }
+
+    @Test
+    void shouldUseOtherTargetsWithoutAPermit() {
+        limitTarget(2);
+        mTargets.put(FakeTargets.record("t1", "app", 4, 0));
+        Sink sink = new Sink();
+        submit("a", RouteKind.IDEMPOTENT, sink);
+        assertThat(mPort.last().target().id(), is(TargetId.of("t1")));
+    }
+
     @Test
     void shouldForwardAResponse() {
         targets(1);
