Log which requests ask for the same when an attempt fails

Cause of the gap: each client attempt has another id, so that the logs could not tell a request that comes again from another one. The line of a failed attempt now has a fingerprint of account, method, host, path and body. No decision uses it yet.

--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -27,6 +27,7 @@
     private boolean mIsStreaming;
     private boolean mIsFinished;
     private long mNextDispatchMs;
+    private Optional<RequestFingerprint> mFingerprint = Optional.empty();
     private Optional<Failure> mLastFailure = Optional.empty();
 
     ForwardedRequest(
@@ -107,6 +108,14 @@
         return mService;
     }
 
+    /** Returns the fingerprint, which is computed when it is first needed. */
+    RequestFingerprint fingerprint() {
+        if (mFingerprint.isEmpty()) {
+            mFingerprint = Optional.of(RequestFingerprint.of(mRequest, mAccount));
+        }
+        return mFingerprint.get();
+    }
+
     Optional<AccountId> account() {
         return mAccount;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -351,6 +351,7 @@
         }
         Decision.of("attempt_failed")
                 .with("request", pending.request().id().value())
+                .with("fingerprint", pending.fingerprint().value())
                 .with("target", attempt.target().record().id().value())
                 .with("sent", sent)
                 .with("reason", reason)
