Keep requests that crash targets away from further ones

Cause: all that is known of a request ended with it. max_attempts bounds the targets of one client attempt, and a retry of the client or a repetition at another entry began with a full budget. Class of fault: a retry budget that is kept per attempt, in the memory of one process, for a fault that follows the request. Ruled out: hedges (the logs show the second target tried 72 ms after the first was lost, before a hedge was due); they could add to it and are now left out for a suspect.

Change: a run whose connection is lost counts as a crash of its target. Requests are recognized by account, method, host, path and body; crashes are shared through the store, in the prefix that each entry mirrors anyway, and expire with a lease. After three crashes a request is refused for an hour with the remaining time as Retry-After, also by entries that start later. A success of the request clears it, and an answer of the target within 0.8 s dismisses its crash. An innocent request that was cut once and then served costs no call to the store. Items and scoring calls have no such budget, as an item under which targets crashed is still owed.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -103,6 +103,29 @@
         }
     }
 
+    /**
+     * Sends the request that crashes the targets that run it, once, and always the same.
+     *
+     * @return the HTTP status, zero if there was no response
+     */
+    int sendCrashingRequest() throws InterruptedException {
+        String id = UUID.randomUUID().toString().replace("-", "");
+        try {
+            return mHttp.send(
+                            request(nextNode(), "/quotes/crash", id)
+                                    .header("Deadline-Ms", "2500")
+                                    .POST(
+                                            HttpRequest.BodyPublishers.ofString(
+                                                    TargetEmulator.CRASHING_BODY))
+                                    .build(),
+                            HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
+        } catch (IOException e) {
+            // No response in time.
+            return 0;
+        }
+    }
+
     private boolean isSuccess(String id, HttpResponse<String> response) {
         boolean isSuccess = response.statusCode() == 200;
         if (isSuccess) {
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ObservationLog.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ObservationLog.java
@@ -16,6 +16,7 @@
     private final Map<String, String> mAccounts = new ConcurrentHashMap<>();
     private final Map<Long, Map<String, Long>> mUsage = new ConcurrentHashMap<>();
     private final Map<Long, Map<String, Long>> mTrueCounts = new ConcurrentHashMap<>();
+    private final List<String> mCrashes = new CopyOnWriteArrayList<>();
     private final List<String> mViolations = new CopyOnWriteArrayList<>();
 
     void recordEvent(String item, long id, long version) {
@@ -34,6 +35,15 @@
         }
     }
 
+    void recordCrash(String target) {
+        mCrashes.add(target);
+    }
+
+    /** Returns the targets that crashed, in order. */
+    List<String> crashes() {
+        return List.copyOf(mCrashes);
+    }
+
     void recordUsage(long window, Map<String, Long> counts) {
         Map<String, Long> previous = mUsage.putIfAbsent(window, counts);
         if (previous != null && !previous.equals(counts)) {
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -32,6 +32,13 @@
     private static final HttpString WEIGHT_VERSIONS = new HttpString("Weight-Versions");
     private static final HttpString REQUEST_LIMIT = new HttpString("Server-Limit");
     private static final long NS_PER_MS = 1_000_000;
+
+    /** Body of a request that crashes each plain service that runs it. */
+    static final String CRASHING_BODY = "crash";
+
+    /** Time from a crash until the target is back, in milliseconds. */
+    private static final long RESTART_MS = 1_500;
+
     private static final long EVENT_MS = 12;
     private static final long WORK_MS = 8;
     private static final long LOAD_MS = 300;
@@ -49,7 +56,7 @@
     private final AtomicLong mFencingNumber = new AtomicLong();
     private final AtomicInteger mRunning = new AtomicInteger();
     private final Random mRandom;
-    private final Undertow mServer;
+    private Undertow mServer;
     private volatile boolean mIsLoading;
     private volatile boolean mIsDraining;
     private volatile int mTruncateOneIn;
@@ -273,6 +280,11 @@
     }
 
     private void respond(HttpServerExchange exchange, String id, byte[] body) {
+        if (new String(body, StandardCharsets.UTF_8).equals(CRASHING_BODY)) {
+            mObservations.recordCrash(mId);
+            crash(exchange);
+            return;
+        }
         long window = Math.floorDiv(System.currentTimeMillis(), mWindowMs);
         mObservations.recordRun(id, StandInServer.header(exchange, "Tenant"), window);
         pause(WORK_MS);
@@ -320,6 +332,19 @@
         }
     }
 
+    /** Closes all connections, and refuses new ones until the target is back. */
+    private void crash(HttpServerExchange exchange) {
+        IoUtils.safeClose(exchange.getConnection());
+        new Thread(this::restart, mId + "-restart").start();
+    }
+
+    private synchronized void restart() {
+        int port = port();
+        mServer.stop();
+        pause(RESTART_MS);
+        mServer = StandInServer.start("127.0.0.1", port, this::handle);
+    }
+
     private boolean isSelected(int oneIn) {
         synchronized (mRandom) {
             return oneIn > 0 && mRandom.nextInt(oneIn) == 0;
@@ -348,12 +373,12 @@
      *
      * @return the port
      */
-    public int port() {
+    public synchronized int port() {
         return StandInServer.port(mServer);
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
         mStore.delete("servers/" + mId);
         mServer.stop();
         mExecutor.shutdownNow();
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -11,6 +11,7 @@
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.SendFailure;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -293,7 +294,7 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
+        public void onFailure(SendFailure failure, String reason) {
             if (!mRun.isCurrentAttempt(mAttempt)) {
                 return;
             }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -9,6 +9,7 @@
 import dev.cactusspan.fleet.TargetRequest;
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.result.SendFailure;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -154,7 +155,7 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
+        public void onFailure(SendFailure failure, String reason) {
             if (!mRun.isCurrentAttempt(mAttempt)) {
                 return;
             }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/LimitObservingTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/LimitObservingTargets.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.result.SendFailure;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
@@ -85,8 +86,8 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
-            mListener.onFailure(sent, reason);
+        public void onFailure(SendFailure failure, String reason) {
+            mListener.onFailure(failure, reason);
         }
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetListener.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetListener.java
@@ -1,5 +1,7 @@
 package dev.cactusspan.fleet;
 
+import dev.cactusspan.result.SendFailure;
+
 /** Receives the response of a target as it arrives. All calls are made on the decision thread. */
 public interface TargetListener {
 
@@ -25,8 +27,8 @@
     /**
      * Handles a failure, after which no other method is called.
      *
-     * @param sent false if it is proved that no byte of the request was sent
+     * @param failure what is known of the request
      * @param reason one-line description for the log
      */
-    void onFailure(boolean sent, String reason);
+    void onFailure(SendFailure failure, String reason);
 }
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
@@ -0,0 +1,304 @@
+package dev.cactusspan.forward;
+
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.observe.Decision;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Keeps requests that crash targets away from further ones. Load pattern: a request crashes each
+ * target that runs it, and comes again at any process, so that every other request of the service
+ * is refused while its targets start again.
+ *
+ * <p>A run whose connection is lost is suspected to have crashed its target. The processes share
+ * such crashes, and quarantine a request after {@link #MAX_CRASHES}. A success of the request
+ * clears it; a crash is dismissed if its target answers another request shortly afterwards.
+ */
+public final class CrashGuard {
+    /** Number of crashes after which a request is quarantined. */
+    static final int MAX_CRASHES = 3;
+
+    /** How long a request stays in quarantine, in milliseconds. */
+    static final long QUARANTINE_MS = 3_600_000;
+
+    /**
+     * A target that answers a request that was sent within this time after a crash has not crashed,
+     * in milliseconds. It is shorter than any restart.
+     */
+    private static final long ALIVE_MS = 800;
+
+    /** Time after which a crash is forgotten, in milliseconds. */
+    private static final long CRASH_TTL_MS = 600_000;
+
+    /** Maximum number of suspected requests; beyond it, the oldest is dropped. */
+    private static final int MAX_SUSPECTS = 4_096;
+
+    private final Map<RequestFingerprint, Suspect> mSuspects = new LinkedHashMap<>();
+    private final List<Report> mReports = new ArrayList<>();
+    private final String mSelf;
+    private long mNextCrash;
+
+    /**
+     * Creates a guard.
+     *
+     * @param self name of this process, unique to this start
+     */
+    public CrashGuard(String self) {
+        mSelf = self;
+    }
+
+    /** News for the other processes. */
+    public sealed interface Report {
+        /**
+         * A suspected crash.
+         *
+         * @param fingerprint the request
+         * @param crash id of the crash
+         * @param target the target that is suspected to have crashed
+         */
+        record Crash(RequestFingerprint fingerprint, String crash, TargetId target)
+                implements Report {}
+
+        /**
+         * A request that crashed too many targets.
+         *
+         * @param fingerprint the request
+         */
+        record Quarantine(RequestFingerprint fingerprint) implements Report {}
+
+        /**
+         * A quarantine whose time is over.
+         *
+         * @param fingerprint the request
+         */
+        record Released(RequestFingerprint fingerprint) implements Report {}
+
+        /**
+         * Crashes that a success of the request has disproved.
+         *
+         * @param fingerprint the request
+         * @param crashes ids of the crashes
+         */
+        record Cleared(RequestFingerprint fingerprint, List<String> crashes) implements Report {}
+    }
+
+    private record Crash(TargetId target, long atMs) {}
+
+    private static final class Suspect {
+        private final Map<String, Crash> mCrashes = new HashMap<>();
+        private final Map<String, Crash> mUnshared = new LinkedHashMap<>();
+        private OptionalLong mQuarantinedMs = OptionalLong.empty();
+
+        int crashCount() {
+            return mCrashes.size() + mUnshared.size();
+        }
+
+        boolean isObsolete(long nowMs) {
+            return mQuarantinedMs.isPresent()
+                    ? nowMs - mQuarantinedMs.getAsLong() >= QUARANTINE_MS
+                    : crashCount() == 0;
+        }
+    }
+
+    // Own requests
+
+    /**
+     * Records that the connection was lost while a target ran a request.
+     *
+     * @param fingerprint the request
+     * @param target the target
+     * @param nowMs monotonic clock in milliseconds
+     */
+    void recordCrash(RequestFingerprint fingerprint, TargetId target, long nowMs) {
+        Suspect suspect = suspect(fingerprint);
+        suspect.mUnshared.put(
+                target.value() + "@" + mSelf + "." + mNextCrash++, new Crash(target, nowMs));
+        if (suspect.crashCount() > 1) {
+            share(fingerprint, suspect);
+        }
+        quarantineIfDue(fingerprint, suspect, nowMs);
+    }
+
+    /**
+     * Records the end of a request, so that a crash is shared even if the request is not retried.
+     *
+     * @param fingerprint the request
+     * @param isSuccess true if a target completed it, which proves that it crashes none
+     */
+    void recordEnd(RequestFingerprint fingerprint, boolean isSuccess) {
+        Suspect suspect = mSuspects.get(fingerprint);
+        if (suspect == null) {
+            return;
+        }
+        if (!isSuccess) {
+            share(fingerprint, suspect);
+            return;
+        }
+        mSuspects.remove(fingerprint);
+        if (!suspect.mCrashes.isEmpty()) {
+            mReports.add(new Report.Cleared(fingerprint, List.copyOf(suspect.mCrashes.keySet())));
+        }
+    }
+
+    /**
+     * Records that a target answered a request, which dismisses suspected crashes of it.
+     *
+     * @param target the target
+     * @param sentMs when the request was sent, in milliseconds of the monotonic clock
+     */
+    void recordAnswer(TargetId target, long sentMs) {
+        for (Suspect suspect : mSuspects.values()) {
+            if (suspect.mQuarantinedMs.isEmpty()) {
+                suspect.mCrashes.values().removeIf(c -> isDisproved(c, target, sentMs));
+                suspect.mUnshared.values().removeIf(c -> isDisproved(c, target, sentMs));
+            }
+        }
+    }
+
+    private static boolean isDisproved(Crash crash, TargetId target, long sentMs) {
+        return crash.target().equals(target)
+                && crash.atMs() < sentMs
+                && sentMs <= crash.atMs() + ALIVE_MS;
+    }
+
+    private Suspect suspect(RequestFingerprint fingerprint) {
+        Suspect suspect = mSuspects.computeIfAbsent(fingerprint, f -> new Suspect());
+        if (mSuspects.size() > MAX_SUSPECTS) {
+            mSuspects.remove(mSuspects.keySet().iterator().next());
+        }
+        return suspect;
+    }
+
+    private void share(RequestFingerprint fingerprint, Suspect suspect) {
+        suspect.mUnshared.forEach(
+                (id, crash) -> mReports.add(new Report.Crash(fingerprint, id, crash.target())));
+        suspect.mCrashes.putAll(suspect.mUnshared);
+        suspect.mUnshared.clear();
+    }
+
+    private void quarantineIfDue(RequestFingerprint fingerprint, Suspect suspect, long nowMs) {
+        if (suspect.mQuarantinedMs.isEmpty() && suspect.crashCount() >= MAX_CRASHES) {
+            mReports.add(new Report.Quarantine(fingerprint));
+            quarantine(fingerprint, suspect, nowMs);
+        }
+    }
+
+    private static void quarantine(RequestFingerprint fingerprint, Suspect suspect, long nowMs) {
+        suspect.mQuarantinedMs = OptionalLong.of(nowMs);
+        Decision.of("request_quarantined")
+                .with("fingerprint", fingerprint.value())
+                .with("crashes", suspect.crashCount())
+                .warn();
+    }
+
+    // News from the store
+
+    /**
+     * Handles a crash that a process has shared.
+     *
+     * @param fingerprint the request
+     * @param crash id of the crash
+     * @param target the target that is suspected to have crashed
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void onCrash(RequestFingerprint fingerprint, String crash, TargetId target, long nowMs) {
+        Suspect suspect = suspect(fingerprint);
+        suspect.mCrashes.putIfAbsent(crash, new Crash(target, nowMs));
+        quarantineIfDue(fingerprint, suspect, nowMs);
+    }
+
+    /**
+     * Handles that a shared crash was disproved or has expired.
+     *
+     * @param fingerprint the request
+     * @param crash id of the crash
+     */
+    public void onCrashRemoved(RequestFingerprint fingerprint, String crash) {
+        Suspect suspect = mSuspects.get(fingerprint);
+        if (suspect != null) {
+            suspect.mCrashes.remove(crash);
+        }
+    }
+
+    /**
+     * Handles a quarantine that a process has shared.
+     *
+     * @param fingerprint the request
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void onQuarantine(RequestFingerprint fingerprint, long nowMs) {
+        Suspect suspect = suspect(fingerprint);
+        if (suspect.mQuarantinedMs.isEmpty()) {
+            quarantine(fingerprint, suspect, nowMs);
+        }
+    }
+
+    /**
+     * Handles the end of a shared quarantine.
+     *
+     * @param fingerprint the request
+     */
+    public void onQuarantineRemoved(RequestFingerprint fingerprint) {
+        mSuspects.remove(fingerprint);
+    }
+
+    // Time
+
+    /**
+     * Forgets crashes and quarantines whose time is over.
+     *
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void tick(long nowMs) {
+        for (Suspect suspect : mSuspects.values()) {
+            suspect.mCrashes.values().removeIf(c -> nowMs - c.atMs() >= CRASH_TTL_MS);
+            suspect.mUnshared.values().removeIf(c -> nowMs - c.atMs() >= CRASH_TTL_MS);
+        }
+        mSuspects
+                .entrySet()
+                .removeIf(
+                        e -> {
+                            boolean isObsolete = e.getValue().isObsolete(nowMs);
+                            if (isObsolete && e.getValue().mQuarantinedMs.isPresent()) {
+                                mReports.add(new Report.Released(e.getKey()));
+                            }
+                            return isObsolete;
+                        });
+    }
+
+    /**
+     * Returns the news that the other processes need, once.
+     *
+     * @return the reports, in the order in which they were made
+     */
+    public List<Report> takeReports() {
+        List<Report> reports = List.copyOf(mReports);
+        mReports.clear();
+        return reports;
+    }
+
+    // Accessors
+
+    /** Returns whether any request is suspected; if not, no fingerprint needs to be computed. */
+    boolean hasSuspects() {
+        return !mSuspects.isEmpty();
+    }
+
+    /** Returns whether a request is suspected to have crashed a target. */
+    boolean isSuspect(RequestFingerprint fingerprint) {
+        return mSuspects.containsKey(fingerprint);
+    }
+
+    /** Returns how long a request stays in quarantine, empty if it is not in quarantine. */
+    OptionalLong quarantineMs(RequestFingerprint fingerprint, long nowMs) {
+        Suspect suspect = mSuspects.get(fingerprint);
+        return suspect == null || suspect.mQuarantinedMs.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(
+                        Math.max(0, suspect.mQuarantinedMs.getAsLong() + QUARANTINE_MS - nowMs));
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -16,6 +16,7 @@
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
+import dev.cactusspan.result.SendFailure;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -61,11 +62,15 @@
     private static final long DEFAULT_CLIENT_TIMEOUT_MS = 30_000;
     private static final int SERVER_ERROR = 500;
 
+    /** Outcome of a request that a target has completed. */
+    private static final String ANSWERED = "answered";
+
     private final TargetTable mTargets;
     private final TargetPort mPort;
     private final TargetChooser mChooser;
     private final Supplier<Optional<DesiredState>> mDesired;
     private final Consumer<AccountId> mUsageListener;
+    private final CrashGuard mCrashes;
     private final Telemetry mTelemetry;
     private final SplittableRandom mRandom;
     private final LongSupplier mNowMs;
@@ -80,6 +85,7 @@
      * @param chooser selects a target
      * @param desired supplies the current desired state
      * @param usageListener is notified of the account of each request when it is first dispatched
+     * @param crashes keeps requests that crash targets away from further ones
      * @param telemetry records metrics
      * @param random the source of randomness
      * @param nowMs monotonic clock in milliseconds
@@ -90,6 +96,7 @@
             TargetChooser chooser,
             Supplier<Optional<DesiredState>> desired,
             Consumer<AccountId> usageListener,
+            CrashGuard crashes,
             Telemetry telemetry,
             SplittableRandom random,
             LongSupplier nowMs) {
@@ -98,6 +105,7 @@
         mChooser = chooser;
         mDesired = desired;
         mUsageListener = usageListener;
+        mCrashes = crashes;
         mTelemetry = telemetry;
         mRandom = random;
         mNowMs = nowMs;
@@ -143,6 +151,11 @@
 
     private void dispatch(ForwardedRequest pending) {
         long nowMs = mNowMs.getAsLong();
+        OptionalLong quarantineMs = quarantineMs(pending, nowMs);
+        if (quarantineMs.isPresent()) {
+            failQuarantined(pending, quarantineMs.getAsLong());
+            return;
+        }
         Optional<TargetState> target = choose(pending, nowMs);
         if (target.isEmpty()) {
             waitForTarget(pending, nowMs);
@@ -212,6 +225,24 @@
                 : (long) (WAIT_SLO_FRACTION * pending.route().sloMs());
     }
 
+    private OptionalLong quarantineMs(ForwardedRequest pending, long nowMs) {
+        return mCrashes.hasSuspects()
+                ? mCrashes.quarantineMs(pending.fingerprint(), nowMs)
+                : OptionalLong.empty();
+    }
+
+    private void failQuarantined(ForwardedRequest pending, long quarantineMs) {
+        if (pending.hasActiveAttempt()) {
+            return;
+        }
+        if (pending.possibleRunCount() == 0) {
+            pending.recordFailure(
+                    Failure.of(
+                            ErrorKind.REQUEST_QUARANTINED, "the request crashed several targets"));
+        }
+        fail(pending, quarantineMs);
+    }
+
     private void fail(ForwardedRequest pending, long retryAfterMs) {
         Failure failure =
                 pending.possibleRunCount() > 0
@@ -242,9 +273,16 @@
             if (mAttempt.isFinished()) {
                 return;
             }
+            if (mCrashes.hasSuspects() && !head.isFromOtherTarget()) {
+                mCrashes.recordAnswer(mAttempt.target().record().id(), mAttempt.startedMs());
+            }
             if (!head.isForThisRequest()) {
                 mAttempt.abort();
-                handleFailure(mRequest, mAttempt, true, "the answer of another request");
+                handleFailure(
+                        mRequest,
+                        mAttempt,
+                        SendFailure.UNUSABLE_RESPONSE,
+                        "the answer of another request");
                 return;
             }
             mAttempt.setHead(head);
@@ -276,9 +314,9 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
+        public void onFailure(SendFailure failure, String reason) {
             if (!mAttempt.isFinished()) {
-                handleFailure(mRequest, mAttempt, sent, reason);
+                handleFailure(mRequest, mAttempt, failure, reason);
             }
         }
     }
@@ -297,7 +335,7 @@
         long nowMs = mNowMs.getAsLong();
         if (pending.isStreaming()) {
             pending.sink().end();
-            finish(pending, "answered");
+            finish(pending, ANSWERED);
             return;
         }
         if (head.isNotRun()) {
@@ -310,7 +348,7 @@
             pending.activeBefore(attempt)
                     .forEach(a -> a.target().recordLate(nowMs - a.startedMs(), nowMs));
             pending.sink().respond(head.status(), head.headers(), attempt.body());
-            finish(pending, "answered");
+            finish(pending, ANSWERED);
             return;
         }
         boolean isFailure = head.status() >= SERVER_ERROR || head.digest().isEmpty();
@@ -339,7 +377,7 @@
     }
 
     private void handleFailure(
-            ForwardedRequest pending, Attempt attempt, boolean sent, String reason) {
+            ForwardedRequest pending, Attempt attempt, SendFailure failure, String reason) {
         attempt.finish();
         long nowMs = mNowMs.getAsLong();
         if (nowMs >= pending.deadlineMs() - RETRY_DELAY_MS) {
@@ -353,16 +391,19 @@
                 .with("request", pending.request().id().value())
                 .with("fingerprint", pending.fingerprint().value())
                 .with("target", attempt.target().record().id().value())
-                .with("sent", sent)
+                .with("failure", failure)
                 .with("reason", reason)
                 .with("after_ms", nowMs - attempt.startedMs())
                 .info();
+        if (failure == SendFailure.CONNECTION_LOST) {
+            mCrashes.recordCrash(pending.fingerprint(), attempt.target().record().id(), nowMs);
+        }
         if (pending.isStreaming()) {
             pending.sink().abort();
             finish(pending, "stream_cut");
             return;
         }
-        if (!sent) {
+        if (!failure.mayHaveRun()) {
             pending.recordNotRun();
             pending.recordFailure(Failure.of(ErrorKind.NO_TARGET, reason));
             retry(pending, nowMs);
@@ -414,12 +455,13 @@
         }
     }
 
-    private static boolean isHedgeDue(ForwardedRequest pending, long nowMs) {
+    private boolean isHedgeDue(ForwardedRequest pending, long nowMs) {
         FleetRoute route = pending.route();
         return !pending.isStreaming()
                 && route.kind() == RouteKind.IDEMPOTENT
                 && route.sloMs() > 0
                 && mayRepeat(pending)
+                && !(mCrashes.hasSuspects() && mCrashes.isSuspect(pending.fingerprint()))
                 && nowMs - pending.lastSentMs() > HEDGE_SLO_FRACTION * route.sloMs();
     }
 
@@ -441,6 +483,9 @@
     private void finish(ForwardedRequest pending, String outcome) {
         pending.finish();
         mPending.remove(pending);
+        if (mCrashes.hasSuspects()) {
+            mCrashes.recordEnd(pending.fingerprint(), outcome.equals(ANSWERED));
+        }
         long durationMs = mNowMs.getAsLong() - pending.arrivedMs();
         String route = pending.route().name().value();
         mTelemetry.count("forward_requests_total", "route", route, "outcome", outcome);
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -53,6 +53,7 @@
     private Consumer<Optional<StoredItem>> mOnWeightDuty = item -> {};
     private BiConsumer<ModelId, WeightVersion> mOnVersion = (model, version) -> {};
     private Consumer<TargetRecord> mOnTarget = record -> {};
+    private BiConsumer<String, Optional<StoredItem>> mOnCrash = (key, item) -> {};
 
     FleetView(
             KeyStore store,
@@ -117,12 +118,14 @@
             Consumer<Optional<StoredItem>> onUsageDuty,
             Consumer<Optional<StoredItem>> onWeightDuty,
             BiConsumer<ModelId, WeightVersion> onVersion,
-            Consumer<TargetRecord> onTarget) {
+            Consumer<TargetRecord> onTarget,
+            BiConsumer<String, Optional<StoredItem>> onCrash) {
         mOnOwner = onOwner;
         mOnUsageDuty = onUsageDuty;
         mOnWeightDuty = onWeightDuty;
         mOnVersion = onVersion;
         mOnTarget = onTarget;
+        mOnCrash = onCrash;
     }
 
     /**
@@ -225,6 +228,8 @@
             mOnUsageDuty.accept(item);
         } else if (key.equals(DutyHolder.PREFIX + "weights")) {
             mOnWeightDuty.accept(item);
+        } else {
+            mOnCrash.accept(key, item);
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -10,6 +10,7 @@
 import dev.cactusspan.fleet.LimitObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
+import dev.cactusspan.forward.CrashGuard;
 import dev.cactusspan.forward.RequestForwarder;
 import dev.cactusspan.http.HttpClient;
 import dev.cactusspan.id.AvailabilityZoneId;
@@ -87,6 +88,8 @@
     private final UsageReporter mUsage;
     private final WeightRollout mWeights;
     private final PermitExchange mPermits;
+    private final CrashGuard mCrashGuard;
+    private final CrashExchange mCrashes;
     private final RequestForwarder mForwarder;
     private final BatchManager mBatches;
     private final BatchReader mReader;
@@ -144,6 +147,8 @@
                         telemetry,
                         GatewayProcess::nowMs);
         mWeights = newWeights(port);
+        mCrashGuard = new CrashGuard(self.owner());
+        mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
@@ -159,7 +164,8 @@
                 mUsageDuty::onKeyChanged,
                 mWeightDuty::onKeyChanged,
                 mWeights::setDesiredVersion,
-                mWeights::onTargetRecord);
+                mWeights::onTargetRecord,
+                mCrashes::onKeyChanged);
     }
 
     private void onOwnerKeyChanged(String key, Optional<StoredItem> item) {
@@ -220,6 +226,7 @@
                 chooser,
                 mFleet::desiredState,
                 mUsage::count,
+                mCrashGuard,
                 mTelemetry,
                 mRandom.split(),
                 GatewayProcess::nowMs);
@@ -337,6 +344,7 @@
         mBatches.tick(mFleet.recoveredMs(), isSweeper);
         mGateway.tick();
         mPermits.tick();
+        mCrashes.tick();
         mIsReady = mFleet.isLoaded();
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.result.SendFailure;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
@@ -87,7 +88,7 @@
     public Runnable send(HttpRequest request, ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(this, request, listener);
         mIoThread.execute(() -> start(exchange));
-        return () -> mIoThread.execute(() -> exchange.fail("cancelled"));
+        return () -> mIoThread.execute(() -> exchange.fail(SendFailure.NO_RESPONSE, "cancelled"));
     }
 
     /**
@@ -117,9 +118,11 @@
                 request.withMaxBytes(maxBytes),
                 new Collector(future) {
                     @Override
-                    public void onFailure(boolean sent, String reason) {
+                    public void onFailure(SendFailure failure, String reason) {
                         ErrorKind kind =
-                                sent ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.PLATFORM_UNAVAILABLE;
+                                failure.mayHaveRun()
+                                        ? ErrorKind.OUTCOME_UNKNOWN
+                                        : ErrorKind.PLATFORM_UNAVAILABLE;
                         future.complete(Result.fail(kind, reason));
                     }
                 });
@@ -144,7 +147,8 @@
 
                             @Override
                             public void failed(IOException e) {
-                                exchange.fail("cannot connect: " + e.getMessage());
+                                exchange.fail(
+                                        SendFailure.NOT_SENT, "cannot connect: " + e.getMessage());
                             }
                         },
                         exchange.request().server(),
@@ -224,7 +228,7 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
+        public void onFailure(SendFailure failure, String reason) {
             mFuture.complete(Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, reason));
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.http;
 
+import dev.cactusspan.result.SendFailure;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
@@ -54,7 +55,10 @@
         mIoThread = thread;
         mTimer =
                 thread.executeAfter(
-                        () -> fail("no answer within " + mRequest.timeoutMs() + " ms"),
+                        () ->
+                                fail(
+                                        SendFailure.NO_RESPONSE,
+                                        "no answer within " + mRequest.timeoutMs() + " ms"),
                         mRequest.timeoutMs(),
                         TimeUnit.MILLISECONDS);
     }
@@ -97,7 +101,7 @@
             channel.shutdownWrites();
             flush(channel);
         } catch (IOException e) {
-            fail("cannot send: " + e.getMessage());
+            fail(SendFailure.CONNECTION_LOST, "cannot send: " + e.getMessage());
         }
     }
 
@@ -110,7 +114,7 @@
             channel.getWriteSetter().set(this::flush);
             channel.resumeWrites();
         } catch (IOException e) {
-            fail("cannot send: " + e.getMessage());
+            fail(SendFailure.CONNECTION_LOST, "cannot send: " + e.getMessage());
         }
     }
 
@@ -157,7 +161,7 @@
                 pass(channel, count);
             }
         } catch (IOException e) {
-            fail("answer cut: " + e.getMessage());
+            fail(SendFailure.CONNECTION_LOST, "answer cut: " + e.getMessage());
         }
     }
 
@@ -165,7 +169,9 @@
         mBodyBytes += count;
         mConnection.limit().addBody(count);
         if (mBodyBytes > mRequest.maxBytes()) {
-            fail("the response body exceeds " + mRequest.maxBytes() + " bytes");
+            fail(
+                    SendFailure.UNUSABLE_RESPONSE,
+                    "the response body exceeds " + mRequest.maxBytes() + " bytes");
             return;
         }
         byte[] data = new byte[count];
@@ -187,12 +193,12 @@
         }
     }
 
-    void fail(String reason) {
+    void fail(SendFailure failure, String reason) {
         if (markDone()) {
             if (mConnection != null) {
                 IoUtils.safeClose(mConnection.connection());
             }
-            mListener.onFailure(mSent, reason);
+            mListener.onFailure(mSent ? failure : SendFailure.NOT_SENT, reason);
         }
     }
 
@@ -216,7 +222,7 @@
 
             @Override
             public void failed(IOException e) {
-                fail(String.valueOf(e.getMessage()));
+                fail(SendFailure.CONNECTION_LOST, String.valueOf(e.getMessage()));
             }
         };
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseListener.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseListener.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.http;
 
+import dev.cactusspan.result.SendFailure;
 import java.util.Map;
 
 /**
@@ -31,8 +32,8 @@
     /**
      * Called when the request failed. No other method is called after it.
      *
-     * @param sent false only if no byte of the request was sent
+     * @param failure what is known of the request
      * @param reason one line for the log
      */
-    void onFailure(boolean sent, String reason);
+    void onFailure(SendFailure failure, String reason);
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -16,6 +16,7 @@
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.result.SendFailure;
 import dev.cactusspan.text.JsonText;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -192,8 +193,8 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
-            mThread.execute(() -> mListener.onFailure(sent, reason));
+        public void onFailure(SendFailure failure, String reason) {
+            mThread.execute(() -> mListener.onFailure(failure, reason));
         }
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/result/ErrorKind.java
+++ b/cactusspan/src/main/java/dev/cactusspan/result/ErrorKind.java
@@ -26,6 +26,8 @@
     OVERLOADED,
     /** No target can accept the request. */
     NO_TARGET,
+    /** The request crashed several targets and is not run any more for a while. */
+    REQUEST_QUARANTINED,
     /** The process is shutting down. */
     SHUTTING_DOWN,
     /** The process cannot know whether its configuration is current. */
--- a/cactusspan/src/main/java/dev/cactusspan/side/TargetDispatcher.java
+++ b/cactusspan/src/main/java/dev/cactusspan/side/TargetDispatcher.java
@@ -12,6 +12,7 @@
 import dev.cactusspan.link.Link;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.SendFailure;
 import dev.cactusspan.settings.SideSettings;
 import dev.cactusspan.weight.VersionLabeler;
 import dev.cactusspan.weight.VersionSpan;
@@ -318,8 +319,8 @@
         }
 
         @Override
-        public void onFailure(boolean sent, String reason) {
-            mThread.execute(() -> handleFailure(mRequest, sent, reason));
+        public void onFailure(SendFailure failure, String reason) {
+            mThread.execute(() -> handleFailure(mRequest, failure.mayHaveRun(), reason));
         }
     }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -9,6 +9,7 @@
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.result.SendFailure;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -101,11 +102,11 @@
         }
 
         public void disconnect() {
-            mListener.onFailure(true, "reset");
+            mListener.onFailure(SendFailure.CONNECTION_LOST, "reset");
         }
 
         public void failBeforeSend() {
-            mListener.onFailure(false, "cannot connect");
+            mListener.onFailure(SendFailure.NOT_SENT, "cannot connect");
         }
 
         public void respondForOtherRequest() {
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
@@ -21,6 +21,7 @@
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.store.ManualThread;
@@ -41,6 +42,7 @@
     private static final long TICK_MS = 10;
     private static final int MAX_ATTEMPTS = 3;
 
+    private int mDisconnected;
     private final ManualThread mThread = new ManualThread();
     private final FakeTargets mPort = new FakeTargets();
     private final TargetTable mTargets = new TargetTable();
@@ -52,6 +54,7 @@
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
                     Optional::empty,
                     mUsage::add,
+                    new CrashGuard("entry"),
                     Telemetry.create(),
                     new SplittableRandom(1),
                     mThread::nowMs);
@@ -151,6 +154,52 @@
         }
     }
 
+    @Test
+    void shouldNotSendARequestThatCrashedThreeTargetsToAnother() {
+        targets(8);
+        for (int i = 0; i < 4; i++) {
+            submit("poison" + i, RouteKind.IDEMPOTENT, new Sink());
+            while (mPort.sent().stream().filter(s -> !s.isCancelled()).count() > mDisconnected) {
+                mPort.sent().get(mDisconnected++).disconnect();
+                mThread.advance(TICK_MS * 2);
+                mForwarder.tick();
+            }
+        }
+        assertThat(mPort.sent(), hasSize(3));
+        Sink sink = new Sink();
+        submit("again", RouteKind.IDEMPOTENT, sink);
+        assertThat(mPort.sent(), hasSize(3));
+        assertThat(sink.mFailures.get(0).kind(), is(ErrorKind.REQUEST_QUARANTINED));
+        assertThat(sink.mFailures.get(0).isNotRun(), is(true));
+    }
+
+    @Test
+    void shouldNotCallARequestNotRunThatCrashedItsLastTargets() {
+        targets(8);
+        Sink sink = new Sink();
+        submit("poison", RouteKind.IDEMPOTENT, sink);
+        for (int i = 0; i < 3; i++) {
+            mPort.sent().get(i).disconnect();
+            mThread.advance(TICK_MS * 2);
+            mForwarder.tick();
+        }
+        assertThat(mPort.sent(), hasSize(3));
+        assertThat(sink.mFailures.get(0).isNotRun(), is(false));
+    }
+
+    @Test
+    void shouldNotHedgeARequestThatMayHaveCrashedATarget() {
+        targets(8);
+        submit("poison", RouteKind.IDEMPOTENT, new Sink());
+        mPort.last().disconnect();
+        mThread.advance(TICK_MS * 2);
+        mForwarder.tick();
+        assertThat(mPort.sent(), hasSize(2));
+        mThread.advance(190);
+        mForwarder.tick();
+        assertThat(mPort.sent(), hasSize(2));
+    }
+
     /** Has the only target name a limit, and returns its state. */
     private TargetState limitTarget(double limitPerS) {
         targets(1);
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import dev.cactusspan.result.Result;
+import dev.cactusspan.result.SendFailure;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -192,7 +193,7 @@
         public void onEnd() {}
 
         @Override
-        public void onFailure(boolean sent, String reason) {}
+        public void onFailure(SendFailure failure, String reason) {}
     }
 
     /** Holds all bytes until they are released. */
