Let a suspected request wait before it may crash a third target

Cause: three crashes are allowed, and came faster than any of the targets was back. Reports took 0.2 s, as the lease that they are bound to was granted first; the client's retry came earlier.

Change: after the crash before the last one allowed, the request is refused for 4 s; the lease is granted in advance.

--- a/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /**
  * Keeps requests that crash targets away from further ones. Load pattern: a request crashes each
@@ -22,6 +23,13 @@
     /** Number of crashes after which a request is quarantined. */
     static final int MAX_CRASHES = 3;
 
+    /**
+     * Time after the crash before the last one allowed, in which the request is refused, in
+     * milliseconds. A crashed target is usually back by then, so that one request does not take all
+     * targets of a small service away at the same time.
+     */
+    static final long COOL_DOWN_MS = 4_000;
+
     /** How long a request stays in quarantine, in milliseconds. */
     static final long QUARANTINE_MS = 3_600_000;
 
@@ -97,6 +105,18 @@
             return mCrashes.size() + mUnshared.size();
         }
 
+        long refusedUntilMs() {
+            if (mQuarantinedMs.isPresent()) {
+                return mQuarantinedMs.getAsLong() + QUARANTINE_MS;
+            }
+            return crashCount() < MAX_CRASHES - 1
+                    ? Long.MIN_VALUE
+                    : Stream.concat(mCrashes.values().stream(), mUnshared.values().stream())
+                            .mapToLong(crash -> crash.atMs() + COOL_DOWN_MS)
+                            .max()
+                            .orElse(Long.MIN_VALUE);
+        }
+
         boolean isObsolete(long nowMs) {
             return mQuarantinedMs.isPresent()
                     ? nowMs - mQuarantinedMs.getAsLong() >= QUARANTINE_MS
@@ -293,12 +313,16 @@
         return mSuspects.containsKey(fingerprint);
     }
 
-    /** Returns how long a request stays in quarantine, empty if it is not in quarantine. */
-    OptionalLong quarantineMs(RequestFingerprint fingerprint, long nowMs) {
+    /**
+     * Returns how long a request is not sent to any target.
+     *
+     * @param fingerprint the request
+     * @param nowMs monotonic clock in milliseconds
+     * @return milliseconds until the end of its quarantine or cool-down, empty if it may be sent
+     */
+    OptionalLong refusedMs(RequestFingerprint fingerprint, long nowMs) {
         Suspect suspect = mSuspects.get(fingerprint);
-        return suspect == null || suspect.mQuarantinedMs.isEmpty()
-                ? OptionalLong.empty()
-                : OptionalLong.of(
-                        Math.max(0, suspect.mQuarantinedMs.getAsLong() + QUARANTINE_MS - nowMs));
+        long untilMs = suspect == null ? nowMs : suspect.refusedUntilMs();
+        return untilMs > nowMs ? OptionalLong.of(untilMs - nowMs) : OptionalLong.empty();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/CrashExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/CrashExchange.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.forward.RequestFingerprint;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.observe.Decision;
+import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.store.KeyStore;
@@ -40,6 +41,9 @@
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_MS = 200;
 
+    /** Delay after a failed call while no report waits, in milliseconds. */
+    private static final long IDLE_RETRY_MS = 2_000;
+
     /** Maximum number of reports that wait for the store; beyond it, the oldest is dropped. */
     private static final int MAX_WAITING = 512;
 
@@ -68,7 +72,10 @@
 
     // Operations
 
-    /** Writes the reports that are due. */
+    /**
+     * Writes the reports that are due. The lease is granted in advance, as the same request may
+     * come again at another process within a few hundred milliseconds.
+     */
     void tick() {
         long nowMs = mNowMs.getAsLong();
         mGuard.tick(nowMs);
@@ -76,13 +83,14 @@
         while (mWaiting.size() > MAX_WAITING) {
             mWaiting.poll();
         }
-        if (mIsBusy || mWaiting.isEmpty() || nowMs < mNextMs) {
+        if (mIsBusy || nowMs < mNextMs) {
             return;
         }
-        mIsBusy = true;
         if (nowMs >= mLeaseUntilMs) {
+            mIsBusy = true;
             grantLease(nowMs);
-        } else {
+        } else if (!mWaiting.isEmpty()) {
+            mIsBusy = true;
             write();
         }
     }
@@ -97,7 +105,7 @@
                                 lease -> {
                                     mLease = lease;
                                     mLeaseUntilMs = nowMs + LEASE_USE_MS;
-                                    write();
+                                    mIsBusy = false;
                                     return null;
                                 }));
     }
@@ -145,7 +153,11 @@
 
     private Void onFailed(Failure failure) {
         mIsBusy = false;
-        mLeaseUntilMs = 0;
+        mLeaseUntilMs = failure.kind() == ErrorKind.NOT_FOUND ? 0 : mLeaseUntilMs;
+        if (mWaiting.isEmpty()) {
+            mNextMs = mNowMs.getAsLong() + IDLE_RETRY_MS;
+            return null;
+        }
         mNextMs = mNowMs.getAsLong() + RETRY_MS;
         Decision.of("crashes_not_shared")
                 .with("reports", mWaiting.size())
