Bill no request that every target refused

Cause: a request counts when it is sent to its first target, whatever comes of it. Connections that were refused, and responses that prove that it has not run, did not take it back. Class of fault: a count taken before the outcome is known, never corrected.

Change: counting a request returns an action that takes it back from its window, run when the request ends and no attempt may have run. A window that is already in the store is not changed.

Evidence: RequestForwarderTest.shouldNotCountUsageOfARequestThatNoTargetRan counted 1 before.

--- a/cactusspan/src/main/java/dev/cactusspan/duty/UsageCounts.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/UsageCounts.java
@@ -22,6 +22,12 @@
                 .merge(account, 1L, Long::sum);
     }
 
+    /** Takes back a request that was counted in a window, unless the window is already reported. */
+    void uncount(AccountId account, long window) {
+        Map<AccountId, Long> counts = mCounts.getOrDefault(window, new HashMap<>());
+        counts.computeIfPresent(account, (a, count) -> count > 1 ? count - 1 : null);
+    }
+
     long windowOf(long wallMs) {
         return Math.floorDiv(wallMs, mWindowMs);
     }
--- a/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
@@ -109,9 +109,12 @@
      * Counts a request that starts to run now.
      *
      * @param account the client account
+     * @return takes the request back, to be run if it turns out that no target has run it
      */
-    public void count(AccountId account) {
-        mCounts.count(account, mWallClock.wallMs());
+    public Runnable count(AccountId account) {
+        long wallMs = mWallClock.wallMs();
+        mCounts.count(account, wallMs);
+        return () -> mCounts.uncount(account, mCounts.windowOf(wallMs));
     }
 
     /** Writes own counts and reports windows when they are due. */
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -24,6 +24,7 @@
     private final List<Attempt> mAttempts = new ArrayList<>();
     private int mSendCount;
     private int mPossibleRunCount;
+    private Runnable mUsageUndo = () -> {};
     private boolean mIsStreaming;
     private boolean mIsFinished;
     private long mNextDispatchMs;
@@ -56,6 +57,11 @@
         return attempt;
     }
 
+    /** Sets the action that takes the request back from the account's usage. */
+    void setUsageUndo(Runnable usageUndo) {
+        mUsageUndo = usageUndo;
+    }
+
     /** Records proof that an attempt has not run. */
     void recordNotRun() {
         mPossibleRunCount--;
@@ -64,6 +70,9 @@
     /** Marks the request as finished and cancels its active attempts. */
     void finish() {
         mIsFinished = true;
+        if (mPossibleRunCount == 0) {
+            mUsageUndo.run();
+        }
         mAttempts.forEach(Attempt::cancel);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -24,7 +24,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -57,7 +56,7 @@
     private final TargetPort mPort;
     private final TargetChooser mChooser;
     private final Supplier<Optional<DesiredState>> mDesired;
-    private final Consumer<AccountId> mUsageListener;
+    private final UsageListener mUsageListener;
     private final CrashGuard mCrashes;
     private final Telemetry mTelemetry;
     private final SplittableRandom mRandom;
@@ -72,7 +71,7 @@
      * @param port transport to the targets
      * @param chooser selects a target
      * @param desired supplies the current desired state
-     * @param usageListener is notified of the account of each request when it is first dispatched
+     * @param usageListener counts the requests that run
      * @param crashes keeps requests that crash targets away from further ones
      * @param telemetry records metrics
      * @param random the source of randomness
@@ -83,7 +82,7 @@
             TargetPort port,
             TargetChooser chooser,
             Supplier<Optional<DesiredState>> desired,
-            Consumer<AccountId> usageListener,
+            UsageListener usageListener,
             CrashGuard crashes,
             Telemetry telemetry,
             SplittableRandom random,
@@ -155,7 +154,7 @@
         attempt.setCanceller(
                 mPort.send(target.get().record(), request, new AttemptListener(pending, attempt)));
         if (isFirst) {
-            pending.account().ifPresent(mUsageListener);
+            pending.account().ifPresent(a -> pending.setUsageUndo(mUsageListener.onStarted(a)));
         } else {
             mTelemetry.count("forward_retries_total");
         }
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
@@ -37,7 +37,7 @@
                     new LimitObservingTargets(mPort, mTargets, mThread::nowMs),
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
                     Optional::empty,
-                    mUsage::add,
+                    this::countUsage,
                     new CrashGuard("entry"),
                     Telemetry.create(),
                     new SplittableRandom(1),
@@ -89,6 +89,11 @@
         }
     }
 
+    private Runnable countUsage(AccountId account) {
+        mUsage.add(account);
+        return () -> mUsage.remove(account);
+    }
+
     static FleetRoute route(RouteKind kind) {
         return new FleetRoute(
                 RouteId.of("r"),
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
@@ -17,6 +17,22 @@
 
 /** Forwarding to targets that refuse, disconnect, respond to the wrong request or are slow. */
 final class RequestForwarderTest extends RequestForwarderFixture {
+    /** Accounts were billed for requests that every target had refused. */
+    @Test
+    void shouldNotCountUsageOfARequestThatNoTargetRan() {
+        targets(2);
+        Sink sink = new Sink();
+        submit("a", RouteKind.IDEMPOTENT, sink);
+        for (int i = 0; sink.responseCount() == 0; i++) {
+            if (mPort.sent().size() > i) {
+                mPort.sent().get(i).failBeforeSend();
+            }
+            run(TICK_MS * 2);
+        }
+        assertThat(sink.mFailures.get(0).isNotRun(), is(true));
+        assertThat(mUsage, hasSize(0));
+    }
+
     @Test
     void shouldForwardAResponse() {
         targets(1);
