Suspect no request at a target that failed before

Change: a lost connection counts only if the target had not failed within 5 s before the run without an answer since. Targets that come back are new, so a request that crashes them is still counted at each.

--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -10,6 +10,9 @@
 
     private static final int MAX_DOUBLINGS = 4;
 
+    /** Time after a failure without a success since in which a target is failing. */
+    private static final long FAILING_MS = 5_000;
+
     /** Weight of the newest observation in the mean duration. */
     private static final double DURATION_WEIGHT = 0.2;
 
@@ -25,6 +28,7 @@
     private long mErrorRateAsOfMs;
     private int mInFlight;
     private int mConsecutiveFailures;
+    private long mLastFailureMs;
     private long mAvoidUntilMs;
     private double mMeanDurationMs;
     private long mMissingSinceMs = -1;
@@ -154,6 +158,7 @@
         mAvoidUntilMs =
                 nowMs + (BASE_AVOIDANCE_MS << Math.min(MAX_DOUBLINGS, mConsecutiveFailures));
         mConsecutiveFailures++;
+        mLastFailureMs = nowMs;
         updateErrorRate(1, nowMs);
     }
 
@@ -236,6 +241,16 @@
         return nowMs < mAvoidUntilMs;
     }
 
+    /**
+     * Returns whether the target failed a short time ago and has responded to nothing since.
+     *
+     * @param nowMs monotonic clock in milliseconds
+     * @return true if a further failure is probably the target's own
+     */
+    public boolean isFailing(long nowMs) {
+        return mConsecutiveFailures > 0 && nowMs - mLastFailureMs < FAILING_MS;
+    }
+
     boolean isMissingFor(long nowMs, long timeoutMs) {
         return mMissingSinceMs >= 0 && nowMs - mMissingSinceMs >= timeoutMs;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
@@ -9,6 +9,7 @@
 final class Attempt {
     private final TargetState mTarget;
     private final long mStartedMs;
+    private final boolean mWasTargetFailing;
     private final BodyBudget mBudget;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private Runnable mCanceller = () -> {};
@@ -20,6 +21,7 @@
         mTarget = target;
         mBudget = budget;
         mStartedMs = startedMs;
+        mWasTargetFailing = target.isFailing(startedMs);
         target.recordSent(startedMs);
     }
 
@@ -78,6 +80,11 @@
         return mStartedMs;
     }
 
+    /** Returns whether the target was failing when the attempt was started. */
+    boolean wasTargetFailing() {
+        return mWasTargetFailing;
+    }
+
     Optional<ResponseHead> head() {
         return mHead;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
@@ -15,9 +15,10 @@
  * target that runs it, and comes again at any process, so that every other request of the service
  * is refused while its targets start again.
  *
- * <p>A run whose connection is lost is suspected to have crashed its target. The processes share
- * such crashes, and quarantine a request after {@link #MAX_CRASHES}. A success of the request
- * clears it; a crash is dismissed if its target answers another request shortly afterwards.
+ * <p>A run whose connection is lost is suspected to have crashed its target, unless the target was
+ * failing before. The processes share such crashes, and quarantine a request after {@link
+ * #MAX_CRASHES}. A success of the request clears it; a crash is dismissed if its target answers
+ * another request shortly afterwards.
  */
 public final class CrashGuard {
     /** Number of crashes after which a request is quarantined. */
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -375,7 +375,7 @@
                 .with("reason", reason)
                 .with("after_ms", nowMs - attempt.startedMs())
                 .info();
-        if (failure == SendFailure.CONNECTION_LOST) {
+        if (failure == SendFailure.CONNECTION_LOST && !attempt.wasTargetFailing()) {
             mCrashes.recordCrash(pending.fingerprint(), attempt.target().record().id(), nowMs);
         }
         if (pending.isStreaming()) {
--- a/cactusspan/src/test/java/dev/cactusspan/forward/CrashingRequestTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/CrashingRequestTest.java
@@ -46,6 +46,17 @@
         assertThat(sink.mFailures.get(0).isNotRun(), is(false));
     }
 
+    @Test
+    void shouldNotSuspectARequestAtATargetThatFailedBefore() {
+        targets(1);
+        for (int i = 0; i < 5; i++) {
+            submit("poll" + i, RouteKind.NON_IDEMPOTENT, new Sink());
+            mPort.last().disconnect();
+            mThread.advance(500);
+        }
+        assertThat(mPort.sent(), hasSize(5));
+    }
+
     @Test
     void shouldNotHedgeARequestThatMayHaveCrashedATarget() {
         targets(8);
