Have targets limit their requests in the soak

The faults of targets have a random generator of their own, so that the other faults of a seed stay the same. The sum is not checked there, as entries are killed and frozen; RequestLimitIgnoredTest checks it.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
@@ -30,6 +30,12 @@
     private static final int MAX_CLOCK_OFFSET_MS = 8_000;
 
     private final Random mRandom;
+
+    /**
+     * Chooses faults of targets apart from the others, so that a seed still has the same others.
+     */
+    private final Random mTargetRandom;
+
     private final List<LoopbackProxy> mProxies = new ArrayList<>();
     private final HostedDeployment mDeployment;
     private final HostedClients mClients;
@@ -48,6 +54,7 @@
 
     private FaultSoak(Path folder, long seed) throws IOException {
         mRandom = new Random(seed);
+        mTargetRandom = new Random(~seed);
         mDeployment = HostedDeployment.start(folder, NODES, this::startProxy);
         for (TargetEmulator target : mDeployment.targets()) {
             target.registerPort(startProxy(target.port()));
@@ -84,6 +91,7 @@
     private Outcome execute(long durationMs) throws IOException, InterruptedException {
         Thread quotes = start("quotes", this::sendQuotes);
         Thread trainer = start("trainer", this::runSteps);
+        Thread targets = start("targets", this::injectTargetFaults);
         long startMs = System.currentTimeMillis();
         while (System.currentTimeMillis() < startMs + durationMs) {
             injectFault(System.currentTimeMillis() - startMs);
@@ -93,6 +101,7 @@
         mIsFinished = true;
         quotes.join();
         trainer.join();
+        targets.join();
         for (GatewayNode node : mDeployment.nodes()) {
             if (!HostedDeployment.awaitReady(node, RECOVERY_TIMEOUT_MS)) {
                 mDeployment
@@ -191,6 +200,18 @@
         }
     }
 
+    /** Has targets limit their requests. */
+    private void injectTargetFaults() {
+        while (!mIsFinished) {
+            sleep(500L + mTargetRandom.nextInt(3_000));
+            List<TargetEmulator> targets = mDeployment.targets();
+            TargetEmulator target = targets.get(mTargetRandom.nextInt(targets.size()));
+            long lengthMs = 300L + mTargetRandom.nextInt(3_000);
+            double limitPerS = 1 + mTargetRandom.nextInt(8);
+            injectDuring(lengthMs, () -> target.nameLimit(limitPerS), target::endLimit);
+        }
+    }
+
     private TargetEmulator anyTarget() {
         return mDeployment.targets().get(mRandom.nextInt(mDeployment.targets().size()));
     }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/RequestLimitCheck.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/RequestLimitCheck.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 
 /**
  * Checks that a target receives no more requests than the limit that it names allows: half as many
@@ -52,8 +51,4 @@
             mArrivalsMs.clear();
         }
     }
-
-    String headerValue() {
-        return String.format(Locale.ROOT, "%.1f", mLimitPerS);
-    }
 }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -61,7 +62,8 @@
     private volatile boolean mIsDraining;
     private volatile int mTruncateOneIn;
     private volatile int mFailOneIn;
-    private volatile Optional<RequestLimitCheck> mLimit = Optional.empty();
+    private volatile Optional<String> mLimit = Optional.empty();
+    private volatile Optional<RequestLimitCheck> mLimitCheck = Optional.empty();
     private volatile int mRegisteredPort;
 
     private TargetEmulator(
@@ -146,7 +148,22 @@
      * @param limitPerS requests per second from all processes together
      */
     public void limitRequests(double limitPerS) {
-        mLimit = Optional.of(new RequestLimitCheck(mId, limitPerS, mObservations));
+        mLimitCheck = Optional.of(new RequestLimitCheck(mId, limitPerS, mObservations));
+        nameLimit(limitPerS);
+    }
+
+    /**
+     * Names a request limit in all responses from now on, without a check.
+     *
+     * @param limitPerS requests per second from all processes together
+     */
+    void nameLimit(double limitPerS) {
+        mLimit = Optional.of(String.format(Locale.ROOT, "%.1f", limitPerS));
+    }
+
+    /** Names no request limit any more. */
+    void endLimit() {
+        mLimit = Optional.empty();
     }
 
     /** Reports that the target is draining; it still serves new requests. */
@@ -240,11 +257,8 @@
     private void run(HttpServerExchange exchange, byte[] body) {
         String id = StandInServer.header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(ATTEMPT_ID, id);
-        mLimit.ifPresent(
-                limit -> {
-                    limit.recordRequest(System.nanoTime() / NS_PER_MS);
-                    exchange.getResponseHeaders().put(REQUEST_LIMIT, limit.headerValue());
-                });
+        mLimit.ifPresent(limit -> exchange.getResponseHeaders().put(REQUEST_LIMIT, limit));
+        mLimitCheck.ifPresent(check -> check.recordRequest(System.nanoTime() / NS_PER_MS));
         if (!StandInServer.header(exchange, "Expect-Instance").equals(mId)) {
             refuse(exchange, 421);
             return;
@@ -282,7 +296,8 @@
     private void respond(HttpServerExchange exchange, String id, byte[] body) {
         if (new String(body, StandardCharsets.UTF_8).equals(CRASHING_BODY)) {
             mObservations.recordCrash(mId);
-            crash(exchange);
+            IoUtils.safeClose(exchange.getConnection());
+            new Thread(this::restart, mId + "-restart").start();
             return;
         }
         long window = Math.floorDiv(System.currentTimeMillis(), mWindowMs);
@@ -332,12 +347,6 @@
         }
     }
 
-    /** Closes all connections, and refuses new ones until the target is back. */
-    private void crash(HttpServerExchange exchange) {
-        IoUtils.safeClose(exchange.getConnection());
-        new Thread(this::restart, mId + "-restart").start();
-    }
-
     private synchronized void restart() {
         int port = port();
         mServer.stop();
