--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
@@ -25,6 +25,7 @@
     private static final long RECOVERY_TIMEOUT_MS = 12_000;
     private static final int FINAL_QUOTES = 20;
     private static final int FAULT_KINDS = 14;
+    private static final int TARGET_FAULT_KINDS = 3;
 
     /** Largest offset of a clock, ahead or behind, in milliseconds. */
     private static final int MAX_CLOCK_OFFSET_MS = 8_000;
@@ -200,15 +201,21 @@
         }
     }
 
-    /** Has targets limit their requests. */
+    /** Has targets crash, limit their requests, or meet a request that crashes them. */
     private void injectTargetFaults() {
         while (!mIsFinished) {
             sleep(500L + mTargetRandom.nextInt(3_000));
             List<TargetEmulator> targets = mDeployment.targets();
             TargetEmulator target = targets.get(mTargetRandom.nextInt(targets.size()));
             long lengthMs = 300L + mTargetRandom.nextInt(3_000);
-            double limitPerS = 1 + mTargetRandom.nextInt(8);
-            injectDuring(lengthMs, () -> target.nameLimit(limitPerS), target::endLimit);
+            switch (mTargetRandom.nextInt(TARGET_FAULT_KINDS)) {
+                case 0 -> target.crash();
+                case 1 -> mCallers.execute(mClients::sendCrashingRequest);
+                default -> {
+                    double limitPerS = 1 + mTargetRandom.nextInt(8);
+                    injectDuring(lengthMs, () -> target.nameLimit(limitPerS), target::endLimit);
+                }
+            }
         }
     }
 
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -108,7 +108,7 @@
      *
      * @return the HTTP status, zero if there was no response
      */
-    int sendCrashingRequest() throws InterruptedException {
+    int sendCrashingRequest() {
         String id = UUID.randomUUID().toString().replace("-", "");
         try {
             return mHttp.send(
@@ -123,6 +123,9 @@
         } catch (IOException e) {
             // No response in time.
             return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
         }
     }
 
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -166,6 +166,11 @@
         mLimit = Optional.empty();
     }
 
+    /** Closes all connections, and refuses new ones until the target is back. */
+    void crash() {
+        new Thread(this::restart, mId + "-restart").start();
+    }
+
     /** Reports that the target is draining; it still serves new requests. */
     public void startDraining() {
         mIsDraining = true;
@@ -297,7 +302,7 @@
         if (new String(body, StandardCharsets.UTF_8).equals(CRASHING_BODY)) {
             mObservations.recordCrash(mId);
             IoUtils.safeClose(exchange.getConnection());
-            new Thread(this::restart, mId + "-restart").start();
+            crash();
             return;
         }
         long window = Math.floorDiv(System.currentTimeMillis(), mWindowMs);
