Write reports of crashes and their removal in separate calls

Cause: a crash and its removal could come into one transaction, which writes and deletes the same key; what the store makes of that is not said, and a refused transaction would be sent again for ever. Change: a call holds only writes or only deletes, in their order.

--- a/cactusspan/src/main/java/dev/cactusspan/gateway/CrashExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/CrashExchange.java
@@ -111,7 +111,12 @@
     }
 
     private void write() {
-        List<Report> reports = mWaiting.stream().limit(MAX_REPORTS).toList();
+        boolean isRemoval = isRemoval(mWaiting.getFirst());
+        List<Report> reports =
+                mWaiting.stream()
+                        .takeWhile(report -> isRemoval(report) == isRemoval)
+                        .limit(MAX_REPORTS)
+                        .toList();
         List<Transaction.Write> writes = new ArrayList<>();
         List<String> deletes = new ArrayList<>();
         for (Report report : reports) {
@@ -130,6 +135,11 @@
                                 }));
     }
 
+    /** Returns whether a report deletes keys, which an earlier report may write. */
+    private static boolean isRemoval(Report report) {
+        return report instanceof Report.Released || report instanceof Report.Cleared;
+    }
+
     private void addChanges(Report report, List<Transaction.Write> writes, List<String> deletes) {
         if (report instanceof Report.Crash crash) {
             writes.add(
