--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -29,6 +29,8 @@
                         "dev.cactusspan.usage",
                         "dev.cactusspan.scaling",
                         "dev.cactusspan.placement",
+                        "dev.cactusspan.fleet",
+                        "dev.cactusspan.forward",
                         "dev.cactusspan.chart",
                         "dev.cactusspan.id",
                         "dev.cactusspan.result")
