Share the first crash of a request at once

The client's retry came to another entry 0.2 s after the first crash and 70 ms after the second, which was reported then; it was sent to a target, hedged to the next one, and both crashed.

Cause: a crash was held back until the second one, to save calls for requests that succeed elsewhere. Lost connections of client requests are rare, so that there is little to save. Change: each lost connection is reported at once, and taken back by a success. A suspect is not hedged, so the other entry tries one target at most.

--- a/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/CrashGuard.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.stream.Stream;
 
 /**
  * Keeps requests that crash targets away from further ones. Load pattern: a request crashes each
@@ -99,20 +98,15 @@
 
     private static final class Suspect {
         private final Map<String, Crash> mCrashes = new HashMap<>();
-        private final Map<String, Crash> mUnshared = new LinkedHashMap<>();
         private OptionalLong mQuarantinedMs = OptionalLong.empty();
 
-        int crashCount() {
-            return mCrashes.size() + mUnshared.size();
-        }
-
         long refusedUntilMs() {
             if (mQuarantinedMs.isPresent()) {
                 return mQuarantinedMs.getAsLong() + QUARANTINE_MS;
             }
-            return crashCount() < MAX_CRASHES - 1
+            return mCrashes.size() < MAX_CRASHES - 1
                     ? Long.MIN_VALUE
-                    : Stream.concat(mCrashes.values().stream(), mUnshared.values().stream())
+                    : mCrashes.values().stream()
                             .mapToLong(crash -> crash.atMs() + COOL_DOWN_MS)
                             .max()
                             .orElse(Long.MIN_VALUE);
@@ -121,14 +115,15 @@
         boolean isObsolete(long nowMs) {
             return mQuarantinedMs.isPresent()
                     ? nowMs - mQuarantinedMs.getAsLong() >= QUARANTINE_MS
-                    : crashCount() == 0;
+                    : mCrashes.isEmpty();
         }
     }
 
     // Own requests
 
     /**
-     * Records that the connection was lost while a target ran a request.
+     * Records that the connection was lost while a target ran a request, and reports it at once:
+     * the same request may come to another process within a few hundred milliseconds.
      *
      * @param fingerprint the request
      * @param target the target
@@ -136,31 +131,20 @@
      */
     void recordCrash(RequestFingerprint fingerprint, TargetId target, long nowMs) {
         Suspect suspect = suspect(fingerprint);
-        suspect.mUnshared.put(
-                target.value() + "@" + mSelf + "." + mNextCrash++, new Crash(target, nowMs));
-        if (suspect.crashCount() > 1) {
-            share(fingerprint, suspect);
-        }
+        String crash = target.value() + "@" + mSelf + "." + mNextCrash++;
+        suspect.mCrashes.put(crash, new Crash(target, nowMs));
+        mReports.add(new Report.Crash(fingerprint, crash, target));
         quarantineIfDue(fingerprint, suspect, nowMs);
     }
 
     /**
-     * Records the end of a request, so that a crash is shared even if the request is not retried.
+     * Records that a target completed a request, which proves that it crashes none.
      *
      * @param fingerprint the request
-     * @param isSuccess true if a target completed it, which proves that it crashes none
      */
-    void recordEnd(RequestFingerprint fingerprint, boolean isSuccess) {
-        Suspect suspect = mSuspects.get(fingerprint);
-        if (suspect == null) {
-            return;
-        }
-        if (!isSuccess) {
-            share(fingerprint, suspect);
-            return;
-        }
-        mSuspects.remove(fingerprint);
-        if (!suspect.mCrashes.isEmpty()) {
+    void recordSuccess(RequestFingerprint fingerprint) {
+        Suspect suspect = mSuspects.remove(fingerprint);
+        if (suspect != null && !suspect.mCrashes.isEmpty()) {
             mReports.add(new Report.Cleared(fingerprint, List.copyOf(suspect.mCrashes.keySet())));
         }
     }
@@ -175,7 +159,6 @@
         for (Suspect suspect : mSuspects.values()) {
             if (suspect.mQuarantinedMs.isEmpty()) {
                 suspect.mCrashes.values().removeIf(c -> isDisproved(c, target, sentMs));
-                suspect.mUnshared.values().removeIf(c -> isDisproved(c, target, sentMs));
             }
         }
     }
@@ -194,15 +177,8 @@
         return suspect;
     }
 
-    private void share(RequestFingerprint fingerprint, Suspect suspect) {
-        suspect.mUnshared.forEach(
-                (id, crash) -> mReports.add(new Report.Crash(fingerprint, id, crash.target())));
-        suspect.mCrashes.putAll(suspect.mUnshared);
-        suspect.mUnshared.clear();
-    }
-
     private void quarantineIfDue(RequestFingerprint fingerprint, Suspect suspect, long nowMs) {
-        if (suspect.mQuarantinedMs.isEmpty() && suspect.crashCount() >= MAX_CRASHES) {
+        if (suspect.mQuarantinedMs.isEmpty() && suspect.mCrashes.size() >= MAX_CRASHES) {
             mReports.add(new Report.Quarantine(fingerprint));
             quarantine(fingerprint, suspect, nowMs);
         }
@@ -212,7 +188,7 @@
         suspect.mQuarantinedMs = OptionalLong.of(nowMs);
         Decision.of("request_quarantined")
                 .with("fingerprint", fingerprint.value())
-                .with("crashes", suspect.crashCount())
+                .with("crashes", suspect.mCrashes.size())
                 .warn();
     }
 
@@ -277,7 +253,6 @@
     public void tick(long nowMs) {
         for (Suspect suspect : mSuspects.values()) {
             suspect.mCrashes.values().removeIf(c -> nowMs - c.atMs() >= CRASH_TTL_MS);
-            suspect.mUnshared.values().removeIf(c -> nowMs - c.atMs() >= CRASH_TTL_MS);
         }
         mSuspects
                 .entrySet()
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -463,8 +463,8 @@
     private void finish(ForwardedRequest pending, String outcome) {
         pending.finish();
         mPending.remove(pending);
-        if (mCrashes.hasSuspects()) {
-            mCrashes.recordEnd(pending.fingerprint(), outcome.equals(ANSWERED));
+        if (mCrashes.hasSuspects() && outcome.equals(ANSWERED)) {
+            mCrashes.recordSuccess(pending.fingerprint());
         }
         long durationMs = mNowMs.getAsLong() - pending.arrivedMs();
         String route = pending.route().name().value();
--- a/cactusspan/src/test/java/dev/cactusspan/forward/CrashGuardTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/CrashGuardTest.java
@@ -70,19 +70,10 @@
         assertThat(isRefused(mGuard, 15_000), is(true));
     }
 
+    /** The client's retry reached another process before that one knew of the first crash. */
     @Test
-    void shouldNotShareACrashOfARequestThatSucceedsElsewhere() {
+    void shouldShareTheFirstCrashAtOnce() {
         mGuard.recordCrash(REQUEST, T1, 0);
-        mGuard.recordEnd(REQUEST, true);
-        assertThat(mGuard.takeReports(), is(List.of()));
-        assertThat(mGuard.hasSuspects(), is(false));
-    }
-
-    @Test
-    void shouldShareACrashOfARequestThatFails() {
-        mGuard.recordCrash(REQUEST, T1, 0);
-        assertThat(mGuard.takeReports(), is(List.of()));
-        mGuard.recordEnd(REQUEST, false);
         assertThat(mGuard.takeReports(), is(List.of(new Report.Crash(REQUEST, "t1@a#1.0", T1))));
     }
 
@@ -90,7 +81,7 @@
     void shouldClearSharedCrashesAfterASuccess() {
         mGuard.onCrash(REQUEST, "x", T1, 0);
         mGuard.onCrash(REQUEST, "y", T2, 0);
-        mGuard.recordEnd(REQUEST, true);
+        mGuard.recordSuccess(REQUEST);
         assertThat(mGuard.isSuspect(REQUEST), is(false));
         Report.Cleared cleared = (Report.Cleared) mGuard.takeReports().get(0);
         assertThat(cleared.crashes().stream().sorted().toList(), is(List.of("x", "y")));
@@ -136,7 +127,6 @@
             for (int run = 0; run < 2 && !isRefused(guards.get(index), nowMs); run++) {
                 guards.get(index).recordCrash(REQUEST, TargetId.of("t" + crashes++), nowMs);
             }
-            guards.get(index).recordEnd(REQUEST, false);
             List<Report> reports = guards.get(index).takeReports();
             shared.addAll(reports);
             guards.forEach(guard -> reports.forEach(r -> apply(r, guard, nowMs)));
