--- a/cactusspan/src/main/java/dev/cactusspan/forward/package-info.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/package-info.java
@@ -1,2 +1,5 @@
-/** Forwarding of client requests to targets: selection, retries, hedging and deadlines. */
+/**
+ * Forwarding of client requests to targets: selection, retries, hedging and deadlines, and which
+ * requests are kept away from targets.
+ */
 package dev.cactusspan.forward;
