--- a/cactusspan/src/main/java/dev/cactusspan/fleet/package-info.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/package-info.java
@@ -1,5 +1,2 @@
-/**
- * The current desired state and the targets that serve it, in terms of the hosting platform, and
- * how processes share the request limits of targets.
- */
+/** The desired state, the targets that serve it, and how processes share their request limits. */
 package dev.cactusspan.fleet;
--- a/cactusspan/src/main/java/dev/cactusspan/forward/package-info.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/package-info.java
@@ -1,5 +1,2 @@
-/**
- * Forwarding of client requests to targets: selection, retries, hedging and deadlines, and which
- * requests are kept away from targets.
- */
+/** Forwarding of client requests to targets: selection, retries, hedging, refusals, deadlines. */
 package dev.cactusspan.forward;
