Test each target once per choice, and reuse what the project has

TargetTable.candidates ran the filter of each target twice for each waiting request, and the allowance checked again what its caller knew. The prefix of the mirrored keys was written out beside FleetView's constant; FaultSoak chose a target in two places; a check before an empty loop was needless. Behaviour is the same; PermitIssuerTest asks for a permit only where it has none, as the table does, with its assertions unchanged.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
@@ -190,11 +190,11 @@
                         () -> node.setClockOffset(0));
             }
             case 12 -> {
-                TargetEmulator target = anyTarget();
+                TargetEmulator target = anyTarget(mRandom);
                 injectDuring(lengthMs, () -> target.failOneIn(2), () -> target.failOneIn(0));
             }
             default -> {
-                TargetEmulator target = anyTarget();
+                TargetEmulator target = anyTarget(mRandom);
                 injectDuring(
                         lengthMs, () -> target.truncateOneIn(4), () -> target.truncateOneIn(0));
             }
@@ -205,8 +205,7 @@
     private void injectTargetFaults() {
         while (!mIsFinished) {
             sleep(500L + mTargetRandom.nextInt(3_000));
-            List<TargetEmulator> targets = mDeployment.targets();
-            TargetEmulator target = targets.get(mTargetRandom.nextInt(targets.size()));
+            TargetEmulator target = anyTarget(mTargetRandom);
             long lengthMs = 300L + mTargetRandom.nextInt(3_000);
             switch (mTargetRandom.nextInt(TARGET_FAULT_KINDS)) {
                 case 0 -> target.crash();
@@ -219,8 +218,8 @@
         }
     }
 
-    private TargetEmulator anyTarget() {
-        return mDeployment.targets().get(mRandom.nextInt(mDeployment.targets().size()));
+    private TargetEmulator anyTarget(Random random) {
+        return mDeployment.targets().get(random.nextInt(mDeployment.targets().size()));
     }
 
     /** Starts a fault and ends it later on another thread, so that faults can overlap. */
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/RequestAllowance.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/RequestAllowance.java
@@ -46,11 +46,9 @@
 
     // Operations
 
-    /** Adds a permit to those that the next request asks for, if a request needs one. */
+    /** Adds a permit to those that the next request asks for. */
     void wantPermit() {
-        if (!admits()) {
-            mWanted = Math.min(MAX_WANTED, mWanted + 1);
-        }
+        mWanted = Math.min(MAX_WANTED, mWanted + 1);
     }
 
     /** Records that a request was sent, which takes a permit if the target limits requests. */
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -107,12 +107,18 @@
      * @return the matching targets
      */
     public List<TargetState> candidates(ServiceId service, Predicate<TargetState> filter) {
+        List<TargetState> candidates = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
-            if (isServing(state, service) && filter.test(state)) {
+            if (!isServing(state, service) || !filter.test(state)) {
+                continue;
+            }
+            if (state.admitsRequest()) {
+                candidates.add(state);
+            } else {
                 state.wantPermit();
             }
         }
-        return serving(service, filter);
+        return candidates;
     }
 
     private static boolean isServing(TargetState state, ServiceId service) {
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -253,7 +253,7 @@
             if (mAttempt.isFinished()) {
                 return;
             }
-            if (mCrashes.hasSuspects() && !head.isFromOtherTarget()) {
+            if (!head.isFromOtherTarget()) {
                 mCrashes.recordAnswer(mAttempt.target().record().id(), mAttempt.startedMs());
             }
             if (!head.isForThisRequest()) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/CrashExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/CrashExchange.java
@@ -27,10 +27,10 @@
  */
 final class CrashExchange {
     /** Prefix of the keys of crashes: fingerprint and crash follow, separated by a slash. */
-    static final String CRASH_PREFIX = "cs/control/crash/";
+    static final String CRASH_PREFIX = FleetView.CONTROL_PREFIX + "crash/";
 
     /** Prefix of the keys of quarantines; the fingerprint follows. */
-    static final String QUARANTINE_PREFIX = "cs/control/quarantine/";
+    static final String QUARANTINE_PREFIX = FleetView.CONTROL_PREFIX + "quarantine/";
 
     /** Time to live of a crash in the store, in milliseconds; the platform's longest lease. */
     private static final long LEASE_TTL_MS = 600_000;
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -30,7 +30,8 @@
  * other processes, owners of batches and holders of duties.
  */
 final class FleetView {
-    private static final String CONTROL_PREFIX = "cs/control/";
+    /** Prefix of the keys that each process mirrors. */
+    static final String CONTROL_PREFIX = "cs/control/";
 
     /** Maximum age of a list of processes that may be acted on, in milliseconds. */
     private static final long MAX_LIST_AGE_MS = 5_000;
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/PermitIssuerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/PermitIssuerTest.java
@@ -67,10 +67,11 @@
             RequestAllowance process = mProcesses.get(index);
             process.tick(mNowMs);
             if (mRandom.nextDouble() < demand) {
-                process.wantPermit();
                 if (process.admits()) {
                     process.recordSent(mNowMs);
                     mSentMs.add(mNowMs);
+                } else {
+                    process.wantPermit();
                 }
             }
             process.nextRequest(mNowMs)
