Wait for the document in force before tests send requests

Traced in that run's log: the entry's target was connected at 30.321 s and its document in force at 30.328 s; awaitTargets returned in between, and the first request was refused as configuration_stale, truthfully. No other entry of that log has its target first and sends requests at once. Change: awaitTargets waits for a document as well; the test's assertions are the same.

--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/LoopbackDeployment.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/LoopbackDeployment.java
@@ -181,10 +181,11 @@
         return entry;
     }
 
-    /** Waits until each entry is connected to a number of targets. */
+    /** Waits until each entry has a document in force and is connected to a number of targets. */
     void awaitTargets(int targets) {
         for (Telemetry telemetry : mTelemetries) {
             await(() -> telemetry.text().contains("cactusspan_entry_targets " + targets + ".0"));
+            await(() -> !telemetry.text().contains("cactusspan_entry_revision 0.0"));
         }
     }
 
