Log the software version of targets, and what each item's text goes on from

The hypotheses differ in where a text of one version goes on at another: by any choice, after a change of owner, or by a client's request. No line said which target an item was sent to, from which event, or of which version it is.

target_seen, item_interrupted, text_whole and request_ended name the version, request_ended the event that the client resumes after, and item_sent is new: one line for each send of an item. An entry of a target without version counts as malformed, as any other missing field does.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -39,6 +39,7 @@
     private long mLastProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
     private String mLatestTarget = "";
+    private String mLatestSoftware = "";
     private Runnable mCancelAction = () -> {};
 
     /** Number of the current attempt, used to ignore late events of former attempts. */
@@ -67,6 +68,7 @@
     int startAttempt(TargetState target, long nowMs) {
         mTarget = Optional.of(target);
         mLatestTarget = target.record().id().value();
+        mLatestSoftware = target.record().software().value();
         target.recordSent(nowMs);
         mSendCount++;
         mLastProgressMs = nowMs;
@@ -239,6 +241,11 @@
         return mLatestTarget;
     }
 
+    /** Returns the software version of that target, empty if there was none. */
+    String latestSoftware() {
+        return mLatestSoftware;
+    }
+
     Optional<TargetState> target() {
         return mTarget;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -123,6 +123,7 @@
         Decision.of("item_interrupted")
                 .with("request", run.item().id().value())
                 .with("target", run.latestTarget())
+                .with("software", run.latestSoftware())
                 .with("events", run.eventCount())
                 .with("reason", reason)
                 .info();
@@ -185,6 +186,12 @@
                         Optional.of(batch.account()),
                         Math.max(1, owned.remainingMs(nowMs)),
                         run.lastEvent());
+        Decision.of("item_sent")
+                .with("request", run.item().id().value())
+                .with("target", run.latestTarget())
+                .with("software", run.latestSoftware())
+                .with("after_event", run.lastEvent().orElse(0))
+                .info();
         run.setCancelAction(
                 mPort.send(target.record(), request, new TextListener(owned, run, attempt, nowMs)));
     }
@@ -346,6 +353,7 @@
                 .with("events", run.eventCount())
                 .with("expected_tokens", run.item().expectedTokens())
                 .with("target", run.latestTarget())
+                .with("software", run.latestSoftware())
                 .with("sends", run.sendCount())
                 .with("versions", run.versions())
                 .info();
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRecord.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRecord.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.WeightVersion;
 import java.net.URI;
@@ -13,6 +14,7 @@
  *
  * @param id target id
  * @param service service that the target belongs to
+ * @param software version of its software; targets of several versions may serve at once
  * @param address base URI of the target
  * @param zone availability zone
  * @param slots number of requests that the target runs concurrently
@@ -24,6 +26,7 @@
 public record TargetRecord(
         TargetId id,
         ServiceId service,
+        SoftwareVersion software,
         URI address,
         AvailabilityZoneId zone,
         int slots,
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -141,6 +141,13 @@
         return mTriedTargets;
     }
 
+    /** Returns the software version of the latest attempt's target, empty without an attempt. */
+    String latestSoftware() {
+        return mAttempts.isEmpty()
+                ? ""
+                : mAttempts.get(mAttempts.size() - 1).target().record().software().value();
+    }
+
     /** Returns the number of attempts so far, including refused ones. */
     int sendCount() {
         return mSendCount;
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -476,6 +476,8 @@
                 .with("account", pending.account().map(AccountId::value).orElse(""))
                 .with("revision", mDesired.get().map(DesiredState::revision).orElse(Revision.NONE))
                 .with("targets", pending.triedTargets().toString())
+                .with("software", pending.latestSoftware())
+                .with("after_event", pending.request().resumeAfter().orElse(0))
                 .with("sends", pending.sendCount())
                 .with("runs", pending.possibleRunCount())
                 .with("failure", pending.lastFailure().map(Failure::toString).orElse(""))
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -203,6 +203,7 @@
         Decision.of("target_seen")
                 .with("target", record.id().value())
                 .with("service", record.service().value())
+                .with("software", record.software().value())
                 .with("is_leaving", record.isLeaving())
                 .with("versions", record.versions().toString())
                 .info();
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -14,6 +14,7 @@
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.ErrorKind;
@@ -165,6 +166,7 @@
         boolean isValidAddress = address.length == 2 && address[1].matches("[0-9]{1,5}");
         boolean isComplete =
                 node.path("service").isTextual()
+                        && node.path("version").isTextual()
                         && node.path("zone").isTextual()
                         && node.path("state").isTextual()
                         && node.path("address").isTextual()
@@ -184,6 +186,7 @@
                 new TargetRecord(
                         id,
                         ServiceId.of(node.path("service").asText()),
+                        SoftwareVersion.of(node.path("version").asText()),
                         URI.create("http://" + address[0] + ":" + address[1]),
                         AvailabilityZoneId.of(node.path("zone").asText()),
                         Math.max(1, node.path("slots").asInt()),
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.id.FencingNumber;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
@@ -143,9 +144,16 @@
             TargetId target, WeightVersion version, FencingNumber fencing, long expectedOrders) {}
 
     public static TargetRecord record(String id, String service, int slots, long version) {
+        return record(id, service, "v1", slots, version);
+    }
+
+    /** Returns the registration entry of a target with the given version of its software. */
+    public static TargetRecord record(
+            String id, String service, String software, int slots, long version) {
         return new TargetRecord(
                 TargetId.of(id),
                 ServiceId.of(service),
+                SoftwareVersion.of(software),
                 URI.create("http://10.0.0.1:80"),
                 AvailabilityZoneId.of("a"),
                 slots,
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
@@ -58,6 +58,7 @@
                 new TargetRecord(
                         first.id(),
                         first.service(),
+                        first.software(),
                         first.address(),
                         first.zone(),
                         4,
--- a/cactusspan/src/test/java/dev/cactusspan/placement/ModelPlacementTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/placement/ModelPlacementTest.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.WeightVersion;
 import java.net.URI;
@@ -27,6 +28,7 @@
         return new TargetRecord(
                 TargetId.of(id),
                 ServiceId.of("lm"),
+                SoftwareVersion.of("v1"),
                 URI.create("http://10.0.0.1:80"),
                 AvailabilityZoneId.of("a"),
                 8,
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -10,6 +10,7 @@
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.Result;
 import java.nio.charset.StandardCharsets;
@@ -39,6 +40,7 @@
         assertThat(record.id().value(), is("i-1"));
         assertThat(record.address().getPort(), is(8080));
         assertThat(record.version(ModelId.of("m")), is(WeightVersion.of(3)));
+        assertThat(record.software(), is(SoftwareVersion.of("v1")));
         assertThat(record.startedMs(), is(5L));
     }
 
@@ -50,6 +52,7 @@
         assertThat(target(TARGET.replace("\"slots\":8", "\"slots\":\"8\"")).isOk(), is(false));
         assertThat(target(TARGET.replace("10.0.0.9:8080", "10.0.0.9")).isOk(), is(false));
         assertThat(target(TARGET.replace("\"service\":\"lm\",", "")).isOk(), is(false));
+        assertThat(target(TARGET.replace("\"version\":\"v1\",", "")).isOk(), is(false));
     }
 
     @Test
