Resume the text of an item only at the software version that began it

Cause: the version was never read. An interrupted item, one moved from a slow target, and one whose text a former owner had saved went on at any target. No other way was seen: scoring calls and retries have one answer each.

Change: a text remembers the version of its first event, also in what is saved of it, and goes on there only. It waits for a target of its version no longer than it takes to generate its events again, and starts again if none serves (ResumeRule). Saved texts without a version are not used.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.chart.StateMachine;
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TextEvent;
+import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.WeightVersion;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -14,8 +15,8 @@
 
 /**
  * The run of an item up to its result, over any number of attempts at targets. Its text consists of
- * the events received so far, from which a later attempt resumes; the weight versions that
- * generated them are recorded as well.
+ * the events received so far, from which a later attempt resumes at a target of the same software
+ * version; the weight versions that generated them are recorded as well.
  */
 final class ItemRun {
     private static final StateChart<ItemState, ItemEvent> CHART =
@@ -28,6 +29,7 @@
     private final Set<WeightVersion> mVersions = new LinkedHashSet<>();
     private OptionalLong mLastEvent = OptionalLong.empty();
     private WeightVersion mVersion = WeightVersion.NONE;
+    private SoftwareVersion mSoftware = SoftwareVersion.NONE;
     private int mFailures;
     private int mScoreFailures;
     private final FailedTargets mFailedTargets = new FailedTargets();
@@ -36,10 +38,11 @@
     private int mMoveCount;
     private long mEventIntervalMs;
     private long mNextAttemptMs;
+    private long mWaitingSinceMs = -1;
     private long mLastProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
     private String mLatestTarget = "";
-    private String mLatestSoftware = "";
+    private SoftwareVersion mLatestSoftware = SoftwareVersion.NONE;
     private Runnable mCancelAction = () -> {};
 
     /** Number of the current attempt, used to ignore late events of former attempts. */
@@ -51,8 +54,12 @@
 
     // Operations
 
-    /** Restores the progress that a former owner saved. */
+    /** Restores the progress that a former owner saved, if its software version is known. */
     void restore(ItemProgress progress) {
+        if (progress.software().equals(SoftwareVersion.NONE)) {
+            return;
+        }
+        mSoftware = progress.software();
         mTexts.addAll(progress.texts());
         mTextChars = mTexts.stream().mapToInt(String::length).sum();
         mVersions.addAll(progress.versions());
@@ -68,9 +75,10 @@
     int startAttempt(TargetState target, long nowMs) {
         mTarget = Optional.of(target);
         mLatestTarget = target.record().id().value();
-        mLatestSoftware = target.record().software().value();
+        mLatestSoftware = target.record().software();
         target.recordSent(nowMs);
         mSendCount++;
+        mWaitingSinceMs = -1;
         mLastProgressMs = nowMs;
         mEventIntervalMs = 0;
         return ++mAttemptNumber;
@@ -107,6 +115,9 @@
         if (!event.version().equals(WeightVersion.NONE)) {
             mVersion = event.version();
         }
+        if (mTexts.isEmpty()) {
+            mSoftware = mLatestSoftware;
+        }
         mLastEvent = OptionalLong.of(event.id());
         mTexts.add(event.data());
         mTextChars += event.data().length();
@@ -120,6 +131,7 @@
         mTexts.clear();
         mTextChars = 0;
         mVersions.clear();
+        mSoftware = SoftwareVersion.NONE;
         mLastEvent = OptionalLong.empty();
     }
 
@@ -141,6 +153,12 @@
         return failed.allows(target, nowMs);
     }
 
+    /** Records that no target of the text's software version can take it; returns since when. */
+    long waitForSoftware(long nowMs) {
+        mWaitingSinceMs = mWaitingSinceMs < 0 ? nowMs : mWaitingSinceMs;
+        return mWaitingSinceMs;
+    }
+
     /** Counts a move away from a slow target. */
     void recordMove() {
         mMoveCount++;
@@ -176,7 +194,13 @@
                         List.copyOf(mTexts),
                         mLastEvent.getAsLong(),
                         mVersions.stream().sorted().toList(),
-                        mVersion));
+                        mVersion,
+                        mSoftware));
+    }
+
+    /** Tells whether the text may go on at a target, or begin there. */
+    boolean mayContinueAt(TargetState target) {
+        return ResumeRule.mayContinue(mSoftware, target.record().software());
     }
 
     boolean meetsMinVersion(WeightVersion minVersion) {
@@ -241,8 +265,13 @@
         return mLatestTarget;
     }
 
-    /** Returns the software version of that target, empty if there was none. */
-    String latestSoftware() {
+    /** Returns the software version that began the text, {@code NONE} if it has no event yet. */
+    SoftwareVersion software() {
+        return mSoftware;
+    }
+
+    /** Returns the software version of the latest attempt's target. */
+    SoftwareVersion latestSoftware() {
         return mLatestSoftware;
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -123,7 +123,7 @@
         Decision.of("item_interrupted")
                 .with("request", run.item().id().value())
                 .with("target", run.latestTarget())
-                .with("software", run.latestSoftware())
+                .with("software", run.latestSoftware().value())
                 .with("events", run.eventCount())
                 .with("reason", reason)
                 .info();
@@ -141,7 +141,8 @@
                         intervalMs,
                         run.moveCount(),
                         mTargets.serving(
-                                owned.batch().service(), filter(owned.batch(), run, nowMs)));
+                                owned.batch().service(),
+                                filter(owned.batch(), run, nowMs).and(run::mayContinueAt)));
         mChooser.choose(faster, nowMs)
                 .ifPresent(
                         target -> {
@@ -166,11 +167,38 @@
         if (!run.meetsMinVersion(batch.minVersion())) {
             run.discardText();
         }
+        Predicate<TargetState> filter = filter(batch, run, nowMs);
         List<TargetState> candidates =
-                mTargets.candidates(batch.service(), filter(batch, run, nowMs));
+                mTargets.candidates(batch.service(), filter.and(run::mayContinueAt));
+        if (candidates.isEmpty() && run.eventCount() > 0) {
+            candidates = candidatesForRestart(batch, run, filter, nowMs);
+        }
         mChooser.choose(candidates, nowMs).ifPresent(t -> send(owned, run, t, nowMs));
     }
 
+    /** Discards a text that no target of its software version can take, if any other can. */
+    private List<TargetState> candidatesForRestart(
+            Batch batch, ItemRun run, Predicate<TargetState> filter, long nowMs) {
+        boolean isServing = mTargets.isServing(batch.service(), run::mayContinueAt);
+        long waitedMs = nowMs - run.waitForSoftware(nowMs);
+        if (!ResumeRule.shouldRestart(isServing, run.eventCount(), waitedMs)) {
+            return List.of();
+        }
+        List<TargetState> candidates = mTargets.candidates(batch.service(), filter);
+        if (!candidates.isEmpty()) {
+            Decision.of("text_restarted")
+                    .with("request", run.item().id().value())
+                    .with("software", run.software().value())
+                    .with("is_serving", isServing)
+                    .with("events", run.eventCount())
+                    .with("waited_ms", waitedMs)
+                    .info();
+            mTelemetry.count("text_restarts_total");
+            run.discardText();
+        }
+        return candidates;
+    }
+
     private void send(OwnedBatch owned, ItemRun run, TargetState target, long nowMs) {
         Batch batch = owned.batch();
         run.apply(ItemEvent.DISPATCH);
@@ -189,7 +217,7 @@
         Decision.of("item_sent")
                 .with("request", run.item().id().value())
                 .with("target", run.latestTarget())
-                .with("software", run.latestSoftware())
+                .with("software", run.latestSoftware().value())
                 .with("after_event", run.lastEvent().orElse(0))
                 .info();
         run.setCancelAction(
@@ -353,7 +381,7 @@
                 .with("events", run.eventCount())
                 .with("expected_tokens", run.item().expectedTokens())
                 .with("target", run.latestTarget())
-                .with("software", run.latestSoftware())
+                .with("software", run.latestSoftware().value())
                 .with("sends", run.sendCount())
                 .with("versions", run.versions())
                 .info();
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -121,6 +121,17 @@
         return candidates;
     }
 
+    /**
+     * Tells whether any target of a service accepts new work, though perhaps not at once.
+     *
+     * @param service the service
+     * @param filter selects among its targets
+     * @return true if there is such a target
+     */
+    public boolean isServing(ServiceId service, Predicate<TargetState> filter) {
+        return mTargets.values().stream().anyMatch(t -> isServing(t, service) && filter.test(t));
+    }
+
     private static boolean isServing(TargetState state, ServiceId service) {
         return state.record().service().equals(service) && !state.record().isLeaving();
     }
--- a/cactusspan/src/main/java/dev/cactusspan/id/SoftwareVersion.java
+++ b/cactusspan/src/main/java/dev/cactusspan/id/SoftwareVersion.java
@@ -10,6 +10,8 @@
  * @param value the text of the version
  */
 public record SoftwareVersion(@JsonValue String value) {
+    /** No version. */
+    public static final SoftwareVersion NONE = of("");
 
     /** Checks that the text is not null. */
     public SoftwareVersion {
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -16,6 +16,7 @@
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Telemetry;
@@ -195,6 +196,16 @@
         mThread.runAll();
     }
 
+    /** Adds or updates a target that generates texts with the given software version. */
+    void putEngine(String id, String software, int slots) {
+        mTargets.put(FakeTargets.record(id, "lm", software, slots, MIN_VERSION));
+    }
+
+    /** Removes a target that has left. */
+    void removeTarget(String id) {
+        mTargets.remove(TargetId.of(id), mThread.nowMs(), true);
+    }
+
     void addScorer(String id) {
         mTargets.put(FakeTargets.record(id, "app", 8, 0));
     }
