Take nothing but a text's own stream for the rest of an interrupted text

Cause: the item's runner asked only for status 200 and the id of the request, not for the target's digest and a stream of events, and took the end of a body without events for the end of the text. Where no weight version is asked for, or the response names one, nothing else stopped it. Ruled out: bodies of other statuses (never read as events), and client streams, which are not resumed within one response.

Change: only an event stream with a digest is a text; any other success counts as the target's error and the text goes on elsewhere.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -49,7 +49,6 @@
 
     private static final int SERVER_ERROR = 500;
     private static final int UNPROCESSABLE = 422;
-    private static final int SUCCESS = 200;
 
     private final TargetTable mTargets;
     private final TargetPort mPort;
@@ -340,9 +339,14 @@
         }
     }
 
+    /** Tells whether a text follows; any other response, even an empty one, is no end of a text. */
+    private static boolean isText(ResponseHead head) {
+        return head.isSuccessWithDigest() && head.isEventStream() && head.isForThisRequest();
+    }
+
     private void onResponseHead(OwnedBatch owned, ItemRun run, ResponseHead head) {
         long nowMs = mNowMs.getAsLong();
-        if (head.status() == SUCCESS && head.isForThisRequest()) {
+        if (isText(head)) {
             if (!isFresh(owned.batch(), head.version())) {
                 run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_DELAY_MS));
                 run.cancelAttempt();
@@ -355,6 +359,9 @@
         run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_DELAY_MS));
         boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
         boolean isExhausted = false;
+        if (head.isSuccess()) {
+            run.target().ifPresent(t -> t.recordError(nowMs));
+        }
         if (isFailedAttempt) {
             run.target().ifPresent(t -> t.recordError(nowMs));
             isExhausted = run.recordFailure(nowMs) >= owned.batch().maxAttempts();
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
@@ -31,12 +31,21 @@
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
 
+    /**
+     * Returns whether the status is one of success.
+     *
+     * @return true for a 2xx status
+     */
+    public boolean isSuccess() {
+        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
+    }
+
     /**
      * Returns whether the response is a success that carries the target's digest.
      *
      * @return true for a 2xx status with a digest
      */
     public boolean isSuccessWithDigest() {
-        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS && !digest.isEmpty();
+        return isSuccess() && !digest.isEmpty();
     }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -74,12 +74,26 @@
             mListener.onHead(head(200, "s", false, WeightVersion.of(version)));
         }
 
+        /** Starts a stream without the digest that each success carries. */
+        public void startStreamWithoutDigest(long version) {
+            mListener.onHead(head(200, "", false, WeightVersion.of(version)));
+        }
+
         /** Sends a status of success and the given bytes of a body. */
         public void data(byte[] data) {
             mListener.onHead(head(200, "s", false, WeightVersion.NONE));
             mListener.onData(data, () -> {});
         }
 
+        /** Sends a complete response that is not a stream of events. */
+        public void respondWithoutEvents(int status, long version, String digest, String body) {
+            mListener.onHead(head(status, digest, false, WeightVersion.of(version), false));
+            if (!body.isEmpty()) {
+                mListener.onData(body.getBytes(StandardCharsets.UTF_8), () -> {});
+            }
+            mListener.onEnd();
+        }
+
         /** Sends an event with the given number. */
         public void event(long id, String text) {
             mListener.onData((id + "|" + text + "\n").getBytes(StandardCharsets.UTF_8), () -> {});
@@ -126,6 +140,15 @@
 
         private ResponseHead head(
                 int status, String digest, boolean isNotRun, WeightVersion version) {
+            return head(status, digest, isNotRun, version, version.number() > 0);
+        }
+
+        private ResponseHead head(
+                int status,
+                String digest,
+                boolean isNotRun,
+                WeightVersion version,
+                boolean isEventStream) {
             return new ResponseHead(
                     status,
                     Map.of(),
@@ -134,7 +157,7 @@
                     false,
                     true,
                     version,
-                    version.number() > 0,
+                    isEventStream,
                     mRequestLimitPerS);
         }
     }
