--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -151,14 +151,7 @@
         mWeights = newWeights(port);
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
-        mOrigins =
-                new StreamOriginExchange(
-                        mFleet.targets(),
-                        mFleet::desiredState,
-                        store,
-                        mFleet::isStoreAvailable,
-                        mThread,
-                        GatewayProcess::nowMs);
+        mOrigins = newOrigins(store);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
@@ -224,6 +217,16 @@
                 mWallClock);
     }
 
+    private StreamOriginExchange newOrigins(KeyStore store) {
+        return new StreamOriginExchange(
+                mFleet.targets(),
+                mFleet::desiredState,
+                store,
+                mFleet::isStoreAvailable,
+                mThread,
+                GatewayProcess::nowMs);
+    }
+
     private WeightRollout newWeights(TargetPort port) {
         return new WeightRollout(
                 mWeightDuty,
