Take no response for whole whose end is not known

Cause: of two Content-Length headers that differ the first one was believed, so that two of five bytes were a whole body; and a response with neither length nor chunks was whole wherever its connection ended. Ruled out by the same test: a cut in the status line, a header, a length, a chunk or a framed body, and negative or non-numeric lengths, which all failed as they should.

Change: differing lengths are an unusable response, and the end of a connection ends a body in failure (ResponseFraming); the limits on endless bodies are as they were. Open: a negative or non-numeric length is still logged by the HTTP library with a stack trace.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -38,6 +38,7 @@
     private XnioExecutor.Key mTimer;
     private long mBodyBytes;
     private String mKeepAlive = "";
+    private ResponseFraming mFraming = ResponseFraming.EXPLICIT;
     private boolean mSent;
     private boolean mDone;
 
@@ -122,13 +123,19 @@
         if (mDone) {
             return;
         }
+        int status = exchange.getResponse().getResponseCode();
+        mFraming = ResponseFraming.of(status, exchange.getResponse().getResponseHeaders());
+        if (mFraming == ResponseFraming.CONTRADICTORY) {
+            fail(SendFailure.UNUSABLE_RESPONSE, "the lengths of the response differ");
+            return;
+        }
         Map<String, String> headers = new HashMap<>();
         for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
             String name = values.getHeaderName().toString().toLowerCase(Locale.ROOT);
             headers.put(name, values.getFirst());
         }
         mKeepAlive = headers.getOrDefault("keep-alive", "");
-        mListener.onHead(exchange.getResponse().getResponseCode(), headers);
+        mListener.onHead(status, headers);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(this::read);
         read(channel);
@@ -187,6 +194,10 @@
     }
 
     private void complete() {
+        if (mFraming == ResponseFraming.CONNECTION_END) {
+            fail(SendFailure.CONNECTION_LOST, "the response has neither a length nor chunks");
+            return;
+        }
         if (markDone()) {
             mClient.release(mRequest.server(), mConnection, mKeepAlive);
             mListener.onEnd();
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -96,6 +96,35 @@
         return text.replace("CHUNKED", CHUNKED_HEAD).replace("\\r\\n", "\r\n");
     }
 
+    /** A target that stopped in the middle of its response left a success that looked whole. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "status line|HTTP/1.1 200 OK",
+                "status line with its end|HTTP/1.1 200 OK\\r\\n",
+                "header name|HTTP/1.1 200 OK\\r\\nContent-Len",
+                "length|HTTP/1.1 200 OK\\r\\nContent-Length: 2",
+                "headers|HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n",
+                "body|HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\n\\r\\nok",
+                "first chunk|CHUNKED4\\r\\nbo",
+                "last chunk|CHUNKED4\\r\\nbody\\r\\n",
+                "no framing|HTTP/1.1 200 OK\\r\\nServer-Stamp: s\\r\\n\\r\\nok",
+                "no framing, no body|HTTP/1.1 200 OK\\r\\nServer-Stamp: s\\r\\n\\r\\n",
+                "shorter length|HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\nContent-Length: 5\\r\\n"
+                        + "\\r\\nok",
+                "longer length|HTTP/1.1 200 OK\\r\\nContent-Length: 5\\r\\nContent-Length: 2\\r\\n"
+                        + "\\r\\nok",
+                "negative length|HTTP/1.1 200 OK\\r\\nContent-Length: -1\\r\\n\\r\\nok",
+                "length in words|HTTP/1.1 200 OK\\r\\nContent-Length: two\\r\\n\\r\\nok"
+            })
+    void shouldNotTakeACutResponseForAWholeOne(String cutIn, String bytes) throws Exception {
+        byte[] response = unescape(bytes).getBytes(StandardCharsets.US_ASCII);
+        try (RawServer server = new RawServer(out -> out.write(response))) {
+            assertThat(cutIn, get(server, LONG_TIMEOUT_MS).isOk(), is(false));
+        }
+    }
+
     @Test
     void shouldEndDripFedHeadAtTheTimeout() throws Exception {
         try (RawServer server =
