--- a/cactusspan/src/main/java/dev/cactusspan/fleet/LimitObservingTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/LimitObservingTargets.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.observe.Decision;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.result.SendFailure;
 import java.util.concurrent.CompletableFuture;
@@ -70,11 +71,23 @@
             if (head.isForThisRequest() && !head.isFromOtherTarget()) {
                 mTargets.find(mTarget.id())
                         .filter(state -> state.record().startedMs() == mTarget.startedMs())
-                        .ifPresent(state -> state.recordHead(head, mSentMs, mNowMs.getAsLong()));
+                        .ifPresent(state -> record(state, head));
             }
             mListener.onHead(head);
         }
 
+        private void record(TargetState state, ResponseHead head) {
+            state.recordHead(head, mSentMs, mNowMs.getAsLong());
+            if (head.isTargetLeaving() && !state.recordLeaving()) {
+                Decision.of("target_says_it_leaves")
+                        .with("target", mTarget.id().value())
+                        .with("service", mTarget.service().value())
+                        .with("is_leaving_in_store", state.record().isLeaving())
+                        .with("in_flight", state.inFlight())
+                        .info();
+            }
+        }
+
         @Override
         public void onData(byte[] data, Runnable consumed) {
             mListener.onData(data, consumed);
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
@@ -17,6 +17,7 @@
  * @param isEventStream true if the body is a stream of events
  * @param requestLimitPerS requests per second that the target accepts from all processes together,
  *     empty if it does not limit them
+ * @param isTargetLeaving true if the target says that it leaves
  */
 public record ResponseHead(
         int status,
@@ -27,7 +28,8 @@
         boolean isForThisRequest,
         WeightVersion version,
         boolean isEventStream,
-        OptionalDouble requestLimitPerS) {
+        OptionalDouble requestLimitPerS,
+        boolean isTargetLeaving) {
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
 
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -27,6 +27,7 @@
     private double mErrorRate;
     private long mErrorRateAsOfMs;
     private int mInFlight;
+    private boolean mIsLeavingBySignal;
     private int mConsecutiveFailures;
     private long mLastFailureMs;
     private long mAvoidUntilMs;
@@ -105,6 +106,13 @@
         mAllowance.recordResponse(head.requestLimitPerS(), head.status(), sentMs, nowMs);
     }
 
+    /** Records that the target says that it leaves; returns whether it has said so before. */
+    boolean recordLeaving() {
+        boolean isKnown = mIsLeavingBySignal;
+        mIsLeavingBySignal = true;
+        return isKnown;
+    }
+
     /** Records that a request has ended, whatever its outcome. */
     public void recordEnded() {
         mInFlight--;
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -30,6 +30,9 @@
      */
     static final String REQUEST_LIMIT = "Server-Limit";
 
+    /** Set to 1 in all responses of a target that leaves. */
+    static final String LEAVING = "Server-Leaving";
+
     static final String NOT_EXECUTED = "Not-Executed";
 
     /** A single version, which produced the start of the response. */
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -179,7 +179,8 @@
                             ? WeightVersion.of(Long.parseLong(version))
                             : WeightVersion.NONE,
                     headers.getOrDefault("content-type", "").startsWith("text/event-stream"),
-                    PlatformHeaders.requestLimit(headers));
+                    PlatformHeaders.requestLimit(headers),
+                    PlatformHeaders.get(headers, PlatformHeaders.LEAVING).strip().equals("1"));
         }
 
         @Override
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -34,6 +34,7 @@
         private final TargetListener mListener;
         private boolean mIsCancelled;
         private OptionalDouble mRequestLimitPerS = OptionalDouble.empty();
+        private boolean mIsTargetLeaving;
 
         Sent(TargetRecord target, TargetRequest request, TargetListener listener) {
             mTarget = target;
@@ -59,6 +60,12 @@
             return this;
         }
 
+        /** Has the target say that it leaves in the responses that follow. */
+        public Sent leaving() {
+            mIsTargetLeaving = true;
+            return this;
+        }
+
         /** Sends a complete success response with the target's digest. */
         public void succeed() {
             respond(200, "stamp-" + mRequest.id(), false);
@@ -135,7 +142,8 @@
                             false,
                             WeightVersion.NONE,
                             false,
-                            OptionalDouble.empty()));
+                            OptionalDouble.empty(),
+                            mIsTargetLeaving));
         }
 
         private ResponseHead head(
@@ -158,7 +166,8 @@
                     true,
                     version,
                     isEventStream,
-                    mRequestLimitPerS);
+                    mRequestLimitPerS,
+                    mIsTargetLeaving);
         }
     }
 
