Send nothing more to a target that said in a response that it leaves

Change: the port that sees each response head before it is handled (ObservingTargets, which had read the request limit only) records it in the table of targets, which all choosers ask: client requests, retries, hedges, items, scoring calls, permits, weights. It holds until the target starts again, also if its entry is gone meanwhile or written again, and no entry can take it back.

--- a/cactusspan/src/main/java/dev/cactusspan/fleet/LimitObservingTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ObservingTargets.java
@@ -7,11 +7,15 @@
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.result.SendFailure;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
-/** Sends requests through another port, and records the request limits that targets name. */
-public final class LimitObservingTargets implements TargetPort {
+/**
+ * Sends requests through another port, and records what targets say of themselves in the heads of
+ * their responses: the request limit that they name, and that they leave.
+ */
+public final class ObservingTargets implements TargetPort {
     private final TargetPort mPort;
     private final TargetTable mTargets;
     private final LongSupplier mNowMs;
@@ -23,7 +27,7 @@
      * @param targets known targets
      * @param nowMs monotonic clock in milliseconds
      */
-    public LimitObservingTargets(TargetPort port, TargetTable targets, LongSupplier nowMs) {
+    public ObservingTargets(TargetPort port, TargetTable targets, LongSupplier nowMs) {
         mPort = port;
         mTargets = targets;
         mNowMs = nowMs;
@@ -55,7 +59,7 @@
         return mPort.orderVersion(target, model, version, holder, fencing, expectedOrders);
     }
 
-    /** Reads the limit from the head of one response before the head is handled. */
+    /** Reads the head of one response before it is handled. */
     private final class HeadObserver implements TargetListener {
         private final TargetRecord mTarget;
         private final TargetListener mListener;
@@ -69,23 +73,25 @@
         @Override
         public void onHead(ResponseHead head) {
             if (head.isForThisRequest() && !head.isFromOtherTarget()) {
+                if (head.isTargetLeaving() && mTargets.recordLeaving(mTarget)) {
+                    logLeaving();
+                }
                 mTargets.find(mTarget.id())
                         .filter(state -> state.record().startedMs() == mTarget.startedMs())
-                        .ifPresent(state -> record(state, head));
+                        .ifPresent(state -> state.recordHead(head, mSentMs, mNowMs.getAsLong()));
             }
             mListener.onHead(head);
         }
 
-        private void record(TargetState state, ResponseHead head) {
-            state.recordHead(head, mSentMs, mNowMs.getAsLong());
-            if (head.isTargetLeaving() && !state.recordLeaving()) {
-                Decision.of("target_says_it_leaves")
-                        .with("target", mTarget.id().value())
-                        .with("service", mTarget.service().value())
-                        .with("is_leaving_in_store", state.record().isLeaving())
-                        .with("in_flight", state.inFlight())
-                        .info();
-            }
+        private void logLeaving() {
+            Optional<TargetState> state = mTargets.find(mTarget.id());
+            Decision.of("target_says_it_leaves")
+                    .with("target", mTarget.id().value())
+                    .with("service", mTarget.service().value())
+                    .with("is_known", state.isPresent())
+                    .with("in_store", state.map(s -> s.record().isLeaving()).orElse(false))
+                    .with("in_flight", state.map(TargetState::inFlight).orElse(0))
+                    .info();
         }
 
         @Override
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -27,7 +27,7 @@
     private double mErrorRate;
     private long mErrorRateAsOfMs;
     private int mInFlight;
-    private boolean mIsLeavingBySignal;
+    private boolean mHasSaidLeaving;
     private int mConsecutiveFailures;
     private long mLastFailureMs;
     private long mAvoidUntilMs;
@@ -106,11 +106,9 @@
         mAllowance.recordResponse(head.requestLimitPerS(), head.status(), sentMs, nowMs);
     }
 
-    /** Records that the target says that it leaves; returns whether it has said so before. */
-    boolean recordLeaving() {
-        boolean isKnown = mIsLeavingBySignal;
-        mIsLeavingBySignal = true;
-        return isKnown;
+    /** Records that the target said that it leaves, which holds until it starts again. */
+    void recordLeaving() {
+        mHasSaidLeaving = true;
     }
 
     /** Records that a request has ended, whatever its outcome. */
@@ -229,6 +227,15 @@
         return mRecord;
     }
 
+    /**
+     * Returns whether the target accepts no new work.
+     *
+     * @return true if its entry or any of its responses says so
+     */
+    public boolean isLeaving() {
+        return mHasSaidLeaving || mRecord.isLeaving();
+    }
+
     /**
      * Returns the number of requests from this process that are in flight at the target.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -15,14 +15,21 @@
 /**
  * Targets known to this process. An entry that is removed while the store is available belongs to a
  * target that has left. An entry that is lost around a store outage is kept for a while, because
- * its lease may have expired although the target is alive.
+ * its lease may have expired although the target is alive. A target that said that it leaves does
+ * so until it starts again, whatever its entry says, which it may have been unable to change.
  */
 public final class TargetTable {
     /** Time that a target has to register again after a store outage, in milliseconds. */
     private static final long REREGISTRATION_TIMEOUT_MS = 2_200;
 
+    /** Maximum number of targets of which it is remembered that they said that they leave. */
+    private static final int MAX_LEAVING = 4_096;
+
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
 
+    /** Start times of the targets that said that they leave, also after they are gone. */
+    private final Map<TargetId, Long> mLeavingStartedMs = new LinkedHashMap<>();
+
     // Operations
 
     /**
@@ -34,12 +41,45 @@
         TargetState state = mTargets.get(record.id());
         boolean isRestarted = state != null && state.record().startedMs() != record.startedMs();
         if (state == null || isRestarted) {
-            mTargets.put(record.id(), new TargetState(record));
+            mTargets.put(record.id(), newState(record));
             return;
         }
         state.update(record);
     }
 
+    private TargetState newState(TargetRecord record) {
+        TargetState state = new TargetState(record);
+        if (hasSaidLeaving(record)) {
+            state.recordLeaving();
+        }
+        return state;
+    }
+
+    private boolean hasSaidLeaving(TargetRecord record) {
+        return mLeavingStartedMs.getOrDefault(record.id(), Long.MIN_VALUE) == record.startedMs();
+    }
+
+    /**
+     * Records that a target said in a response that it leaves.
+     *
+     * @param target registration entry that the target had when the request was sent
+     * @return false if it has said so before
+     */
+    public boolean recordLeaving(TargetRecord target) {
+        if (hasSaidLeaving(target)) {
+            return false;
+        }
+        mLeavingStartedMs.remove(target.id());
+        mLeavingStartedMs.put(target.id(), target.startedMs());
+        if (mLeavingStartedMs.size() > MAX_LEAVING) {
+            mLeavingStartedMs.remove(mLeavingStartedMs.keySet().iterator().next());
+        }
+        find(target.id())
+                .filter(state -> state.record().startedMs() == target.startedMs())
+                .ifPresent(TargetState::recordLeaving);
+        return true;
+    }
+
     /**
      * Handles the removal of the entry of a target.
      *
@@ -52,7 +92,7 @@
         if (state == null) {
             return;
         }
-        if (isStoreAvailable || state.record().isLeaving()) {
+        if (isStoreAvailable || state.isLeaving()) {
             mTargets.remove(id);
             return;
         }
@@ -134,7 +174,7 @@
     }
 
     private static boolean isServing(TargetState state, ServiceId service) {
-        return state.record().service().equals(service) && !state.record().isLeaving();
+        return state.record().service().equals(service) && !state.isLeaving();
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -7,7 +7,7 @@
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
-import dev.cactusspan.fleet.LimitObservingTargets;
+import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
 import dev.cactusspan.forward.CrashGuard;
@@ -135,7 +135,7 @@
                         settings.drainMs(),
                         GatewayProcess::nowMs);
         TargetPort port =
-                new LimitObservingTargets(
+                new ObservingTargets(
                         new PlatformTargets(mHttp, mThread),
                         mFleet.targets(),
                         GatewayProcess::nowMs);
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -165,6 +165,24 @@
         assertThat(stored().get(0).text(), is("t1\nt2\nt3"));
     }
 
+    @Test
+    void shouldSendNoItemToATargetThatSaidItLeaves() {
+        BatchNode node = startWithOneRun();
+        FakeTargets.Sent first = node.port().last();
+        first.leaving().startStream(BatchNode.MIN_VERSION);
+        first.events(2);
+        first.disconnect();
+        run(100);
+        assertThat(node.port().last().target().id(), is(not(first.target().id())));
+        run(1_000);
+        assertThat(
+                node.port().sent().stream()
+                        .skip(1)
+                        .filter(s -> s.target().id().equals(first.target().id()))
+                        .toList(),
+                is(empty()));
+    }
+
     @Test
     void shouldMoveStalledRunToAnotherTarget() {
         BatchNode node = startWithOneRun();
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.fleet.FakeTargets;
 import dev.cactusspan.fleet.FleetRoute;
 import dev.cactusspan.fleet.FleetService;
+import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetTable;
@@ -75,7 +76,7 @@
                                 mSelf.owner(),
                                 thread,
                                 mTargets,
-                                mPort,
+                                new ObservingTargets(mPort, mTargets, thread::nowMs),
                                 new TargetChooser(
                                         zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
                                 () -> Optional.of(DESIRED),
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -179,6 +179,21 @@
         return record(id, service, "v1", slots, version);
     }
 
+    /** Returns the registration entry that a target has after it started again. */
+    public static TargetRecord restarted(TargetRecord target) {
+        return new TargetRecord(
+                target.id(),
+                target.service(),
+                target.software(),
+                target.address(),
+                target.zone(),
+                target.slots(),
+                false,
+                0,
+                target.startedMs() + 1,
+                target.versions());
+    }
+
     /** Returns the registration entry of a target with the given version of its software. */
     public static TargetRecord record(
             String id, String service, String software, int slots, long version) {
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
@@ -2,7 +2,7 @@
 
 import dev.cactusspan.fleet.FakeTargets;
 import dev.cactusspan.fleet.FleetRoute;
-import dev.cactusspan.fleet.LimitObservingTargets;
+import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetTable;
@@ -35,7 +35,7 @@
     final RequestForwarder mForwarder =
             new RequestForwarder(
                     mTargets,
-                    new LimitObservingTargets(mPort, mTargets, mThread::nowMs),
+                    new ObservingTargets(mPort, mTargets, mThread::nowMs),
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
                     Optional::empty,
                     this::countUsage,
