Count targets that leave among those at which a stream may be resumed

Found on reading again beside the change for DRAIN: that a target said it leaves is known to this process only, so that others may still resume streams there. With the store unavailable and all targets of the oldest origin leaving in this process's view, a stream of a newer one would have been passed on without a record, to be taken for one of the oldest origin later. Change: the origins of all known targets count, leaving or not. Test: StreamsJoinedAfterRestartTest .shouldNotBeginUnrecordedStreamsBesideTargetsOfTheOldestVersionThatLeave.

--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -178,16 +178,15 @@
     }
 
     /**
-     * Returns the entries of the targets of a service that accept new work, though perhaps not at
-     * once.
+     * Returns the entries of all known targets of a service, also of those that leave.
      *
      * @param service the service
      * @return the entries
      */
-    public Stream<TargetRecord> serving(ServiceId service) {
+    public Stream<TargetRecord> records(ServiceId service) {
         return mTargets.values().stream()
-                .filter(t -> isServing(t, service))
-                .map(TargetState::record);
+                .map(TargetState::record)
+                .filter(record -> record.service().equals(service));
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/forward/OriginListing.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/OriginListing.java
@@ -49,25 +49,25 @@
      * Returns the change of a route's list that is due.
      *
      * @param route the route
-     * @param serving origins at which targets are known
+     * @param present origins of known targets
      * @param nowMs monotonic clock in milliseconds
      * @return the change, empty if the list is right
      */
-    public Optional<Change> nextChange(RouteId route, Set<StreamOrigin> serving, long nowMs) {
+    public Optional<Change> nextChange(RouteId route, Set<StreamOrigin> present, long nowMs) {
         Listed listed = mListed.getOrDefault(route, new Listed(List.of(), 0));
         Map<StreamOrigin, Long> seenMs = mSeenMs.computeIfAbsent(route, r -> new HashMap<>());
         seenMs.keySet().retainAll(listed.origins());
         listed.origins().forEach(origin -> seenMs.putIfAbsent(origin, nowMs));
         List<StreamOrigin> origins = new ArrayList<>();
         for (StreamOrigin origin : listed.origins()) {
-            if (serving.contains(origin)) {
+            if (present.contains(origin)) {
                 seenMs.put(origin, nowMs);
             }
             if (nowMs - seenMs.get(origin) < RETENTION_MS) {
                 origins.add(origin);
             }
         }
-        inOrder(serving).stream().filter(o -> !origins.contains(o)).forEach(origins::add);
+        inOrder(present).stream().filter(o -> !origins.contains(o)).forEach(origins::add);
         return origins.equals(listed.origins())
                 ? Optional.empty()
                 : Optional.of(new Change(route, listed.revision(), origins));
--- a/cactusspan/src/main/java/dev/cactusspan/forward/OriginRule.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/OriginRule.java
@@ -7,7 +7,7 @@
  * Decides which resumable streams need a record of their origin. Load pattern: thousands of streams
  * a second, nearly always of one software version, so that the oldest origin of a route needs no
  * record; during an upgrade those of the new version do. While the store is unavailable, streams
- * begin at the oldest origin if any of its targets serves, as the others could not be resumed.
+ * begin at the oldest origin while any of its targets is known, as the others could not be resumed.
  */
 public final class OriginRule {
     private OriginRule() {}
@@ -28,28 +28,28 @@
      *
      * @param base oldest origin of the route
      * @param origin origin of streams that begin at the target
-     * @param serving origins at which targets serve
+     * @param present origins of known targets
      * @param isStoreAvailable true if records can be written
      * @return true if it may begin there
      */
     public static boolean mayBegin(
             Optional<StreamOrigin> base,
             StreamOrigin origin,
-            Set<StreamOrigin> serving,
+            Set<StreamOrigin> present,
             boolean isStoreAvailable) {
         return isStoreAvailable
                 || !needsRecord(base, origin)
-                || base.filter(serving::contains).isEmpty();
+                || base.filter(present::contains).isEmpty();
     }
 
     /**
      * Tells whether a stream whose record could not be written may be passed on.
      *
      * @param origin where the stream began
-     * @param serving origins at which targets serve
+     * @param present origins of known targets
      * @return true if it cannot be resumed at another origin
      */
-    public static boolean mayPassUnrecorded(StreamOrigin origin, Set<StreamOrigin> serving) {
-        return serving.stream().allMatch(origin::equals);
+    public static boolean mayPassUnrecorded(StreamOrigin origin, Set<StreamOrigin> present) {
+        return present.stream().allMatch(origin::equals);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/OriginLister.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/OriginLister.java
@@ -43,10 +43,10 @@
     // Operations
 
     /** Writes the change of a route's list that is due; only one process does so at a time. */
-    void tick(RouteId route, Set<StreamOrigin> serving) {
+    void tick(RouteId route, Set<StreamOrigin> present) {
         long nowMs = mNowMs.getAsLong();
         if (!mIsWriting && nowMs >= mNextMs) {
-            mListing.nextChange(route, serving, nowMs).ifPresent(this::write);
+            mListing.nextChange(route, present, nowMs).ifPresent(this::write);
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/StreamOriginExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/StreamOriginExchange.java
@@ -74,7 +74,7 @@
     private final LongSupplier mNowMs;
     private final OriginLister mLister;
     private final RotatingLease mLease;
-    private final Map<RouteId, Set<StreamOrigin>> mServing = new HashMap<>();
+    private final Map<RouteId, Set<StreamOrigin>> mPresent = new HashMap<>();
     private final Map<RequestId, StreamOrigin> mKnown =
             new LinkedHashMap<>() {
                 @Override
@@ -153,7 +153,7 @@
         StreamOrigin origin = StreamOrigin.of(target);
         return !OriginRule.needsRecord(base, origin)
                 || OriginRule.mayBegin(
-                        base, origin, serving(route), mIsStoreAvailable.getAsBoolean());
+                        base, origin, present(route), mIsStoreAvailable.getAsBoolean());
     }
 
     @Override
@@ -180,7 +180,7 @@
 
     /** Ends the withholding of a stream without a record, which is written later if it may pass. */
     private void giveUp(Entry entry) {
-        boolean mayPass = OriginRule.mayPassUnrecorded(entry.mOrigin, serving(entry.mRoute));
+        boolean mayPass = OriginRule.mayPassUnrecorded(entry.mOrigin, present(entry.mRoute));
         Decision.of("origin_not_recorded")
                 .with("request", entry.mId.value())
                 .with("software", entry.mOrigin.software().value())
@@ -230,19 +230,22 @@
                 .orElse(Result.fail(ErrorKind.STREAM_ORIGIN_UNKNOWN, "no record of " + id));
     }
 
-    /** Returns the origins at which targets serve, as of the latest tick. */
-    private Set<StreamOrigin> serving(FleetRoute route) {
-        return mServing.computeIfAbsent(
+    /**
+     * Returns the origins of all known targets, as of the latest tick. Those that leave are among
+     * them, as other processes may still send to them.
+     */
+    private Set<StreamOrigin> present(FleetRoute route) {
+        return mPresent.computeIfAbsent(
                 route.name(),
                 name -> {
-                    Set<StreamOrigin> serving = new HashSet<>();
+                    Set<StreamOrigin> present = new HashSet<>();
                     route.shares()
                             .forEach(
                                     s ->
-                                            mTargets.serving(s.service())
+                                            mTargets.records(s.service())
                                                     .map(StreamOrigin::of)
-                                                    .forEach(serving::add));
-                    return serving;
+                                                    .forEach(present::add));
+                    return present;
                 });
     }
 
@@ -264,7 +267,7 @@
      */
     void tick(boolean isLister) {
         long nowMs = mNowMs.getAsLong();
-        mServing.clear();
+        mPresent.clear();
         for (Search search : List.copyOf(mSearches)) {
             if (nowMs >= search.mDeadlineMs) {
                 complete(
@@ -284,7 +287,7 @@
         }
         writeNext(nowMs);
         if (isLister) {
-            routes.forEach(route -> mLister.tick(route.name(), serving(route)));
+            routes.forEach(route -> mLister.tick(route.name(), present(route)));
         }
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
@@ -357,6 +357,24 @@
         assertThat(client.mSoftware, is(Set.of("v2")));
     }
 
+    /** Other processes may still send to a target that said to this one that it leaves. */
+    @Test
+    void shouldNotBeginUnrecordedStreamsBesideTargetsOfTheOldestVersionThatLeave() {
+        mTargets.put("a", "v1");
+        start(1);
+        mTargets.put("b", "v2");
+        run(100);
+        mStore.setDown(true);
+        run(1_000);
+        Node node = mNodes.get(0);
+        node.mTable.recordLeaving(node.mTable.find(TargetId.of("a")).orElseThrow().record());
+        Client client = new Client();
+        submit(node, client);
+        run(1_000);
+        assertThat(node.mPort.sent(), is(empty()));
+        assertThat(client.mFailure.orElseThrow().isNotRun(), is(true));
+    }
+
     @Test
     void shouldNotCallTheStoreForStreamsOfTheOldestVersion() {
         mTargets.put("a", "v1");
