--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultSoak.java
@@ -21,6 +21,8 @@
     private static final int ITEMS = 12;
     private static final int CALLERS = 4;
     private static final long QUOTE_INTERVAL_MS = 120;
+    private static final int STREAMS = 2;
+    private static final long STREAM_TIMEOUT_MS = 20_000;
     private static final long STEP_TIMEOUT_MS = 15_000;
     private static final long RECOVERY_TIMEOUT_MS = 12_000;
     private static final int FINAL_QUOTES = 20;
@@ -57,6 +59,7 @@
         mRandom = new Random(seed);
         mTargetRandom = new Random(~seed);
         mDeployment = HostedDeployment.start(folder, NODES, this::startProxy);
+        mDeployment.addEngine("engine-new", "v2");
         for (TargetEmulator target : mDeployment.targets()) {
             target.registerPort(startProxy(target.port()));
         }
@@ -93,6 +96,10 @@
         Thread quotes = start("quotes", this::sendQuotes);
         Thread trainer = start("trainer", this::runSteps);
         Thread targets = start("targets", this::injectTargetFaults);
+        List<Thread> streams = new ArrayList<>();
+        for (int i = 0; i < STREAMS; i++) {
+            streams.add(start("streams", this::readStreams));
+        }
         long startMs = System.currentTimeMillis();
         while (System.currentTimeMillis() < startMs + durationMs) {
             injectFault(System.currentTimeMillis() - startMs);
@@ -103,6 +110,9 @@
         quotes.join();
         trainer.join();
         targets.join();
+        for (Thread stream : streams) {
+            stream.join();
+        }
         for (GatewayNode node : mDeployment.nodes()) {
             if (!HostedDeployment.awaitReady(node, RECOVERY_TIMEOUT_MS)) {
                 mDeployment
@@ -130,6 +140,13 @@
         }
     }
 
+    private void readStreams() {
+        for (int i = 0; !mIsFinished; i++) {
+            new StreamClient(mDeployment.nodes(), mDeployment.observations(), i)
+                    .read(STREAM_TIMEOUT_MS);
+        }
+    }
+
     private void runSteps() {
         for (int step = 0; !mIsFinished; step++) {
             mClients.runStep(step, Math.max(1, step), ITEMS, STEP_TIMEOUT_MS, STEP_TIMEOUT_MS);
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -32,6 +32,7 @@
     private static final HttpString RESPONSE_DIGEST = new HttpString("Server-Stamp");
     private static final HttpString NOT_EXECUTED = new HttpString("Not-Executed");
     private static final HttpString WEIGHT_VERSIONS = new HttpString("Weight-Versions");
+    private static final HttpString LEAVING = new HttpString("Server-Leaving");
     private static final HttpString REQUEST_LIMIT = new HttpString("Server-Limit");
     private static final long NS_PER_MS = 1_000_000;
 
@@ -68,6 +69,8 @@
     private Undertow mServer;
     private volatile boolean mIsLoading;
     private volatile boolean mIsDraining;
+    private volatile boolean mSaysItLeaves;
+    private final AtomicInteger mRequestsWhileLeaving = new AtomicInteger();
     private volatile int mTruncateOneIn;
     private volatile int mFailOneIn;
     private volatile Optional<String> mLimit = Optional.empty();
@@ -183,6 +186,11 @@
         new Thread(this::restart, mId + "-restart").start();
     }
 
+    /** Says in all responses that the target leaves, while its entry still reports it as ready. */
+    void sayLeaving() {
+        mSaysItLeaves = true;
+    }
+
     /** Reports that the target is draining; it still serves new requests. */
     public void startDraining() {
         mIsDraining = true;
@@ -274,6 +282,10 @@
     private void run(HttpServerExchange exchange, byte[] body) {
         String id = StandInServer.header(exchange, "Attempt-Id");
         exchange.getResponseHeaders().put(ATTEMPT_ID, id);
+        if (mSaysItLeaves) {
+            mRequestsWhileLeaving.incrementAndGet();
+            exchange.getResponseHeaders().put(LEAVING, "1");
+        }
         mLimit.ifPresent(limit -> exchange.getResponseHeaders().put(REQUEST_LIMIT, limit));
         mLimitCheck.ifPresent(check -> check.recordRequest(System.nanoTime() / NS_PER_MS));
         if (!StandInServer.header(exchange, "Expect-Instance").equals(mId)) {
@@ -387,6 +399,11 @@
         }
     }
 
+    /** Returns how many requests arrived after the target began to say that it leaves. */
+    int requestsWhileLeaving() {
+        return mRequestsWhileLeaving.get();
+    }
+
     /**
      * Returns the id.
      *
