--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/StreamClient.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/StreamClient.java
@@ -113,7 +113,7 @@
                 data = line.substring(6);
             } else if (line.isEmpty()) {
                 accept(id, event, data);
-            } else {
+            } else if (!line.startsWith("weight-versions: ")) {
                 mObservations.addViolation(id + ": not a line of an event: " + line);
             }
         }
