--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/TargetSaidItLeavesTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/LeavingTargetGotRequestsTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Requests reached a target for seconds after it had said in a response that it leaves. */
-final class TargetSaidItLeavesTest {
+final class LeavingTargetGotRequestsTest {
     /** One whose response tells the process, and one that it may have given up before. */
     private static final int MAX_REQUESTS = 2 * LeavingTargetTrial.NODES;
 
