--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/StreamClient.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/StreamClient.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -88,7 +89,7 @@
                 first ->
                         request.header("Last-Event-Id", Integer.toString(mLastEvent))
                                 .header("Resumes", first));
-        HttpResponse<java.io.InputStream> response =
+        HttpResponse<InputStream> response =
                 mHttp.send(request.build(), HttpResponse.BodyHandlers.ofInputStream());
         if (mFirst.isPresent()) {
             mResumptions++;
--- a/cactusspan/src/main/java/dev/cactusspan/forward/OriginListing.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/OriginListing.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.RouteId;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -76,7 +77,7 @@
     private static Set<StreamOrigin> inOrder(Set<StreamOrigin> origins) {
         Set<StreamOrigin> ordered =
                 new TreeSet<>(
-                        java.util.Comparator.comparing((StreamOrigin o) -> o.service().value())
+                        Comparator.comparing((StreamOrigin o) -> o.service().value())
                                 .thenComparing(o -> o.software().value()));
         ordered.addAll(origins);
         return ordered;
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
@@ -41,6 +41,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -78,7 +79,7 @@
     private final ManualThread mThread = new ManualThread();
     private final FakeKeyStore mStore = new FakeKeyStore(mThread);
     private final List<Node> mNodes = new ArrayList<>();
-    private final Map<String, String> mTargets = new java.util.TreeMap<>();
+    private final Map<String, String> mTargets = new TreeMap<>();
     private int mRequests;
 
     /** One process. */
@@ -90,7 +91,7 @@
                         mTable,
                         () -> Optional.of(DESIRED),
                         mStore,
-                        () -> mMirror().isHealthy(),
+                        this::isStoreAvailable,
                         mThread,
                         mThread::nowMs);
         private final PrefixMirror mMirror =
@@ -119,8 +120,8 @@
                 new StreamResumer(mForwarder, mOrigins, Telemetry.create());
         private int mAnswered;
 
-        private PrefixMirror mMirror() {
-            return mMirror;
+        private boolean isStoreAvailable() {
+            return mMirror.isHealthy();
         }
 
         void tick(boolean isLister) {
