--- a/review/standin/StuckDuty.java
+++ b/review/standin/StuckDuty.java
@@ -152,20 +152,20 @@
         return mEngines.stream().mapToInt(Engine::running).sum();
     }
 
-    /** Counts the items that LOST counts, in a step whose time is up. */
+    /** Counts the items that LOST counts, in a step whose time is up: those that never began. */
     private void checkLost(String batch, long namedMs, int mostRunning) {
         long nowMs = Store.nowMs();
         long fromMs = namedMs + VERSION_EXCUSE_MS;
         int begun = 0;
         int lost = 0;
         for (int i = 0; i < ITEMS; i++) {
-            long firstRunMs = mFirstRunMs.getOrDefault(Trainer.itemId(batch, i), nowMs);
-            begun += firstRunMs < nowMs ? 1 : 0;
-            lost += firstRunMs - fromMs >= LOST_MS ? 1 : 0;
+            boolean hasBegun = mFirstRunMs.containsKey(Trainer.itemId(batch, i));
+            begun += hasBegun ? 1 : 0;
+            lost += !hasBegun && nowMs - fromMs >= LOST_MS ? 1 : 0;
         }
         boolean isHalfFull = 2 * mostRunning >= WORKERS * SLOTS;
         mRecord.report(
-                "its time is up: %d items have begun, %d were at no worker for 5 s, at most %d of"
+                "its time is up: %d items have begun, %d were at no worker all along, at most %d of"
                         + " %d slots were taken",
                 begun, lost, mostRunning, WORKERS * SLOTS);
         if (begun > 0 && !isHalfFull) {
