--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -151,6 +151,7 @@
     private final Path mRoot;
     private final Path mFolder;
     private final List<String> mCommand;
+    private boolean mIsClosed;
 
     /** A part of the loopback range that no other run uses, as all entries use the same ports. */
     private final String mSubnet =
@@ -258,13 +259,12 @@
         store.put("servers/" + id, entry);
     }
 
-    /** Returns the folder of the logs and the settings. */
-    Path folder() {
-        return mFolder;
-    }
-
     @Override
     public synchronized void close() {
+        if (mIsClosed) {
+            return;
+        }
+        mIsClosed = true;
         try {
             for (Entry entry : entries) {
                 entry.stop();
@@ -277,8 +277,6 @@
             }
         } catch (IOException | InterruptedException e) {
             System.err.println("cannot clean up: " + e);
-        } catch (NullPointerException e) {
-            // The folder was removed by an earlier call.
         }
     }
 }
--- a/review/standin/SmuggledRequest.java
+++ b/review/standin/SmuggledRequest.java
@@ -1,6 +1,5 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
