Ask for the outcome of an own write until it is answered

Cause: DutyHolder read the key once after a write with an open outcome. The same in BatchManager: a sweeper that lost the reply to a take-over and was no longer the sweeper afterwards did not ask again, follows no owner keys, and left the batch idle.

Ruled out: the mirror as the only answer (it may fail as long as the reads, and a former sweeper has none); a read that shows the old revision (the write may still be carried out).

Change: OpenWrite, a plain class, decides what follows a failed conditional write: nothing, the same write again, or a read, until the key is known. Used for duties, new batches, take-overs and the sealing of usage. An own duty key under which the process does not act is written again.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.store.OpenWrite;
 import dev.cactusspan.store.StoredItem;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -114,17 +115,17 @@
                     mAcquiring.remove(batch.id());
                     done.accept(result);
                 },
-                true);
+                new OpenWrite());
     }
 
-    private void create(Batch batch, Consumer<Result<Boolean>> done, boolean isFirst) {
+    private void create(Batch batch, Consumer<Result<Boolean>> done, OpenWrite write) {
         BatchOwnership ownership = BatchOwnership.of(batch, mOwner);
         FutureResults.deliver(
                 mStore.create(batch, ownership),
                 mThread,
                 r ->
                         r.fold(
-                                f -> onCreateFailed(batch, done, isFirst, f),
+                                f -> onCreateFailed(batch, done, write, f),
                                 revision -> onCreated(batch, ownership, revision, done)));
     }
 
@@ -146,16 +147,12 @@
     }
 
     private Void onCreateFailed(
-            Batch batch, Consumer<Result<Boolean>> done, boolean isFirst, Failure failure) {
-        if (failure.kind() == ErrorKind.CONFLICT) {
-            lookUpOwner(batch, done);
-            return null;
+            Batch batch, Consumer<Result<Boolean>> done, OpenWrite write, Failure failure) {
+        switch (write.onWriteFailed(failure)) {
+            case READ -> lookUpOwner(batch, done);
+            case WRITE -> mDelayed.add(() -> create(batch, done, write));
+            default -> done.accept(Result.fail(failure));
         }
-        if (isFirst && failure.kind() != ErrorKind.OUTCOME_UNKNOWN) {
-            done.accept(Result.fail(failure));
-            return null;
-        }
-        mDelayed.add(() -> create(batch, done, false));
         return null;
     }
 
@@ -262,12 +259,12 @@
                 mAcquiring.add(id);
                 loadBatch(id, entry.getValue().revision());
             } else if (isSweeper && isOrphan) {
-                tryTakeOver(entry.getValue());
+                tryTakeOver(entry.getValue(), new OpenWrite());
             }
         }
     }
 
-    private void tryTakeOver(KnownOwnership known) {
+    private void tryTakeOver(KnownOwnership known, OpenWrite write) {
         BatchId id = known.ownership().id();
         mAcquiring.add(id);
         BatchOwnership mine = known.ownership().withOwner(mOwner);
@@ -277,10 +274,10 @@
                 r ->
                         r.fold(
                                 f -> {
-                                    if (f.kind() == ErrorKind.CONFLICT) {
-                                        refreshOwnership(id);
-                                    } else {
-                                        mDelayed.add(() -> mAcquiring.remove(id));
+                                    switch (write.onWriteFailed(f)) {
+                                        case READ -> refreshOwnership(id);
+                                        case WRITE -> mDelayed.add(() -> tryTakeOver(known, write));
+                                        default -> mDelayed.add(() -> mAcquiring.remove(id));
                                     }
                                     return null;
                                 },
--- a/cactusspan/src/main/java/dev/cactusspan/duty/DutyHolder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/DutyHolder.java
@@ -5,10 +5,10 @@
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.peer.NodeRecord;
 import dev.cactusspan.peer.NodeSession;
-import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.OpenWrite;
 import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.store.Transaction;
 import java.nio.charset.StandardCharsets;
@@ -21,7 +21,8 @@
  * Holds a duty through a key that is bound to this process's lease. The revision of the write that
  * acquired the key is the fencing number: it is unique to a holder and increases from holder to
  * holder. A process that reacquires the duty waits before it acts again, so that two holders do not
- * alternate within a short time.
+ * alternate within a short time. A process that finds its own key without acting under it, because
+ * the outcome of its write was open or a receiver refused its number, writes the key again.
  */
 public final class DutyHolder {
 
@@ -41,13 +42,14 @@
     private final long mHandoverDelayMs;
     private final Executor mThread;
     private final LongSupplier mNowMs;
+    private final OpenWrite mWrite = new OpenWrite();
     private Optional<StoredItem> mKey = Optional.empty();
     private FencingNumber mFencing = FencingNumber.NONE;
     private long mLease;
     private long mActNotBeforeMs;
     private long mLastActMs;
     private boolean mIsBusy;
-    private boolean mIsFenced;
+    private long mExpectedRevision;
     private long mNextAttemptMs;
 
     /**
@@ -105,16 +107,26 @@
         }
         long nowMs = mNowMs.getAsLong();
         boolean isChosen = mNodes.choose(mName).equals(Optional.of(self()));
-        boolean isOwnKeyFenced = mIsFenced && mKey.map(k -> owner(k).equals(self())).orElse(false);
-        boolean isEligible = isOwnKeyFenced || isHeldByFormerBoot() || (mKey.isEmpty() && isChosen);
-        if (mIsBusy || isAcquired() || !isEligible || nowMs < mNextAttemptMs) {
+        boolean isIdle = !mIsBusy && !isAcquired() && nowMs >= mNextAttemptMs;
+        if (!isIdle || !mSession.isHeld(MIN_LEASE_LEFT_MS)) {
             return;
         }
-        if (mSession.isHeld(MIN_LEASE_LEFT_MS)) {
-            acquire(nowMs);
+        switch (mWrite.step()) {
+            case READ -> readKey(nowMs);
+            case WRITE -> acquire(mExpectedRevision, nowMs);
+            default -> {
+                boolean isFree = mKey.isEmpty() && isChosen;
+                if (isFree || isOwnKey() || isHeldByFormerBoot()) {
+                    acquire(mKey.map(StoredItem::revision).orElse(0L), nowMs);
+                }
+            }
         }
     }
 
+    private boolean isOwnKey() {
+        return mKey.map(k -> owner(k).equals(self())).orElse(false);
+    }
+
     /** Tells whether a former process of this VM holds the key; it cannot be running any more. */
     private boolean isHeldByFormerBoot() {
         String vm = mSession.self().vm().value() + NodeRecord.BOOT_SEPARATOR;
@@ -123,15 +135,15 @@
                 .isPresent();
     }
 
-    private void acquire(long nowMs) {
+    private void acquire(long expectedRevision, long nowMs) {
         mIsBusy = true;
         mNextAttemptMs = nowMs + RETRY_MS;
+        mExpectedRevision = expectedRevision;
         long lease = mSession.lease();
-        long expected = mKey.map(StoredItem::revision).orElse(0L);
         byte[] value = self().getBytes(StandardCharsets.UTF_8);
         Transaction write =
                 Transaction.of(
-                        List.of(new Transaction.Expectation(key(), expected)),
+                        List.of(new Transaction.Expectation(key(), expectedRevision)),
                         List.of(new Transaction.Write(key(), value, lease)));
         FutureResults.deliver(
                 mStore.commit(write),
@@ -141,7 +153,7 @@
 
     private Void onAcquired(long revision, long lease) {
         mIsBusy = false;
-        mIsFenced = false;
+        mWrite.onWritten();
         mFencing = FencingNumber.of(revision);
         mLease = lease;
         mActNotBeforeMs = mLastActMs + mHandoverDelayMs;
@@ -155,40 +167,49 @@
 
     private Void onAcquireFailed(Failure failure) {
         mIsBusy = false;
-        if (failure.kind() == ErrorKind.PLATFORM_UNAVAILABLE) {
-            return null;
+        OpenWrite.Step next = mWrite.onWriteFailed(failure);
+        if (next != OpenWrite.Step.SETTLED) {
+            logOpen(failure);
         }
+        if (next == OpenWrite.Step.READ) {
+            readKey(mNowMs.getAsLong());
+        }
+        return null;
+    }
+
+    private void readKey(long nowMs) {
         mIsBusy = true;
+        mNextAttemptMs = nowMs + RETRY_MS;
         FutureResults.deliver(
-                mStore.get(key()),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> {
-                                    mIsBusy = false;
-                                    return null;
-                                },
-                                item -> {
-                                    onKeyRead(item);
-                                    return null;
-                                }));
+                mStore.get(key()), mThread, r -> r.fold(this::onReadFailed, this::onKeyRead));
+    }
+
+    private Void onReadFailed(Failure failure) {
+        mIsBusy = false;
+        logOpen(failure);
         return null;
     }
 
+    private void logOpen(Failure failure) {
+        Decision.of("duty_open")
+                .with("duty", mName)
+                .with("next", mWrite.step().name())
+                .with("reason", failure.toString())
+                .info();
+    }
+
     /**
-     * Handles the key as read after an acquire with an unknown outcome: its value tells who holds
-     * the duty.
+     * Handles the key as read after it was found changed: its value tells who holds the duty. A
+     * value of this process under another lease is written again by the next tick.
      */
-    private void onKeyRead(Optional<StoredItem> item) {
+    private Void onKeyRead(Optional<StoredItem> item) {
         mIsBusy = false;
+        mWrite.onRead();
         onKeyChanged(item);
-        boolean isMine =
-                item.isPresent()
-                        && owner(item.get()).equals(self())
-                        && item.get().lease() == mSession.lease();
-        if (isMine) {
+        if (isOwnKey() && item.orElseThrow().lease() == mSession.lease()) {
             onAcquired(item.get().revision(), item.get().lease());
         }
+        return null;
     }
 
     /** Records that a call or an order is sent now. */
@@ -198,7 +219,6 @@
 
     /** Handles the refusal of a call by a receiver that has seen a higher fencing number. */
     public void onFenced() {
-        mIsFenced = true;
         relinquish("refused: a higher fencing number was seen");
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/UsageReporter.java
@@ -7,11 +7,11 @@
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.peer.NodeRecord;
-import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.store.KeyStore;
+import dev.cactusspan.store.OpenWrite;
 import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.store.Transaction;
 import dev.cactusspan.store.Transaction.Expectation;
@@ -66,6 +66,11 @@
     private long mLastReportedWindow;
     private boolean mIsReporting;
     private long mNextReportMs;
+    private Sealing mSealing = new Sealing(0, Map.of(), List.of());
+    private final OpenWrite mSealWrite = new OpenWrite();
+
+    /** The sum of a window that is being sealed, and the counts that it replaces. */
+    private record Sealing(long window, Map<String, Long> sum, List<StoredItem> items) {}
 
     /**
      * Creates a reporter, which acts on {@link #tick}.
@@ -128,8 +133,20 @@
         if (mIsReporting || mNowMs.getAsLong() < mNextReportMs || mDuty.fencing().isEmpty()) {
             return;
         }
-        if (wallMs >= mCounts.endMs(mLastReportedWindow + 1) + FLUSH_AFTER_MS) {
-            report(mLastReportedWindow + 1, wallMs);
+        switch (mSealWrite.step()) {
+            case READ -> {
+                mIsReporting = true;
+                readSealed();
+            }
+            case WRITE -> {
+                mIsReporting = true;
+                seal();
+            }
+            default -> {
+                if (wallMs >= mCounts.endMs(mLastReportedWindow + 1) + FLUSH_AFTER_MS) {
+                    report(mLastReportedWindow + 1, wallMs);
+                }
+            }
         }
     }
 
@@ -191,37 +208,44 @@
             retryLater();
             return null;
         }
-        seal(window, sum, items);
+        mSealing = new Sealing(window, sum, items);
+        seal();
         return null;
     }
 
-    private void seal(long window, Map<String, Long> sum, List<StoredItem> items) {
-        String key = sealedKey(window);
-        byte[] value = JsonText.write(sum);
+    /** Seals the sum; while the outcome is open, the same sum is sealed again. */
+    private void seal() {
+        String key = sealedKey(mSealing.window());
+        byte[] value = JsonText.write(mSealing.sum());
         Transaction seal =
                 new Transaction(
                         List.of(new Expectation(key, 0)),
                         List.of(new Write(key, value, 0)),
-                        items.stream().limit(30).map(StoredItem::key).toList());
+                        mSealing.items().stream().limit(30).map(StoredItem::key).toList());
         FutureResults.deliver(
                 mStore.commit(seal),
                 mThread,
                 r ->
                         r.fold(
-                                f -> {
-                                    if (f.kind() == ErrorKind.PLATFORM_UNAVAILABLE) {
-                                        return onFailed(f);
-                                    }
-                                    readSealed(window);
-                                    return null;
-                                },
+                                this::onSealFailed,
                                 revision -> {
-                                    send(window, sum);
+                                    mSealWrite.onWritten();
+                                    send(mSealing.window(), mSealing.sum());
                                     return null;
                                 }));
     }
 
-    private void readSealed(long window) {
+    private Void onSealFailed(Failure failure) {
+        if (mSealWrite.onWriteFailed(failure) != OpenWrite.Step.READ) {
+            return onFailed(failure);
+        }
+        readSealed();
+        return null;
+    }
+
+    /** Reads what is sealed for the window, by this process or another one. */
+    private void readSealed() {
+        long window = mSealing.window();
         FutureResults.deliver(
                 mStore.get(sealedKey(window)),
                 mThread,
@@ -229,6 +253,7 @@
                         r.fold(
                                 this::onFailed,
                                 item -> {
+                                    mSealWrite.onRead();
                                     if (item.isEmpty()) {
                                         retryLater();
                                         return null;
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -12,6 +12,7 @@
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.store.StoredItem;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -275,6 +276,35 @@
                 is(other.owner()));
     }
 
+    /** The former sweeper follows no owner keys; only its open write tells it of the batch. */
+    @Test
+    void shouldRunABatchTakenOverWithALostReplyByAFormerSweeper() {
+        BatchNode node = node("n1");
+        BatchNode sweeper = node("n2");
+        run(100);
+        submit(node, 2, 2);
+        run(300);
+        sweeper.path().loseReplies(BatchStore.OWNER_PREFIX, 1);
+        node.kill();
+        while (!ownerKeyNames(sweeper)) {
+            run(TICK_MS);
+        }
+        sweeper.path().setCut(true);
+        mStore.dropHistory();
+        for (int i = 3; sweeper.isSweeper(); i++) {
+            node("n" + i);
+            run(TICK_MS);
+        }
+        sweeper.path().setCut(false);
+        runWithResponses(3_000);
+        assertThat(stored(), hasSize(4));
+    }
+
+    private boolean ownerKeyNames(BatchNode node) {
+        StoredItem item = mStore.items().get(BatchStore.OWNER_PREFIX + ID.value());
+        return BatchStore.parseOwnership(item).get().owner().equals(node.owner());
+    }
+
     private static void sendEvents(FakeTargets.Sent run, int from, int to) {
         for (int id = from; id <= to; id++) {
             run.event(id, "t" + id);
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -29,6 +29,7 @@
 import dev.cactusspan.store.ManualThread;
 import dev.cactusspan.store.PrefixMirror;
 import dev.cactusspan.store.StoredItem;
+import dev.cactusspan.store.UnreliableKeyStore;
 import dev.cactusspan.text.JsonText;
 import dev.cactusspan.time.WallClock;
 import java.util.ArrayList;
@@ -52,6 +53,7 @@
     private final NodeRecord mSelf;
     private final ManualThread mThread;
     private final FakeKeyStore mStore;
+    private final UnreliableKeyStore mPath;
     private final PrefixMirror mMirror;
     private final PrefixMirror mOwners;
     private final BatchManager mManager;
@@ -65,13 +67,14 @@
     BatchNode(String name, FakeKeyStore store, ManualThread thread, WallClock wallClock) {
         mThread = thread;
         mStore = store;
+        mPath = new UnreliableKeyStore(store, thread);
         mSelf =
                 new NodeRecord(
                         VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1, false);
         mManager =
                 BatchManagerFactory.create(
                         new BatchManagerFactory.Dependencies(
-                                new BatchStore(store),
+                                new BatchStore(mPath),
                                 mNodes,
                                 mSelf.owner(),
                                 thread,
@@ -95,7 +98,7 @@
                         this::onControlKeyChanged);
         mOwners =
                 new PrefixMirror(
-                        store,
+                        mPath,
                         BatchStore.OWNER_PREFIX,
                         thread,
                         new Backoff(10, 50, new SplittableRandom(4)),
@@ -187,9 +190,9 @@
         if (!mIsAlive) {
             return;
         }
+        mPath.step();
         mMirror.tick();
-        boolean isSweeper =
-                mMirror.isHealthy() && mNodes.choose("sweep").equals(Optional.of(owner()));
+        boolean isSweeper = isSweeper();
         if (isSweeper || mManager.openBatches() > 0) {
             mOwners.tick();
         }
@@ -197,6 +200,16 @@
         mThread.runAll();
     }
 
+    /** Tells whether this process takes over the batches of dead owners. */
+    boolean isSweeper() {
+        return mMirror.isHealthy() && mNodes.choose("sweep").equals(Optional.of(owner()));
+    }
+
+    /** Returns the way of the batches and their owner keys to the store. */
+    UnreliableKeyStore path() {
+        return mPath;
+    }
+
     /** Adds or updates a target that generates texts with the given software version. */
     void putEngine(String id, String software, int slots) {
         mTargets.put(FakeTargets.record(id, "lm", software, slots, MIN_VERSION));
--- a/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/DutyNode.java
@@ -10,7 +10,7 @@
 import dev.cactusspan.peer.NodeSession;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.routing.Backoff;
-import dev.cactusspan.store.FakeKeyStore;
+import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.ManualThread;
 import dev.cactusspan.store.PrefixMirror;
 import dev.cactusspan.store.StoredItem;
@@ -41,9 +41,10 @@
     private final TargetTable mTargets = new TargetTable();
     private final FakeTargets mPort = new FakeTargets();
     private final PrefixMirror mMirror;
+    private final long mHandoverDelayMs;
     private boolean mIsAlive = true;
 
-    DutyNode(String name, FakeKeyStore store, ManualThread thread, List<Report> reports) {
+    DutyNode(String name, KeyStore store, ManualThread thread, List<Report> reports) {
         this(name, 1, false, store, thread, reports);
     }
 
@@ -51,11 +52,23 @@
             String name,
             int boot,
             boolean isFencingChecked,
-            FakeKeyStore store,
+            KeyStore store,
+            ManualThread thread,
+            List<Report> reports) {
+        this(name, boot, TURN_MS, isFencingChecked ? 0 : TURN_MS, store, thread, reports);
+    }
+
+    /** Creates the duties with the given waits of a former holder and of a new process. */
+    DutyNode(
+            String name,
+            int boot,
+            long handoverDelayMs,
+            long bootWaitMs,
+            KeyStore store,
             ManualThread thread,
             List<Report> reports) {
         mThread = thread;
-        long bootWaitMs = isFencingChecked ? 0 : TURN_MS;
+        mHandoverDelayMs = handoverDelayMs;
         NodeRecord self =
                 new NodeRecord(
                         VmId.of(name),
@@ -97,9 +110,16 @@
                         this::onControlKeyChanged);
     }
 
-    private DutyHolder duty(FakeKeyStore store, String name, long bootWaitMs) {
+    private DutyHolder duty(KeyStore store, String name, long bootWaitMs) {
         return new DutyHolder(
-                store, mSession, mNodes, name, TURN_MS, bootWaitMs, mThread, mThread::nowMs);
+                store,
+                mSession,
+                mNodes,
+                name,
+                mHandoverDelayMs,
+                bootWaitMs,
+                mThread,
+                mThread::nowMs);
     }
 
     private static Backoff backoff() {
@@ -166,7 +186,7 @@
     }
 
     static List<DutyNode> nodes(
-            int count, FakeKeyStore store, ManualThread thread, List<Report> reports) {
+            int count, KeyStore store, ManualThread thread, List<Report> reports) {
         List<DutyNode> nodes = new ArrayList<>();
         for (int i = 1; i <= count; i++) {
             nodes.add(new DutyNode("n" + i, store, thread, reports));
