Add a hook for checks before the body of a request is read

Cause: what a process can't take was found only after its body had been read and queued. Change: a list of checks, asked in order, decides on each request of the client address before its body is read; it's empty so far.

--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -15,6 +15,7 @@
 import dev.cactusspan.forward.StreamResumer;
 import dev.cactusspan.http.HttpClient;
 import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.intake.DoorCheck;
 import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.TaskThread;
 import dev.cactusspan.observe.AdminServer;
@@ -289,7 +290,8 @@
                 address(mSettings.readyAddress()),
                 mGateway,
                 mThread,
-                () -> mIsReady && !mIsLeaving);
+                () -> mIsReady && !mIsLeaving,
+                DoorCheck.all(List.of()));
     }
 
     private DutyHolder duty(KeyStore store, String name) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.RequestId;
+import dev.cactusspan.intake.DoorCheck;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
@@ -37,9 +38,13 @@
     private static final int HEADER_TIMEOUT_MS = 3_000;
     private static final int IDLE_TIMEOUT_MS = 15_000;
 
+    /** Delay after which a client should retry a request refused at the door, in milliseconds. */
+    private static final long RETRY_AFTER_MS = 150;
+
     private final Gateway mGateway;
     private final Executor mThread;
     private final BooleanSupplier mIsReady;
+    private final DoorCheck mCheck;
     private final int mReadyPort;
     private final Undertow mServer;
 
@@ -51,13 +56,16 @@
      * @param gateway handles the requests
      * @param thread the thread on which the gateway is called
      * @param isReady returns whether this process accepts new connections
+     * @param check decides on each request before its body is read
      */
     public PlatformServer(
             InetSocketAddress clients,
             InetSocketAddress ready,
             Gateway gateway,
             Executor thread,
-            BooleanSupplier isReady) {
+            BooleanSupplier isReady,
+            DoorCheck check) {
+        mCheck = check;
         mGateway = gateway;
         mThread = thread;
         mIsReady = isReady;
@@ -94,6 +102,11 @@
             exchange.endExchange();
             return;
         }
+        Optional<Failure> refusal = mCheck.refuse(System.nanoTime() / 1_000_000);
+        if (refusal.isPresent()) {
+            PlatformSink.of(exchange).fail(refusal.get(), RETRY_AFTER_MS);
+            return;
+        }
         exchange.getRequestReceiver().receiveFullBytes(this::received, this::rejectUnreadable);
     }
 
