Hold each request's memory in one budget, and serve the largest body once

Nothing bounded the sum over requests, and half-sent requests stayed for as long as the idle time-out.

Change: an own listener on Undertow (GuardedServer) meters each connection. The budget (half the heap, shares kept for small and medium requests) is held before a body is read, by its length or in steps, and returned by the connection's one owner. Bodies stay in chunks of 64 KB and go to targets a chunk at a time; a batch is parsed as a stream that lets go of the body as it is read. When memory or connections run out, the caller furthest behind an ordinary one is closed first; headers, bodies and answers have limits by progress. A body over the limit gets 413 before it is read, and the connection is closed after the answer.

Ruled out: passing bodies on as they arrive, as a retry then needs the client again; the body stays until the answer, so retries are unchanged.

--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchWeight.java
@@ -0,0 +1,50 @@
+package dev.cactusspan.batch;
+
+import java.util.Map;
+
+/** Estimates the memory that batches take. */
+public final class BatchWeight {
+    /** Objects of an item and of its run: about 20 with their references, in bytes. */
+    private static final long ITEM_BYTES = 600;
+
+    /** Object and array of a text, beside its characters, in bytes. */
+    private static final long TEXT_BYTES = 56;
+
+    /** Entry of a map, in bytes. */
+    private static final long ENTRY_BYTES = 48;
+
+    private BatchWeight() {}
+
+    /**
+     * Estimates the memory of a batch.
+     *
+     * @param batch the batch
+     * @return the bytes
+     */
+    public static long of(Batch batch) {
+        return batch.items().stream().mapToLong(BatchWeight::of).sum();
+    }
+
+    /**
+     * Estimates the memory of an item.
+     *
+     * @param item the item
+     * @return the bytes
+     */
+    public static long of(BatchItem item) {
+        long bytes = ITEM_BYTES + item.body().length;
+        bytes += text(item.id().value()) + text(item.path()) + text(item.group());
+        for (Map.Entry<String, String> header : item.headers().entrySet()) {
+            bytes += ENTRY_BYTES + text(header.getKey()) + text(header.getValue());
+        }
+        bytes +=
+                item.scorer()
+                        .map(s -> text(s.id()) + text(s.host()) + text(s.path()) + s.body().length)
+                        .orElse(0L);
+        return bytes;
+    }
+
+    private static long text(String text) {
+        return TEXT_BYTES + text.length();
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -92,7 +92,9 @@
                 true,
                 0,
                 0,
-                1);
+                1,
+                0,
+                0);
     }
 
     private static List<Integer> freePorts() throws IOException {
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.fleet;
 
 import dev.cactusspan.id.AccountId;
+import dev.cactusspan.intake.Body;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -25,7 +26,22 @@
         String path,
         String host,
         Map<String, String> headers,
-        byte[] body,
+        Body body,
         Optional<AccountId> account,
         long timeLeftMs,
-        OptionalLong resumeAfter) {}
+        OptionalLong resumeAfter) {
+
+    /** Creates a request with a body that is an array. */
+    public TargetRequest(
+            String id,
+            String method,
+            String path,
+            String host,
+            Map<String, String> headers,
+            byte[] body,
+            Optional<AccountId> account,
+            long timeLeftMs,
+            OptionalLong resumeAfter) {
+        this(id, method, path, host, headers, Body.of(body), account, timeLeftMs, resumeAfter);
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.forward;
 
 import dev.cactusspan.id.RequestId;
+import dev.cactusspan.intake.Body;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -25,12 +26,37 @@
         String path,
         String host,
         Map<String, String> headers,
-        byte[] body,
+        Body body,
         Optional<String> key,
         OptionalLong clientTimeoutMs,
         OptionalLong resumeAfter,
         Optional<RequestId> resumes) {
 
+    /** Creates a request with a body that is an array. */
+    public ClientRequest(
+            RequestId id,
+            String method,
+            String path,
+            String host,
+            Map<String, String> headers,
+            byte[] body,
+            Optional<String> key,
+            OptionalLong clientTimeoutMs,
+            OptionalLong resumeAfter,
+            Optional<RequestId> resumes) {
+        this(
+                id,
+                method,
+                path,
+                host,
+                headers,
+                Body.of(body),
+                key,
+                clientTimeoutMs,
+                resumeAfter,
+                resumes);
+    }
+
     /**
      * Returns whether the request resumes a stream of which the client has events.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestFingerprint.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestFingerprint.java
@@ -27,7 +27,8 @@
         put(hasher, request.method());
         put(hasher, request.hostOnly());
         put(hasher, request.path());
-        return new RequestFingerprint(hasher.putBytes(request.body()).hash().toString());
+        request.body().parts().forEachRemaining(hasher::putBytes);
+        return new RequestFingerprint(hasher.hash().toString());
     }
 
     private static void put(Hasher hasher, String field) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -97,6 +97,7 @@
     private final BatchManager mBatches;
     private final BatchReader mReader;
     private final Gateway mGateway;
+    private final IntakeState mIntake;
     private final PlatformServer mServer;
     private final AdminServer mAdmin;
     private final DrainLatch mDrained = new DrainLatch();
@@ -159,6 +160,7 @@
         mBatches = newBatches(batches, self, port, chooser);
         mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mThread);
         mGateway = newGateway();
+        mIntake = IntakeState.create(settings, telemetry);
         mServer = newServer();
         mAdmin =
                 new AdminServer(
@@ -291,7 +293,10 @@
                 mGateway,
                 mThread,
                 () -> mIsReady && !mIsLeaving,
-                DoorCheck.all(List.of()));
+                DoorCheck.all(List.of()),
+                mIntake::limits,
+                mIntake.budget(),
+                mIntake.report());
     }
 
     private DutyHolder duty(KeyStore store, String name) {
@@ -369,6 +374,7 @@
         mCrashes.tick();
         mOrigins.tick(isSweeper);
         mIsReady = mFleet.isLoaded();
+        mFleet.desiredState().ifPresent(d -> mIntake.setLimits(d.limits()));
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
         }
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/IntakeState.java
@@ -0,0 +1,80 @@
+package dev.cactusspan.gateway;
+
+import dev.cactusspan.fleet.ClientLimits;
+import dev.cactusspan.intake.CallerLimits;
+import dev.cactusspan.intake.ConnectionCap;
+import dev.cactusspan.intake.IntakeReport;
+import dev.cactusspan.intake.MemoryBudget;
+import dev.cactusspan.intake.Refusal;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.settings.GatewaySettings;
+import java.util.Map;
+
+/**
+ * What callers may make a process hold: its budget from its heap, the limits in force from the
+ * desired state, and the report of refusals. Thread-safe.
+ */
+final class IntakeState {
+    /** Limits until a desired state is known, as the platform's usual ones. */
+    private static final ClientLimits DEFAULT_LIMITS =
+            new ClientLimits(16 << 10, 32 << 20, 3_000, 15_000);
+
+    private final MemoryBudget mBudget;
+    private final IntakeReport mReport;
+    private final int mMaxConnections;
+    private volatile CallerLimits mLimits;
+
+    private IntakeState(MemoryBudget budget, IntakeReport report, int maxConnections) {
+        mBudget = budget;
+        mReport = report;
+        mMaxConnections = maxConnections;
+        setLimits(DEFAULT_LIMITS);
+    }
+
+    static IntakeState create(GatewaySettings settings, Telemetry telemetry) {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        MemoryBudget budget = MemoryBudget.ofHeap(heapBytes);
+        telemetry.gauge("caller_memory_limit_bytes", budget::totalBytes);
+        telemetry.gauge("caller_memory_bytes", budget::heldBytes);
+        telemetry.gauge("caller_memory_peak_bytes", budget::peakBytes);
+        return new IntakeState(
+                budget,
+                report(telemetry, budget),
+                ConnectionCap.of(settings.maxFds(), settings.memoryMb(), heapBytes));
+    }
+
+    private static IntakeReport report(Telemetry telemetry, MemoryBudget budget) {
+        return new IntakeReport(
+                refusal -> telemetry.count("callers_refused_total", "reason", refusal.label()),
+                (counts, nowMs) -> log(counts, budget));
+    }
+
+    private static void log(Map<Refusal, Integer> counts, MemoryBudget budget) {
+        Decision line = Decision.of("callers_refused");
+        counts.forEach((refusal, count) -> line.with(refusal.label(), count));
+        line.with("held_bytes", budget.heldBytes()).with("limit_bytes", budget.totalBytes()).warn();
+    }
+
+    void setLimits(ClientLimits limits) {
+        mLimits =
+                new CallerLimits(
+                        mMaxConnections,
+                        limits.maxHeaderBytes(),
+                        limits.maxBodyBytes(),
+                        limits.headerTimeoutMs(),
+                        limits.idleTimeoutMs());
+    }
+
+    CallerLimits limits() {
+        return mLimits;
+    }
+
+    MemoryBudget budget() {
+        return mBudget;
+    }
+
+    IntakeReport report() {
+        return mReport;
+    }
+}
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -0,0 +1,110 @@
+package dev.cactusspan.http;
+
+import dev.cactusspan.intake.Caller;
+import dev.cactusspan.intake.Callers;
+import dev.cactusspan.intake.Hold;
+import io.undertow.server.HttpServerExchange;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+
+/** A client's connection, and what is held for its present request. Used on the I/O thread. */
+public final class GuardedConnection {
+    private final StreamConnection mChannel;
+    private final Callers mCallers;
+    private Caller mCaller;
+    private Optional<Runnable> mOnEvicted = Optional.empty();
+
+    GuardedConnection(StreamConnection channel, Callers callers) {
+        mChannel = channel;
+        mCallers = callers;
+    }
+
+    void setCaller(Caller caller) {
+        mCaller = caller;
+    }
+
+    // Events
+
+    boolean onRead(long bytes) {
+        return mCallers.onRead(mCaller, bytes, GuardedServer.nowMs());
+    }
+
+    void onWrite(long bytes, boolean hasMore) {
+        mCallers.onWrite(mCaller, bytes, hasMore, GuardedServer.nowMs());
+    }
+
+    void start(HttpServerExchange exchange) {
+        exchange.addExchangeCompleteListener(
+                (e, next) -> {
+                    mOnEvicted = Optional.empty();
+                    mCallers.onEnd(mCaller, GuardedServer.nowMs());
+                    next.proceed();
+                });
+    }
+
+    void onClosed() {
+        mCallers.close(mCaller, GuardedServer.nowMs());
+    }
+
+    void evict() {
+        Optional<Runnable> answer = mOnEvicted;
+        mOnEvicted = Optional.empty();
+        answer.ifPresentOrElse(Runnable::run, () -> IoUtils.safeClose(mChannel));
+    }
+
+    // Operations
+
+    /**
+     * Holds memory for a request and its body before the body is read.
+     *
+     * @param headerBytes size of the header
+     * @param bodyBytes length of the body, or what is known of it
+     * @param onEvicted answers the request, which has not run, if its caller is closed while the
+     *     body arrives
+     * @return the hold, empty if the request is to be refused
+     */
+    public Optional<Hold> admit(long headerBytes, long bodyBytes, Runnable onEvicted) {
+        Optional<Hold> hold =
+                mCallers.onHead(mCaller, headerBytes, bodyBytes, GuardedServer.nowMs());
+        mOnEvicted = hold.map(h -> onEvicted);
+        return hold;
+    }
+
+    /**
+     * Holds more memory for the request.
+     *
+     * @param bytes what is added
+     * @return false if there is no room
+     */
+    public boolean grow(long bytes) {
+        return mCallers.grow(mCaller, bytes, GuardedServer.nowMs());
+    }
+
+    /** Notes that the request was read completely. */
+    public void onRequestRead() {
+        mOnEvicted = Optional.empty();
+        mCallers.onBody(mCaller, GuardedServer.nowMs());
+    }
+
+    /**
+     * Holds memory for the response in place of the request.
+     *
+     * @param bytes bytes that wait to be written
+     * @return false if there is no room, so that the connection is to be closed
+     */
+    public boolean holdResponse(long bytes) {
+        return mCallers.onResponse(mCaller, bytes, GuardedServer.nowMs());
+    }
+
+    /**
+     * Sends a complete response and, if the request was not read to its end, closes the connection.
+     *
+     * @param exchange the request
+     * @param body body of the response
+     */
+    public static void send(HttpServerExchange exchange, byte[] body) {
+        ResponseWriter.send(exchange, ByteBuffer.wrap(body));
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -79,22 +80,29 @@
         if (!headers.contains(Headers.HOST)) {
             headers.put(Headers.HOST, mRequest.server().getAuthority());
         }
-        headers.put(Headers.CONTENT_LENGTH, mRequest.body().length);
+        headers.put(Headers.CONTENT_LENGTH, mRequest.body().length());
         connection.connection().sendRequest(request, callback(this::onStarted));
     }
 
     private void onStarted(ClientExchange exchange) {
         exchange.setResponseListener(callback(this::onResponse));
-        if (mRequest.body().length > 0) {
-            write(exchange.getRequestChannel(), ByteBuffer.wrap(mRequest.body()));
+        if (mRequest.body().length() > 0) {
+            Iterator<ByteBuffer> parts = mRequest.body().parts();
+            write(exchange.getRequestChannel(), parts.next(), parts);
         }
     }
 
-    private void write(StreamSinkChannel channel, ByteBuffer body) {
+    /** Writes one part after another, as the socket copies each buffer that it is given. */
+    private void write(StreamSinkChannel channel, ByteBuffer first, Iterator<ByteBuffer> rest) {
         try {
-            while (body.hasRemaining()) {
-                if (channel.write(body) == 0) {
-                    channel.getWriteSetter().set(c -> write(c, body));
+            ByteBuffer part = first;
+            while (part.hasRemaining() || rest.hasNext()) {
+                if (!part.hasRemaining()) {
+                    part = rest.next();
+                }
+                if (channel.write(part) == 0) {
+                    ByteBuffer unsent = part;
+                    channel.getWriteSetter().set(c -> write(c, unsent, rest));
                     channel.resumeWrites();
                     return;
                 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.http;
 
+import dev.cactusspan.intake.Body;
 import java.net.URI;
 import java.util.Map;
 
@@ -22,11 +23,24 @@
         URI server,
         String path,
         Map<String, String> headers,
-        byte[] body,
+        Body body,
         long timeoutMs,
         long maxBytes,
         boolean newConnection) {
 
+    /** Creates a request with a body that is an array. */
+    public HttpRequest(
+            String method,
+            URI server,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMs,
+            long maxBytes,
+            boolean newConnection) {
+        this(method, server, path, headers, Body.of(body), timeoutMs, maxBytes, newConnection);
+    }
+
     /** Maximum size of a response body where the caller sets none, in bytes. */
     public static final long DEFAULT_MAX_BYTES = 32L << 20;
 
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -0,0 +1,187 @@
+package dev.cactusspan.http;
+
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.BodyCollector;
+import dev.cactusspan.intake.Hold;
+import dev.cactusspan.result.ErrorKind;
+import dev.cactusspan.result.Failure;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.Optional;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Reads the body of a request into memory that was held for it before. A body of known length is
+ * refused before it is read; one in chunks as soon as it is over the limit or finds no room.
+ */
+public final class RequestReader {
+    /** Bytes read in one turn, so that one client does not occupy the I/O thread. */
+    private static final int MAX_TURN_BYTES = 256 << 10;
+
+    private final HttpServerExchange mExchange;
+    private final GuardedConnection mConnection;
+    private final long mMaxBytes;
+    private final Listener mListener;
+    private final BodyCollector mCollector;
+    private Hold mHold = Hold.UNLIMITED;
+    private long mHeldBytes;
+    private boolean mIsDone;
+
+    /** Receives the body, or why there is none. Called once, on the I/O thread. */
+    public interface Listener {
+        /**
+         * Called when the request was read to its end.
+         *
+         * @param body its body
+         */
+        void onRead(Body body);
+
+        /**
+         * Called when the request is refused; it has not run.
+         *
+         * @param failure the reason
+         */
+        void onRefused(Failure failure);
+    }
+
+    private RequestReader(
+            HttpServerExchange exchange,
+            GuardedConnection connection,
+            long maxBytes,
+            Listener listener) {
+        mExchange = exchange;
+        mConnection = connection;
+        mMaxBytes = maxBytes;
+        mListener = listener;
+        mCollector = new BodyCollector(exchange.getRequestContentLength());
+    }
+
+    /**
+     * Reads the body of a request. Call this on the I/O thread, from the handler.
+     *
+     * @param exchange the request
+     * @param connection its connection
+     * @param maxBytes maximum length of the body
+     * @param listener receives it
+     */
+    public static void read(
+            HttpServerExchange exchange,
+            GuardedConnection connection,
+            long maxBytes,
+            Listener listener) {
+        long length = exchange.getRequestContentLength();
+        if (length > maxBytes) {
+            refuse(exchange, listener, tooLarge(maxBytes));
+            return;
+        }
+        RequestReader reader = new RequestReader(exchange, connection, maxBytes, listener);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, reader::start);
+    }
+
+    private static void refuse(HttpServerExchange exchange, Listener listener, Failure failure) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> listener.onRefused(failure));
+    }
+
+    private static Failure tooLarge(long maxBytes) {
+        return Failure.of(ErrorKind.PAYLOAD_TOO_LARGE, "the body is over " + maxBytes + " bytes");
+    }
+
+    private static Failure noRoom() {
+        return Failure.of(ErrorKind.OVERLOADED, "no memory for the body");
+    }
+
+    private static Failure tooSlow() {
+        return Failure.of(ErrorKind.OVERLOADED, "the body arrives too slowly");
+    }
+
+    private static long headerBytes(HttpServerExchange exchange) {
+        long bytes = exchange.getRequestURI().length();
+        bytes += exchange.getQueryString().length();
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            bytes += values.getHeaderName().length();
+            for (String value : values) {
+                bytes += value.length();
+            }
+        }
+        return bytes;
+    }
+
+    private void start() {
+        mHeldBytes = mExchange.isRequestComplete() ? 0 : mCollector.heldBytes();
+        Optional<Hold> hold =
+                mConnection.admit(headerBytes(mExchange), mHeldBytes, () -> refuse(tooSlow()));
+        if (hold.isEmpty()) {
+            refuse(noRoom());
+            return;
+        }
+        mHold = hold.get();
+        if (mExchange.isRequestComplete()) {
+            complete();
+            return;
+        }
+        StreamSourceChannel channel = mExchange.getRequestChannel();
+        channel.getReadSetter().set(this::read);
+        read(channel);
+    }
+
+    private void read(StreamSourceChannel channel) {
+        int turnBytes = 0;
+        try {
+            while (true) {
+                if (mIsDone) {
+                    channel.suspendReads();
+                    return;
+                }
+                if (turnBytes >= MAX_TURN_BYTES) {
+                    channel.suspendReads();
+                    mExchange.getIoThread().execute(() -> read(channel));
+                    return;
+                }
+                int count = channel.read(mCollector.room());
+                if (count < 0) {
+                    channel.suspendReads();
+                    complete();
+                    return;
+                }
+                if (count == 0) {
+                    channel.resumeReads();
+                    return;
+                }
+                turnBytes += count;
+                mCollector.added(count);
+                checkLimits();
+            }
+        } catch (IOException e) {
+            // The client has gone, or sent no valid chunks; nothing of the request has run.
+            mIsDone = true;
+            IoUtils.safeClose(mExchange.getConnection());
+        }
+    }
+
+    private void checkLimits() {
+        if (mCollector.length() > mMaxBytes) {
+            refuse(tooLarge(mMaxBytes));
+            return;
+        }
+        long missingBytes = mCollector.heldBytes() - mHeldBytes;
+        if (missingBytes > 0 && !mConnection.grow(missingBytes)) {
+            refuse(noRoom());
+            return;
+        }
+        mHeldBytes += Math.max(0, missingBytes);
+    }
+
+    private void refuse(Failure failure) {
+        mIsDone = true;
+        mListener.onRefused(failure);
+    }
+
+    private void complete() {
+        mIsDone = true;
+        mConnection.onRequestRead();
+        mListener.onRead(mCollector.body(mHold));
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
@@ -1,29 +1,21 @@
 package dev.cactusspan.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusspan.batch.Batch;
 import dev.cactusspan.batch.BatchCodec;
-import dev.cactusspan.batch.BatchItem;
 import dev.cactusspan.batch.ItemResult;
 import dev.cactusspan.batch.ResultsView;
 import dev.cactusspan.fleet.FleetRoute;
 import dev.cactusspan.forward.ClientRequest;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.BatchId;
-import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.WeightVersion;
-import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.text.JsonText;
 import java.util.ArrayList;
-import java.util.Base64;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 
 /** Parses batches that trainers submit, and writes the results that they read. */
 public final class PlatformBatches implements BatchCodec {
@@ -31,15 +23,8 @@
     @Override
     public Result<Batch> read(
             ClientRequest request, FleetRoute route, AccountId account, long wallMs) {
-        return JsonText.read(request.body(), JsonNode.class)
-                .flatMap(
-                        node ->
-                                items(node.path("items"))
-                                        .map(
-                                                items ->
-                                                        batch(
-                                                                request, route, account, wallMs,
-                                                                node, items)));
+        return BatchParser.parse(request.body())
+                .map(parsed -> batch(request, route, account, wallMs, parsed));
     }
 
     private static Batch batch(
@@ -47,96 +32,23 @@
             FleetRoute route,
             AccountId account,
             long wallMs,
-            JsonNode node,
-            List<BatchItem> items) {
+            BatchParser.Parsed parsed) {
         return new Batch(
                 BatchId.of(request.id().value()),
                 account,
                 route.name(),
                 request.host(),
                 route.chooseService(0),
-                node.path("step").asLong(0),
-                ModelId.of(node.path("model").asText()),
-                WeightVersion.of(Math.max(0, node.path("min_version").asLong(0))),
-                node.path("target_groups").asInt(0),
+                parsed.step(),
+                ModelId.of(parsed.model()),
+                WeightVersion.of(Math.max(0, parsed.minVersion())),
+                parsed.wantedGroups(),
                 route.maxAttempts(),
                 route.batch().singleVersion(),
                 wallMs,
                 route.batch().dueMs(),
                 route.batch().retentionMs(),
-                items);
-    }
-
-    private static Result<List<BatchItem>> items(JsonNode node) {
-        if (!node.isArray() || node.isEmpty()) {
-            return Result.fail(ErrorKind.BAD_REQUEST, "items: expected a list with an item");
-        }
-        List<BatchItem> items = new ArrayList<>();
-        Set<ItemId> ids = new HashSet<>();
-        for (JsonNode entry : node) {
-            Result<BatchItem> item = item(entry, items.size());
-            if (!item.isOk()) {
-                return item.map(List::of);
-            }
-            if (!ids.add(item.get().id())) {
-                return Result.fail(
-                        ErrorKind.BAD_REQUEST, "items[" + items.size() + "].id: comes twice");
-            }
-            items.add(item.get());
-        }
-        return Result.of(items);
-    }
-
-    private static Result<BatchItem> item(JsonNode node, int index) {
-        String at = "items[" + index + "]";
-        if (!node.path("id").isTextual() || !node.path("path").isTextual()) {
-            return Result.fail(ErrorKind.BAD_REQUEST, at + ": no id or no path");
-        }
-        Optional<byte[]> body = base64(node.path("body").asText());
-        JsonNode scorer = node.path("scorer");
-        Optional<byte[]> scorerBody = base64(scorer.path("body").asText());
-        if (body.isEmpty() || scorerBody.isEmpty()) {
-            return Result.fail(ErrorKind.BAD_REQUEST, at + ": a body is not base64");
-        }
-        Map<String, String> headers = new LinkedHashMap<>();
-        node.path("headers")
-                .fields()
-                .forEachRemaining(e -> headers.put(e.getKey(), e.getValue().asText()));
-        Optional<BatchItem.Scorer> score =
-                scorer.path("id").isTextual()
-                        ? Optional.of(
-                                new BatchItem.Scorer(
-                                        scorer.path("id").asText(),
-                                        scorer.path("host").asText(),
-                                        scorer.path("path").asText(),
-                                        scorerBody.get()))
-                        : Optional.empty();
-        return Result.of(
-                new BatchItem(
-                        ItemId.of(node.path("id").asText()),
-                        node.path("path").asText(),
-                        PlatformHeaders.forwarded(headers),
-                        body.get(),
-                        expectedTokens(headers),
-                        node.path("group").asText(node.path("id").asText()),
-                        score));
-    }
-
-    /** Returns the client's estimate if there is one, else the maximum number of output tokens. */
-    private static long expectedTokens(Map<String, String> headers) {
-        String bound = headers.getOrDefault(PlatformHeaders.TOKEN_USAGE, "");
-        String estimate = headers.getOrDefault(PlatformHeaders.LENGTH_ESTIMATE, "");
-        String digits = estimate.isEmpty() ? bound.substring(bound.indexOf(',') + 1) : estimate;
-        return digits.matches("[0-9]{1,9}") ? Long.parseLong(digits) : 0;
-    }
-
-    private static Optional<byte[]> base64(String text) {
-        try {
-            return Optional.of(Base64.getDecoder().decode(text));
-        } catch (IllegalArgumentException e) {
-            // The caller reports which field is malformed.
-            return Optional.empty();
-        }
+                parsed.items());
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -2,41 +2,47 @@
 
 import dev.cactusspan.forward.ClientRequest;
 import dev.cactusspan.gateway.Gateway;
+import dev.cactusspan.http.GuardedConnection;
+import dev.cactusspan.http.GuardedServer;
+import dev.cactusspan.http.RequestReader;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.RequestId;
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.CallerLimits;
 import dev.cactusspan.intake.DoorCheck;
+import dev.cactusspan.intake.IntakeReport;
+import dev.cactusspan.intake.MemoryBudget;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /** Serves client requests and the readiness check over HTTP. */
 public final class PlatformServer implements AutoCloseable {
     private static final String READY_PATH = "/-/readyz";
+    private static final byte[] READY = "ready\n".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] NOT_READY = "not ready\n".getBytes(StandardCharsets.UTF_8);
     private static final String RESULTS_PREFIX = "/-/lots/";
     private static final String ITEM_PREFIX = "/-/items/";
     private static final int WORKER_THREADS = 1;
-    private static final int BUFFER_BYTES = 16 << 10;
 
-    private static final int MAX_HEADER_BYTES = 16 << 10;
-    private static final long MAX_BODY_BYTES = 32 << 20;
-    private static final int HEADER_TIMEOUT_MS = 3_000;
-    private static final int IDLE_TIMEOUT_MS = 15_000;
+    /** Connections of the probe's address: the platform opens one a second. */
+    private static final int MAX_READY_CONNECTIONS = 64;
 
     /** Delay after which a client should retry a request refused at the door, in milliseconds. */
     private static final long RETRY_AFTER_MS = 150;
@@ -45,8 +51,10 @@
     private final Executor mThread;
     private final BooleanSupplier mIsReady;
     private final DoorCheck mCheck;
-    private final int mReadyPort;
-    private final Undertow mServer;
+    private final InetSocketAddress mClientAddress;
+    private final InetSocketAddress mReadyAddress;
+    private final Supplier<CallerLimits> mLimits;
+    private final GuardedServer mServer;
 
     /**
      * Creates the server; {@link #start} starts it.
@@ -57,6 +65,9 @@
      * @param thread the thread on which the gateway is called
      * @param isReady returns whether this process accepts new connections
      * @param check decides on each request before its body is read
+     * @param limits limits on clients
+     * @param budget memory that all clients share
+     * @param report receives refusals
      */
     public PlatformServer(
             InetSocketAddress clients,
@@ -64,81 +75,77 @@
             Gateway gateway,
             Executor thread,
             BooleanSupplier isReady,
-            DoorCheck check) {
+            DoorCheck check,
+            Supplier<CallerLimits> limits,
+            MemoryBudget budget,
+            IntakeReport report) {
         mCheck = check;
         mGateway = gateway;
         mThread = thread;
         mIsReady = isReady;
-        mReadyPort = ready.getPort();
-        mServer =
-                Undertow.builder()
-                        .addHttpListener(clients.getPort(), clients.getHostString())
-                        .addHttpListener(ready.getPort(), ready.getHostString())
-                        .setIoThreads(1)
-                        .setWorkerThreads(WORKER_THREADS)
-                        .setBufferSize(BUFFER_BYTES)
-                        .setDirectBuffers(false)
-                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
-                        .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MS)
-                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
-                        .setServerOption(UndertowOptions.DECODE_URL, false)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .setHandler(this::handle)
-                        .build();
+        mClientAddress = clients;
+        mReadyAddress = ready;
+        mLimits = limits;
+        mServer = GuardedServer.create("clients", WORKER_THREADS, budget, report);
     }
 
-    /** Starts the server. */
-    public void start() {
-        mServer.start();
+    /**
+     * Starts the server.
+     *
+     * @throws IOException if an address cannot be bound
+     */
+    public void start() throws IOException {
+        mServer.listen(mReadyAddress, this::readyLimits, this::handleReady);
+        mServer.listen(mClientAddress, mLimits, this::handle);
     }
 
-    private void handle(HttpServerExchange exchange) {
-        InetSocketAddress local = (InetSocketAddress) exchange.getConnection().getLocalAddress();
-        if (local.getPort() == mReadyPort) {
-            boolean isReady =
-                    exchange.getRequestPath().equals(READY_PATH) && mIsReady.getAsBoolean();
-            exchange.setStatusCode(isReady ? 200 : 503);
-            exchange.endExchange();
-            return;
-        }
+    private CallerLimits readyLimits() {
+        return mLimits.get().withMaxConnections(MAX_READY_CONNECTIONS);
+    }
+
+    private void handleReady(HttpServerExchange exchange, GuardedConnection connection) {
+        boolean isReady = exchange.getRequestPath().equals(READY_PATH) && mIsReady.getAsBoolean();
+        exchange.setStatusCode(isReady ? 200 : 503);
+        GuardedConnection.send(exchange, isReady ? READY : NOT_READY);
+    }
+
+    private void handle(HttpServerExchange exchange, GuardedConnection connection) {
+        PlatformSink sink = PlatformSink.of(exchange, connection);
         Optional<Failure> refusal = mCheck.refuse(System.nanoTime() / 1_000_000);
         if (refusal.isPresent()) {
-            PlatformSink.of(exchange).fail(refusal.get(), RETRY_AFTER_MS);
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE, () -> sink.fail(refusal.get(), RETRY_AFTER_MS));
             return;
         }
-        exchange.getRequestReceiver().receiveFullBytes(this::received, this::rejectUnreadable);
-    }
-
-    private void rejectUnreadable(HttpServerExchange exchange, IOException e) {
-        exchange.dispatch(
-                (HttpHandler)
-                        x ->
-                                PlatformSink.of(x)
-                                        .fail(
-                                                Failure.of(
-                                                        ErrorKind.PAYLOAD_TOO_LARGE,
-                                                        String.valueOf(e.getMessage())),
-                                                0));
-    }
+        RequestReader.read(
+                exchange,
+                connection,
+                mLimits.get().maxBodyBytes(),
+                new RequestReader.Listener() {
+                    @Override
+                    public void onRead(Body body) {
+                        mThread.execute(() -> received(exchange, sink, body));
+                    }
 
-    private void received(HttpServerExchange exchange, byte[] body) {
-        PlatformSink sink = PlatformSink.of(exchange);
-        exchange.dispatch(
-                mThread,
-                () -> {
-                    String path = exchange.getRequestURI();
-                    if (path.startsWith(RESULTS_PREFIX)) {
-                        handleBatch(exchange, sink, path.substring(RESULTS_PREFIX.length()));
-                    } else if (path.startsWith(ITEM_PREFIX)) {
-                        handleItem(exchange, sink, path.substring(ITEM_PREFIX.length()));
-                    } else {
-                        forward(exchange, sink, body);
+                    @Override
+                    public void onRefused(Failure failure) {
+                        sink.fail(failure, failure.isNotRun() ? RETRY_AFTER_MS : 0);
                     }
                 });
     }
 
-    private void forward(HttpServerExchange exchange, PlatformSink sink, byte[] body) {
+    private void received(HttpServerExchange exchange, PlatformSink sink, Body body) {
+        String path = exchange.getRequestURI();
+        if (path.startsWith(RESULTS_PREFIX)) {
+            handleBatch(exchange, sink, path.substring(RESULTS_PREFIX.length()));
+        } else if (path.startsWith(ITEM_PREFIX)) {
+            handleItem(exchange, sink, path.substring(ITEM_PREFIX.length()));
+        } else {
+            forward(exchange, sink, body);
+        }
+    }
+
+    private void forward(HttpServerExchange exchange, PlatformSink sink, Body body) {
         Optional<String> id = header(exchange, PlatformHeaders.REQUEST_ID);
         if (id.isEmpty()) {
             sink.fail(Failure.of(ErrorKind.BAD_REQUEST, "no " + PlatformHeaders.REQUEST_ID), 0);
@@ -236,6 +243,6 @@
 
     @Override
     public void close() {
-        mServer.stop();
+        mServer.close();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.platform;
 
 import dev.cactusspan.forward.ClientSink;
+import dev.cactusspan.http.GuardedConnection;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
 import io.undertow.io.IoCallback;
@@ -24,17 +25,23 @@
 final class PlatformSink implements ClientSink {
     private static final double MS_PER_S = 1_000.0;
 
+    /** Size of a response up to which the memory held for each request suffices, in bytes. */
+    private static final int SMALL_RESPONSE_BYTES = 4 << 10;
+
     private final HttpServerExchange mExchange;
+    private final GuardedConnection mConnection;
+    private long mUnsentBytes;
     private final Deque<Chunk> mUnsent = new ArrayDeque<>();
     private boolean mIsSending;
     private boolean mIsEnding;
 
-    private PlatformSink(HttpServerExchange exchange) {
+    private PlatformSink(HttpServerExchange exchange, GuardedConnection connection) {
         mExchange = exchange;
+        mConnection = connection;
     }
 
-    static PlatformSink of(HttpServerExchange exchange) {
-        return new PlatformSink(exchange);
+    static PlatformSink of(HttpServerExchange exchange, GuardedConnection connection) {
+        return new PlatformSink(exchange, connection);
     }
 
     /** Bytes of a streamed response and what to run once they are written. */
@@ -55,14 +62,13 @@
             return;
         }
         ClientDisconnectWatcher.stop(mExchange);
-        mExchange.setStatusCode(status);
-        headers.forEach((n, v) -> mExchange.getResponseHeaders().put(new HttpString(n), v));
-        mExchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
-        if (body.length == 0) {
-            mExchange.endExchange();
+        if (body.length > SMALL_RESPONSE_BYTES && !mConnection.holdResponse(body.length)) {
+            IoUtils.safeClose(mExchange.getConnection());
             return;
         }
-        mExchange.getResponseSender().send(ByteBuffer.wrap(body));
+        mExchange.setStatusCode(status);
+        headers.forEach((n, v) -> mExchange.getResponseHeaders().put(new HttpString(n), v));
+        GuardedConnection.send(mExchange, body);
     }
 
     /** Sends the bytes with status 200, or the failure. */
@@ -96,6 +102,11 @@
     public void data(byte[] data, Runnable written) {
         onIoThread(
                 () -> {
+                    mUnsentBytes += data.length;
+                    if (!mConnection.holdResponse(mUnsentBytes)) {
+                        IoUtils.safeClose(mExchange.getConnection());
+                        return;
+                    }
                     mUnsent.add(new Chunk(data, written));
                     sendNext();
                 });
@@ -130,6 +141,7 @@
                             @Override
                             public void onComplete(HttpServerExchange exchange, Sender sender) {
                                 mIsSending = false;
+                                mUnsentBytes -= next.data().length;
                                 next.written().run();
                                 sendNext();
                             }
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -29,6 +29,8 @@
  *     to the store is restored, in milliseconds
  * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
  * @param stopS time between the request to stop and the kill, in seconds
+ * @param memoryMb memory that the process may take, in MB, zero if not known
+ * @param maxFds descriptors that the process may open, zero if not known
  */
 public record GatewaySettings(
         VmId vm,
@@ -46,7 +48,9 @@
         boolean isFencingChecked,
         long reconnectMs,
         long drainMs,
-        int stopS) {
+        int stopS,
+        int memoryMb,
+        int maxFds) {
 
     /** Reconnection time where the settings name none, in milliseconds. */
     private static final long DEFAULT_RECONNECT_MS = 4_000;
@@ -58,6 +62,7 @@
             List.of("vm", "zone", "ip", "store_address", "usage_address");
     private static final List<String> NUMBER_FIELDS =
             List.of("link_port", "metrics_port", "usage_window_s", "turn_ms", "stop_s");
+    private static final List<String> OPTIONAL_NUMBER_FIELDS = List.of("memory_mb", "max_fds");
     private static final List<String> ADDRESS_FIELDS =
             List.of("client_address", "ready_address", "store_address", "usage_address");
     private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
@@ -90,6 +95,13 @@
                 problems.add("$." + field + ": expected a whole number above 0");
             }
         }
+        for (String field : OPTIONAL_NUMBER_FIELDS) {
+            boolean isPresent = tree.has(field);
+            if (isPresent
+                    && (!tree.path(field).canConvertToInt() || tree.path(field).asInt() < 0)) {
+                problems.add("$." + field + ": expected a whole number of at least 0");
+            }
+        }
         for (String field : ADDRESS_FIELDS) {
             boolean isPresent =
                     tree.path(field).isTextual() && !tree.path(field).asText().isEmpty();
