--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -15,6 +15,7 @@
 import dev.cactusspan.forward.StreamResumer;
 import dev.cactusspan.http.HttpClient;
 import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.intake.DoorCheck;
 import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.TaskThread;
 import dev.cactusspan.observe.AdminServer;
@@ -96,6 +97,7 @@
     private final BatchManager mBatches;
     private final BatchReader mReader;
     private final Gateway mGateway;
+    private final IntakeState mIntake;
     private final PlatformServer mServer;
     private final AdminServer mAdmin;
     private final DrainLatch mDrained = new DrainLatch();
@@ -158,6 +160,7 @@
         mBatches = newBatches(batches, self, port, chooser);
         mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mThread);
         mGateway = newGateway();
+        mIntake = IntakeState.create(settings, telemetry);
         mServer = newServer();
         mAdmin =
                 new AdminServer(
@@ -289,7 +292,11 @@
                 address(mSettings.readyAddress()),
                 mGateway,
                 mThread,
-                () -> mIsReady && !mIsLeaving);
+                () -> mIsReady && !mIsLeaving,
+                DoorCheck.all(List.of()),
+                mIntake::limits,
+                mIntake.budget(),
+                mIntake.report());
     }
 
     private DutyHolder duty(KeyStore store, String name) {
@@ -367,6 +374,7 @@
         mCrashes.tick();
         mOrigins.tick(isSweeper);
         mIsReady = mFleet.isLoaded();
+        mFleet.desiredState().ifPresent(d -> mIntake.setLimits(d.limits()));
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
         }
