--- a/cactusspan/src/main/java/dev/cactusspan/batch/Batch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/Batch.java
@@ -6,6 +6,7 @@
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.region.Residency;
 import java.util.List;
 
 /**
@@ -26,6 +27,7 @@
  * @param dueMs how long after acceptance its results are due
  * @param retentionMs how long after acceptance its items may be abandoned
  * @param items its items
+ * @param residency regions to which it was bound when it was accepted
  */
 public record Batch(
         BatchId id,
@@ -42,4 +44,72 @@
         long submittedWallMs,
         long dueMs,
         long retentionMs,
-        List<BatchItem> items) {}
+        List<BatchItem> items,
+        Residency residency) {
+    /** Fills in the residency that records of earlier releases do not name. */
+    public Batch {
+        residency = residency == null ? Residency.ANYWHERE : residency;
+    }
+
+    /** Creates a batch that is bound to no region. */
+    public Batch(
+            BatchId id,
+            AccountId account,
+            RouteId route,
+            String host,
+            ServiceId service,
+            long step,
+            ModelId model,
+            WeightVersion minVersion,
+            int wantedGroups,
+            int maxAttempts,
+            boolean isSingleVersion,
+            long submittedWallMs,
+            long dueMs,
+            long retentionMs,
+            List<BatchItem> items) {
+        this(
+                id,
+                account,
+                route,
+                host,
+                service,
+                step,
+                model,
+                minVersion,
+                wantedGroups,
+                maxAttempts,
+                isSingleVersion,
+                submittedWallMs,
+                dueMs,
+                retentionMs,
+                items,
+                Residency.ANYWHERE);
+    }
+
+    /**
+     * Returns this batch, bound to regions.
+     *
+     * @param bound the regions
+     * @return the batch
+     */
+    public Batch withResidency(Residency bound) {
+        return new Batch(
+                id,
+                account,
+                route,
+                host,
+                service,
+                step,
+                model,
+                minVersion,
+                wantedGroups,
+                maxAttempts,
+                isSingleVersion,
+                submittedWallMs,
+                dueMs,
+                retentionMs,
+                items,
+                bound);
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -38,6 +38,7 @@
     private final ResultAppender mAppender;
     private final ProgressSaver mSaver;
     private final BatchAge mAge;
+    private final BatchHomes mHomes;
     private final BatchEnder mEnder;
     private final LongSupplier mNowMs;
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
@@ -58,6 +59,7 @@
      * @param appenderFactory creates the result appender, given a listener for lost ownership
      * @param saver saves the progress of unfinished texts
      * @param age converts times of acceptance
+     * @param homes decides where batches that are bound to regions may be
      * @param nowMs monotonic clock in milliseconds
      */
     BatchManager(
@@ -69,6 +71,7 @@
             Function<Consumer<OwnedBatch>, ResultAppender> appenderFactory,
             ProgressSaver saver,
             BatchAge age,
+            BatchHomes homes,
             LongSupplier nowMs) {
         mStore = store;
         mNodes = nodes;
@@ -78,6 +81,7 @@
         mAppender = appenderFactory.apply(this::onOwnershipLost);
         mSaver = saver;
         mAge = age;
+        mHomes = homes;
         mEnder =
                 new BatchEnder(
                         store,
@@ -95,10 +99,11 @@
      * Accepts a batch. The outcome is ok once the complete batch is durable, owned by this process
      * or by an earlier owner. After {@code outcome_unknown} the write is retried in the background.
      *
-     * @param batch the batch as submitted
+     * @param submitted the batch as submitted
      * @param done receives the outcome
      */
-    public void submit(Batch batch, Consumer<Result<Boolean>> done) {
+    public void submit(Batch submitted, Consumer<Result<Boolean>> done) {
+        Batch batch = mHomes.bind(submitted);
         if (mOwned.containsKey(batch.id()) || mKnown.containsKey(batch.id())) {
             done.accept(Result.of(true));
             return;
@@ -107,6 +112,13 @@
             done.accept(Result.fail(ErrorKind.SHUTTING_DOWN, "the process is stopping"));
             return;
         }
+        if (mHomes.isUnserved(batch)) {
+            done.accept(
+                    Result.fail(
+                            ErrorKind.NO_TARGET_IN_REGION,
+                            "no target of " + batch.service() + " in " + batch.residency()));
+            return;
+        }
         mAcquiring.add(batch.id());
         create(
                 batch,
@@ -261,7 +273,7 @@
             if (ownership.owner().equals(mOwner)) {
                 mAcquiring.add(id);
                 loadBatch(id, entry.getValue().revision());
-            } else if (isSweeper && isOrphan) {
+            } else if (isSweeper && isOrphan && mHomes.isNextOwner(mOwner, ownership)) {
                 tryTakeOver(entry.getValue());
             }
         }
@@ -318,7 +330,7 @@
 
     private void loadBatch(BatchId id, long revision) {
         FutureResults.deliver(
-                mStore.load(id),
+                mStore.load(id, mHomes.residency(mKnown.get(id).ownership())),
                 mThread,
                 (Result<StoredBatch> r) ->
                         r.fold(
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.batch;
 
 import dev.cactusspan.fleet.DesiredState;
+import dev.cactusspan.fleet.ResidencyRule;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
 import dev.cactusspan.fleet.TargetTable;
@@ -54,6 +55,7 @@
      * @return the manager
      */
     public static BatchManager create(Dependencies dependencies) {
+        ResidencyRule residency = new ResidencyRule(dependencies.desired());
         ItemRunner runner =
                 new ItemRunner(
                         dependencies.targets(),
@@ -65,6 +67,7 @@
                                 dependencies.chooser(),
                                 dependencies.desired(),
                                 dependencies.nowMs()),
+                        residency,
                         dependencies.telemetry(),
                         dependencies.nowMs());
         return new BatchManager(
@@ -83,6 +86,7 @@
                 new ProgressSaver(
                         dependencies.store(), dependencies.thread(), dependencies.nowMs()),
                 new BatchAge(dependencies.nowMs(), dependencies.wallClock()),
+                new BatchHomes(dependencies.targets(), dependencies.nodes(), residency),
                 dependencies.nowMs());
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchOwnership.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchOwnership.java
@@ -3,6 +3,8 @@
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.RouteId;
+import dev.cactusspan.region.Residency;
 
 /**
  * The ownership of a batch. Appends expect its key in the store unchanged, which fences former
@@ -16,6 +18,8 @@
  * @param total how many items it has
  * @param model its model, empty if unknown
  * @param expectedTokens expected length of all its texts in tokens, zero if unknown
+ * @param route the route through which it was submitted, empty if unknown
+ * @param residency regions to which it was bound when it was accepted
  */
 public record BatchOwnership(
         BatchId id,
@@ -25,11 +29,15 @@
         long submittedWallMs,
         int total,
         ModelId model,
-        long expectedTokens) {
+        long expectedTokens,
+        RouteId route,
+        Residency residency) {
 
-    /** Fills in the model that records of earlier releases do not name. */
+    /** Fills in what records of earlier releases do not name. */
     public BatchOwnership {
         model = model == null ? ModelId.of("") : model;
+        route = route == null ? RouteId.of("") : route;
+        residency = residency == null ? Residency.ANYWHERE : residency;
     }
 
     /**
@@ -48,7 +56,9 @@
                 batch.submittedWallMs(),
                 batch.items().size(),
                 batch.model(),
-                batch.items().stream().mapToLong(BatchItem::expectedTokens).sum());
+                batch.items().stream().mapToLong(BatchItem::expectedTokens).sum(),
+                batch.route(),
+                batch.residency());
     }
 
     /**
@@ -69,7 +79,16 @@
      */
     public BatchOwnership withOwner(String newOwner) {
         return new BatchOwnership(
-                id, account, newOwner, isEnded, submittedWallMs, total, model, expectedTokens);
+                id,
+                account,
+                newOwner,
+                isEnded,
+                submittedWallMs,
+                total,
+                model,
+                expectedTokens,
+                route,
+                residency);
     }
 
     /**
@@ -79,6 +98,15 @@
      */
     public BatchOwnership asEnded() {
         return new BatchOwnership(
-                id, account, owner, true, submittedWallMs, total, model, expectedTokens);
+                id,
+                account,
+                owner,
+                true,
+                submittedWallMs,
+                total,
+                model,
+                expectedTokens,
+                route,
+                residency);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchStore.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.observe.Decision;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
@@ -74,8 +75,8 @@
                     Result.fail(ErrorKind.PAYLOAD_TOO_LARGE, "the batch has too many parts"));
         }
         writes.add(new Write(ownerKey(batch.id()), JsonText.write(ownership), 0));
-        return mStore.commit(
-                Transaction.of(List.of(new Expectation(ownerKey(batch.id()), 0)), writes));
+        return mStore.within(batch.residency())
+                .commit(Transaction.of(List.of(new Expectation(ownerKey(batch.id()), 0)), writes));
     }
 
     /**
@@ -150,16 +151,40 @@
      * Reads a batch and its results.
      *
      * @param batch the batch
+     * @param residency regions to which it is bound
      * @return the batch; {@code not_found} if there is none
      */
-    public CompletableFuture<Result<StoredBatch>> load(BatchId batch) {
-        return loadPage(dataPrefix(batch), "", new ArrayList<>())
+    public CompletableFuture<Result<StoredBatch>> load(BatchId batch, Residency residency) {
+        return loadPage(mStore.within(residency), dataPrefix(batch), "", new ArrayList<>())
                 .thenApply(r -> r.flatMap(items -> assemble(batch, items)));
     }
 
-    private CompletableFuture<Result<List<StoredItem>>> loadPage(
-            String prefix, String after, List<StoredItem> items) {
-        return mStore.range(prefix, after)
+    /**
+     * Reads the results of a batch without the bodies of its items.
+     *
+     * @param batch the batch
+     * @return the results in the order of their positions, empty if there are none
+     */
+    public CompletableFuture<Result<List<ItemResult>>> loadResults(BatchId batch) {
+        return loadPage(mStore, resultPrefix(batch), "", new ArrayList<>())
+                .thenApply(r -> r.flatMap(BatchStore::parseResults));
+    }
+
+    private static Result<List<ItemResult>> parseResults(List<StoredItem> items) {
+        List<ItemResult> results = new ArrayList<>();
+        for (StoredItem item : items) {
+            Result<List<ItemResult>> part = parseList(item.value(), ItemResult.class);
+            if (!part.isOk()) {
+                return part;
+            }
+            results.addAll(part.get());
+        }
+        return Result.of(results);
+    }
+
+    private static CompletableFuture<Result<List<StoredItem>>> loadPage(
+            KeyStore store, String prefix, String after, List<StoredItem> items) {
+        return store.range(prefix, after)
                 .thenCompose(
                         result ->
                                 result.fold(
@@ -171,7 +196,7 @@
                                                         Result.of(items));
                                             }
                                             String last = items.get(items.size() - 1).key();
-                                            return loadPage(prefix, last, items);
+                                            return loadPage(store, prefix, last, items);
                                         }));
     }
 
@@ -255,6 +280,10 @@
     }
 
     private static String resultKey(BatchId batch, int position) {
-        return String.format("%sresult/%08d", dataPrefix(batch), position);
+        return String.format("%s%08d", resultPrefix(batch), position);
+    }
+
+    private static String resultPrefix(BatchId batch) {
+        return dataPrefix(batch) + "result/";
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.batch;
 
+import dev.cactusspan.fleet.ResidencyRule;
 import dev.cactusspan.fleet.ResponseHead;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetListener;
@@ -11,6 +12,7 @@
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.SendFailure;
 import java.util.List;
 import java.util.Optional;
@@ -54,6 +56,7 @@
     private final TargetPort mPort;
     private final TargetChooser mChooser;
     private final ItemScorer mScorer;
+    private final ResidencyRule mResidency;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
 
@@ -62,12 +65,14 @@
             TargetPort port,
             TargetChooser chooser,
             ItemScorer scorer,
+            ResidencyRule residency,
             Telemetry telemetry,
             LongSupplier nowMs) {
         mTargets = targets;
         mPort = port;
         mChooser = chooser;
         mScorer = scorer;
+        mResidency = residency;
         mTelemetry = telemetry;
         mNowMs = nowMs;
     }
@@ -141,6 +146,7 @@
                         run.moveCount(),
                         mTargets.serving(
                                 owned.batch().service(),
+                                residency(owned.batch()),
                                 filter(owned.batch(), run, nowMs).and(run::mayContinueAt)));
         mChooser.choose(faster, nowMs)
                 .ifPresent(
@@ -168,7 +174,8 @@
         }
         Predicate<TargetState> filter = filter(batch, run, nowMs);
         List<TargetState> candidates =
-                mTargets.candidates(batch.service(), filter.and(run::mayContinueAt));
+                mTargets.candidates(
+                        batch.service(), residency(batch), filter.and(run::mayContinueAt));
         if (candidates.isEmpty() && run.eventCount() > 0) {
             candidates = candidatesForRestart(batch, run, filter, nowMs);
         }
@@ -178,12 +185,14 @@
     /** Discards a text that no target of its software version can take, if any other can. */
     private List<TargetState> candidatesForRestart(
             Batch batch, ItemRun run, Predicate<TargetState> filter, long nowMs) {
-        boolean isServing = mTargets.isServing(batch.service(), run::mayContinueAt);
+        boolean isServing =
+                mTargets.isServing(batch.service(), residency(batch), run::mayContinueAt);
         long waitedMs = nowMs - run.waitForSoftware(nowMs);
         if (!ResumeRule.shouldRestart(isServing, run.eventCount(), waitedMs)) {
             return List.of();
         }
-        List<TargetState> candidates = mTargets.candidates(batch.service(), filter);
+        List<TargetState> candidates =
+                mTargets.candidates(batch.service(), residency(batch), filter);
         if (!candidates.isEmpty()) {
             Decision.of("text_restarted")
                     .with("request", run.item().id().value())
@@ -223,6 +232,11 @@
                 mPort.send(target.record(), request, new TextListener(owned, run, attempt, nowMs)));
     }
 
+    /** Returns the regions in which the items of a batch may run now. */
+    private Residency residency(Batch batch) {
+        return mResidency.of(batch.route(), batch.account(), batch.residency());
+    }
+
     private static boolean isFresh(Batch batch, WeightVersion version) {
         return !batch.minVersion().isAfter(version);
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.ResidencyRule;
 import dev.cactusspan.fleet.ResponseHead;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetListener;
@@ -37,6 +38,7 @@
     private final TargetPort mPort;
     private final TargetChooser mChooser;
     private final Supplier<Optional<DesiredState>> mDesired;
+    private final ResidencyRule mResidency;
     private final LongSupplier mNowMs;
 
     ItemScorer(
@@ -49,6 +51,7 @@
         mPort = port;
         mChooser = chooser;
         mDesired = desired;
+        mResidency = new ResidencyRule(desired);
         mNowMs = nowMs;
     }
 
@@ -64,6 +67,7 @@
         List<TargetState> candidates =
                 mTargets.candidates(
                         route.get().chooseService(0),
+                        mResidency.of(route.get(), Optional.of(owned.batch().account())),
                         t ->
                                 t.inFlight() < t.record().slots()
                                         && !t.isAvoided(nowMs)
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -109,7 +109,7 @@
 
     private void reload(OwnedBatch owned) {
         FutureResults.deliver(
-                mStore.load(owned.batch().id()),
+                mStore.load(owned.batch().id(), owned.batch().residency()),
                 mThread,
                 (Result<StoredBatch> r) ->
                         r.fold(
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -3,7 +3,9 @@
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.Revision;
+import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.region.Residency;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +17,8 @@
     private final List<FleetRoute> mRoutes;
     private final Map<ServiceId, FleetService> mServices = new HashMap<>();
     private final Map<String, AccountId> mAccountByKey = new HashMap<>();
+    private final Map<RouteId, Residency> mRouteResidency = new HashMap<>();
+    private final Map<AccountId, Residency> mAccountResidency = new HashMap<>();
     private final ClientLimits mLimits;
     private final boolean mHasAccounts;
 
@@ -28,6 +32,8 @@
         mRoutes = List.copyOf(routes);
         services.forEach(s -> mServices.put(s.name(), s));
         accounts.forEach(a -> a.keys().forEach(key -> mAccountByKey.put(key, a.name())));
+        routes.forEach(r -> mRouteResidency.merge(r.name(), r.residency(), Residency::and));
+        accounts.forEach(a -> mAccountResidency.put(a.name(), a.residency()));
         mLimits = limits;
         mHasAccounts = !accounts.isEmpty();
     }
@@ -110,6 +116,36 @@
         return service(service).map(s -> s.models().contains(model)).orElse(false);
     }
 
+    /**
+     * Returns the regions to which a route binds its requests.
+     *
+     * @param route name of the route
+     * @return the residency, empty if there is no such route
+     */
+    public Optional<Residency> residency(RouteId route) {
+        return Optional.ofNullable(mRouteResidency.get(route));
+    }
+
+    /**
+     * Returns the regions to which a client account binds its requests.
+     *
+     * @param account the account
+     * @return the residency
+     */
+    public Residency residency(AccountId account) {
+        return mAccountResidency.getOrDefault(account, Residency.ANYWHERE);
+    }
+
+    /**
+     * Returns whether any route or client account is bound to regions.
+     *
+     * @return true if one is
+     */
+    public boolean hasBoundRequests() {
+        return mRouteResidency.values().stream().anyMatch(Residency::isBound)
+                || mAccountResidency.values().stream().anyMatch(Residency::isBound);
+    }
+
     /**
      * Returns the revision.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/FleetAccount.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/FleetAccount.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.fleet;
 
 import dev.cactusspan.id.AccountId;
+import dev.cactusspan.region.Residency;
 import java.util.Set;
 
 /**
@@ -8,5 +9,11 @@
  *
  * @param name name of the account
  * @param keys valid API keys of the account
+ * @param residency regions to which its requests are bound
  */
-public record FleetAccount(AccountId name, Set<String> keys) {}
+public record FleetAccount(AccountId name, Set<String> keys, Residency residency) {
+    /** Creates an account whose requests are bound to no region. */
+    public FleetAccount(AccountId name, Set<String> keys) {
+        this(name, keys, Residency.ANYWHERE);
+    }
+}
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/FleetRoute.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/FleetRoute.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.region.Residency;
 import java.util.List;
 
 /**
@@ -19,6 +20,7 @@
  * @param isOpen true if requests need no key
  * @param isResumable true if a stream may be resumed at another target
  * @param batch limits of batches, only used for {@link RouteKind#BATCH}
+ * @param residency regions to which the requests are bound
  */
 public record FleetRoute(
         RouteId name,
@@ -32,7 +34,37 @@
         int maxAttempts,
         boolean isOpen,
         boolean isResumable,
-        BatchBounds batch) {
+        BatchBounds batch,
+        Residency residency) {
+    /** Creates a route whose requests are bound to no region. */
+    public FleetRoute(
+            RouteId name,
+            String host,
+            String prefix,
+            RouteKind kind,
+            long timeoutMs,
+            long sloMs,
+            int priority,
+            List<Share> shares,
+            int maxAttempts,
+            boolean isOpen,
+            boolean isResumable,
+            BatchBounds batch) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                timeoutMs,
+                sloMs,
+                priority,
+                shares,
+                maxAttempts,
+                isOpen,
+                isResumable,
+                batch,
+                Residency.ANYWHERE);
+    }
 
     /**
      * The share of a route's requests that a service receives.
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -2,6 +2,8 @@
 
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
+import dev.cactusspan.region.RegionMap;
+import dev.cactusspan.region.Residency;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -25,11 +27,26 @@
     /** Maximum number of targets of which it is remembered that they said that they leave. */
     private static final int MAX_LEAVING = 4_096;
 
+    private final RegionMap mRegions;
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
 
     /** Start times of the targets that said that they leave, also after they are gone. */
     private final Map<TargetId, Long> mLeavingStartedMs = new LinkedHashMap<>();
 
+    /**
+     * Creates a table.
+     *
+     * @param regions region of each availability zone
+     */
+    public TargetTable(RegionMap regions) {
+        mRegions = regions;
+    }
+
+    /** Creates a table for a deployment whose regions are unknown. */
+    public TargetTable() {
+        this(RegionMap.NONE);
+    }
+
     // Operations
 
     /**
@@ -126,13 +143,17 @@
      * is among them only while this process holds a permit for it.
      *
      * @param service the service
+     * @param residency regions in which the request may run
      * @param filter selects among these targets
      * @return the matching targets
      */
-    public List<TargetState> serving(ServiceId service, Predicate<TargetState> filter) {
+    public List<TargetState> serving(
+            ServiceId service, Residency residency, Predicate<TargetState> filter) {
         List<TargetState> serving = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
-            if (isServing(state, service) && state.admitsRequest() && filter.test(state)) {
+            if (isServing(state, service, residency)
+                    && state.admitsRequest()
+                    && filter.test(state)) {
                 serving.add(state);
             }
         }
@@ -144,13 +165,15 @@
      * permits for those that limit their requests.
      *
      * @param service the service
+     * @param residency regions in which the request may run
      * @param filter selects among these targets
      * @return the matching targets
      */
-    public List<TargetState> candidates(ServiceId service, Predicate<TargetState> filter) {
+    public List<TargetState> candidates(
+            ServiceId service, Residency residency, Predicate<TargetState> filter) {
         List<TargetState> candidates = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
-            if (!isServing(state, service) || !filter.test(state)) {
+            if (!isServing(state, service, residency) || !filter.test(state)) {
                 continue;
             }
             if (state.admitsRequest()) {
@@ -166,15 +189,20 @@
      * Tells whether any target of a service accepts new work, though perhaps not at once.
      *
      * @param service the service
+     * @param residency regions in which the request may run
      * @param filter selects among its targets
      * @return true if there is such a target
      */
-    public boolean isServing(ServiceId service, Predicate<TargetState> filter) {
-        return mTargets.values().stream().anyMatch(t -> isServing(t, service) && filter.test(t));
+    public boolean isServing(
+            ServiceId service, Residency residency, Predicate<TargetState> filter) {
+        return mTargets.values().stream()
+                .anyMatch(t -> isServing(t, service, residency) && filter.test(t));
     }
 
-    private static boolean isServing(TargetState state, ServiceId service) {
-        return state.record().service().equals(service) && !state.isLeaving();
+    private boolean isServing(TargetState state, ServiceId service, Residency residency) {
+        return state.record().service().equals(service)
+                && !state.isLeaving()
+                && mRegions.allows(residency, state.record().zone());
     }
 
     /**
@@ -194,13 +222,14 @@
      * their requests.
      *
      * @param service the service
+     * @param residency regions in which the request may run
      * @param nowMs monotonic clock in milliseconds
      * @return milliseconds; empty if a target has no limit, or if there is no target
      */
-    public OptionalLong permitWaitMs(ServiceId service, long nowMs) {
+    public OptionalLong permitWaitMs(ServiceId service, Residency residency, long nowMs) {
         long shortestMs = Long.MAX_VALUE;
         for (TargetState state : mTargets.values()) {
-            if (!isServing(state, service)) {
+            if (!isServing(state, service, residency)) {
                 continue;
             }
             OptionalLong waitMs = state.permitWaitMs(nowMs);
@@ -212,6 +241,15 @@
         return shortestMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(shortestMs);
     }
 
+    /**
+     * Returns the region of each availability zone.
+     *
+     * @return the regions
+     */
+    public RegionMap regions() {
+        return mRegions;
+    }
+
     /**
      * Returns all known targets.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.ResidencyRule;
 import dev.cactusspan.fleet.ResponseHead;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetChooser;
@@ -17,7 +18,6 @@
 import dev.cactusspan.result.SendFailure;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -50,9 +50,8 @@
     /** Outcome of a request that a target has completed. */
     private static final String ANSWERED = "answered";
 
-    private final TargetTable mTargets;
+    private final TargetSelection mSelection;
     private final TargetPort mPort;
-    private final TargetChooser mChooser;
     private final UsageListener mUsageListener;
     private final CrashGuard mCrashes;
     private final StreamOrigins mOrigins;
@@ -87,9 +86,8 @@
             Telemetry telemetry,
             SplittableRandom random,
             LongSupplier nowMs) {
-        mTargets = targets;
+        mSelection = new TargetSelection(targets, chooser, origins, new ResidencyRule(desired));
         mPort = port;
-        mChooser = chooser;
         mUsageListener = usageListener;
         mCrashes = crashes;
         mOrigins = origins;
@@ -172,27 +170,22 @@
                 || pending.possibleRunCount() >= pending.route().maxAttempts()) {
             return Optional.empty();
         }
-        List<TargetState> serving = mTargets.candidates(pending.service(), t -> mayRun(pending, t));
-        List<TargetState> untried = new ArrayList<>(serving);
-        untried.removeIf(t -> pending.triedTargets().contains(t.record().id()));
-        return mChooser.choose(untried.isEmpty() ? serving : untried, nowMs);
-    }
-
-    private boolean mayRun(ForwardedRequest pending, TargetState target) {
-        return !pending.route().isResumable()
-                || pending.origin()
-                        .map(origin -> origin.equals(StreamOrigin.of(target.record())))
-                        .orElseGet(() -> mOrigins.mayBegin(pending.route(), target.record()));
+        return mSelection.choose(pending, nowMs);
     }
 
     private void waitForTarget(ForwardedRequest pending, long nowMs) {
         if (pending.hasActiveAttempt()) {
             return;
         }
-        boolean isUnservable =
-                pending.origin().isPresent()
-                        && !mTargets.isServing(pending.service(), t -> mayRun(pending, t));
-        if (isUnservable) {
+        Optional<Failure> outside = mSelection.outsideRegions(pending);
+        if (outside.isPresent()) {
+            if (pending.possibleRunCount() == 0) {
+                pending.recordFailure(outside.get());
+            }
+            fail(pending, WaitRule.NO_TARGET_RETRY_AFTER_MS);
+            return;
+        }
+        if (mSelection.isStreamUnservable(pending)) {
             fail(pending, 0);
             return;
         }
@@ -207,7 +200,7 @@
                                 waitedMs,
                                 pending.deadlineMs() - pending.arrivedMs(),
                                 pending.route().sloMs(),
-                                mTargets.permitWaitMs(pending.service(), nowMs));
+                                mSelection.permitWaitMs(pending, nowMs));
         retryAfterMs.ifPresentOrElse(
                 ms -> fail(pending, ms), () -> pending.retryAt(nowMs + RETRY_DELAY_MS));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/forward/WaitRule.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/WaitRule.java
@@ -11,6 +11,12 @@
     /** Retry-After hint for requests that have not run, in milliseconds. */
     static final long RETRY_AFTER_MS = 60;
 
+    /**
+     * Retry-After hint while no target in the regions of a request serves, in milliseconds: about
+     * the time after which targets that start or come back are listed.
+     */
+    static final long NO_TARGET_RETRY_AFTER_MS = 400;
+
     /** Fraction of the latency objective that a request waits for a target that may refuse it. */
     private static final double WAIT_SLO_FRACTION = 0.2;
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/BatchReader.java
@@ -4,6 +4,7 @@
 import com.google.common.cache.CacheBuilder;
 import dev.cactusspan.batch.BatchManager;
 import dev.cactusspan.batch.BatchStore;
+import dev.cactusspan.batch.ItemResult;
 import dev.cactusspan.batch.KnownOwnership;
 import dev.cactusspan.batch.ResultsView;
 import dev.cactusspan.batch.StoredBatch;
@@ -20,6 +21,7 @@
 import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.text.JsonText;
 import dev.cactusspan.wire.Message;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -40,7 +42,7 @@
     private final NodeDirectory mNodes;
     private final PeerClient mPeers;
     private final Executor mThread;
-    private final Cache<BatchId, StoredBatch> mEndedBatches =
+    private final Cache<BatchId, List<ItemResult>> mEndedResults =
             CacheBuilder.newBuilder().maximumSize(MAX_CACHED).build();
 
     BatchReader(
@@ -166,46 +168,56 @@
 
     private void readStoredResults(
             KnownOwnership known, int after, Consumer<Result<ResultsView>> consumer) {
-        load(
+        loadResults(
                 known,
                 r ->
                         consumer.accept(
                                 r.map(
-                                        stored ->
+                                        results ->
                                                 ResultsView.of(
                                                         known.ownership().total(),
-                                                        stored.results(),
+                                                        results,
                                                         after))));
     }
 
-    private void load(KnownOwnership known, Consumer<Result<StoredBatch>> consumer) {
+    /** Reads the results of a batch; the bodies of its items stay in the store. */
+    private void loadResults(KnownOwnership known, Consumer<Result<List<ItemResult>>> consumer) {
         BatchId id = known.ownership().id();
-        StoredBatch cached = mEndedBatches.getIfPresent(id);
+        List<ItemResult> cached = mEndedResults.getIfPresent(id);
         if (cached != null) {
             consumer.accept(Result.of(cached));
             return;
         }
         FutureResults.deliver(
-                mStore.load(id),
+                mStore.loadResults(id),
                 mThread,
-                (Result<StoredBatch> r) -> {
+                (Result<List<ItemResult>> r) -> {
                     boolean isFinal = known.ownership().isEnded() && r.isOk();
                     if (isFinal) {
-                        mEndedBatches.put(id, r.get());
+                        mEndedResults.put(id, r.get());
                     }
-                    // The owner's key exists, so a missing page does not prove that there is no
-                    // batch.
-                    consumer.accept(
-                            r.fold(
-                                    f ->
-                                            Result.fail(
-                                                    Failure.of(
-                                                            ErrorKind.PLATFORM_UNAVAILABLE,
-                                                            f.detail())),
-                                    Result::of));
+                    consumer.accept(asUnavailable(r));
                 });
     }
 
+    /**
+     * Reads a batch for a client that asks this process for a body. A call through another process
+     * passes only through those in the regions to which the batch is bound.
+     */
+    private void load(KnownOwnership known, Consumer<Result<StoredBatch>> consumer) {
+        FutureResults.deliver(
+                mStore.load(known.ownership().id(), known.ownership().residency()),
+                mThread,
+                (Result<StoredBatch> r) -> consumer.accept(asUnavailable(r)));
+    }
+
+    /** The owner's key exists, so a missing page does not prove that there is no batch. */
+    private static <T> Result<T> asUnavailable(Result<T> result) {
+        return result.fold(
+                f -> Result.fail(Failure.of(ErrorKind.PLATFORM_UNAVAILABLE, f.detail())),
+                Result::of);
+    }
+
     // Items
 
     void readItem(KnownOwnership known, ItemId item, Consumer<Result<byte[]>> consumer) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -5,6 +5,7 @@
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.WeightVersion;
@@ -12,6 +13,7 @@
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.placement.RefreshInterval;
 import dev.cactusspan.platform.PlatformReader;
+import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.routing.Backoff;
@@ -42,13 +44,15 @@
     private final NodeDirectory mNodes;
     private final LongSupplier mNowMs;
     private final RefreshInterval mRefreshInterval;
-    private final TargetTable mTargets = new TargetTable();
+    private final RegionMap mRegions;
+    private final TargetTable mTargets;
     private final PrefixMirror mDesiredStateMirror;
     private final PrefixMirror mTargetMirror;
     private final PrefixMirror mControlMirror;
     private final PrefixMirror mOwnerMirror;
     private final PrefixMirror mVersionMirror;
     private Optional<DesiredState> mDesired = Optional.empty();
+    private boolean mHasBoundRequests;
     private BiConsumer<String, Optional<StoredItem>> mOnOwner = (key, item) -> {};
     private Consumer<Optional<StoredItem>> mOnUsageDuty = item -> {};
     private Consumer<Optional<StoredItem>> mOnWeightDuty = item -> {};
@@ -59,12 +63,15 @@
     FleetView(
             KeyStore store,
             NodeDirectory nodes,
+            RegionMap regions,
             Executor thread,
             Supplier<Backoff> backoffs,
             long reconnectMs,
             long drainMs,
             LongSupplier nowMs) {
         mNodes = nodes;
+        mRegions = regions;
+        mTargets = new TargetTable(regions);
         mRefreshInterval = new RefreshInterval(drainMs);
         mNowMs = nowMs;
         mDesiredStateMirror =
@@ -150,9 +157,25 @@
 
     /** Returns whether this process takes over batches that other processes have abandoned. */
     boolean isSweeper(String self) {
+        return isListReliable() && mNodes.choose(NodeDirectory.SWEEPER).equals(Optional.of(self));
+    }
+
+    /**
+     * Returns whether this process takes over abandoned batches that are bound to its region, which
+     * the sweeper may be outside of.
+     */
+    boolean isRegionSweeper(String self, AvailabilityZoneId zone) {
+        return mHasBoundRequests
+                && isListReliable()
+                && mNodes.choose(
+                                NodeDirectory.SWEEPER,
+                                node -> mRegions.isSameRegion(node.zone(), zone))
+                        .equals(Optional.of(self));
+    }
+
+    private boolean isListReliable() {
         return mControlMirror.isHealthy()
-                && mNowMs.getAsLong() - mControlMirror.confirmedMs() < MAX_LIST_AGE_MS
-                && mNodes.choose("sweep").equals(Optional.of(self));
+                && mNowMs.getAsLong() - mControlMirror.confirmedMs() < MAX_LIST_AGE_MS;
     }
 
     // Changes
@@ -175,6 +198,7 @@
             return;
         }
         mDesired = Optional.of(desired);
+        mHasBoundRequests |= desired.hasBoundRequests();
         Decision.of("desired_state_in_force").with("revision", desired.revision().number()).info();
     }
 
@@ -203,6 +227,7 @@
         Decision.of("target_seen")
                 .with("target", record.id().value())
                 .with("service", record.service().value())
+                .with("zone", record.zone().value())
                 .with("software", record.software().value())
                 .with("is_leaving", record.isLeaving())
                 .with("versions", record.versions().toString())
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -30,6 +30,7 @@
 import dev.cactusspan.platform.PlatformStore;
 import dev.cactusspan.platform.PlatformTargets;
 import dev.cactusspan.platform.PlatformUsage;
+import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.settings.GatewaySettings;
@@ -80,6 +81,7 @@
     private final TaskThread mThread = new TaskThread("gateway", QUEUE_TASKS, TICK_MS);
     private final SplittableRandom mRandom = new SplittableRandom();
     private final NodeDirectory mNodes = new NodeDirectory();
+    private final RegionMap mRegions;
     private final KeyStore mDirect;
     private final NodeSession mSession;
     private final PeerClient mPeers;
@@ -114,6 +116,7 @@
     public GatewayProcess(GatewaySettings settings, Telemetry telemetry, WallClock wallClock)
             throws IOException {
         mSettings = settings;
+        mRegions = RegionMap.of(settings.zones());
         mTelemetry = telemetry;
         mWallClock = wallClock;
         mHttp = HttpClient.create();
@@ -129,6 +132,7 @@
                 new FleetView(
                         store,
                         mNodes,
+                        mRegions,
                         mThread,
                         this::backoff,
                         settings.reconnectMs(),
@@ -198,6 +202,7 @@
                 mDirect,
                 mNodes,
                 mPeers,
+                mRegions,
                 self.owner(),
                 mThread,
                 mRandom.split(),
@@ -349,10 +354,12 @@
     }
 
     private void tick() {
-        boolean isSweeper = mFleet.isSweeper(mSession.self().owner());
+        String self = mSession.self().owner();
+        boolean isSweeper = mFleet.isSweeper(self);
+        boolean takesOver = isSweeper || mFleet.isRegionSweeper(self, mSettings.zone());
         mFleet.tick(
                 mWeightDuty.fencing().isPresent(),
-                isSweeper,
+                takesOver,
                 mBatches.openBatches(),
                 mBatches.waitingItems());
         mSession.tick();
@@ -361,7 +368,7 @@
         mWeightDuty.tick();
         mUsage.tick();
         mWeights.tick();
-        mBatches.tick(mFleet.recoveredMs(), isSweeper);
+        mBatches.tick(mFleet.recoveredMs(), takesOver);
         mGateway.tick();
         mPermits.tick();
         mCrashes.tick();
@@ -405,13 +412,9 @@
         if (zone.equals(mSettings.zone())) {
             return ZoneDistance.SAME_ZONE;
         }
-        boolean isSameRegion =
-                mSettings.zones().containsKey(zone)
-                        && mSettings
-                                .zones()
-                                .get(zone)
-                                .equals(mSettings.zones().get(mSettings.zone()));
-        return isSameRegion ? ZoneDistance.SAME_REGION : ZoneDistance.OTHER_REGION;
+        return mRegions.isSameRegion(zone, mSettings.zone())
+                ? ZoneDistance.SAME_REGION
+                : ZoneDistance.OTHER_REGION;
     }
 
     private static long nowMs() {
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** Lists the processes of the system that hold a lease, including this one. */
 public final class NodeDirectory {
@@ -16,6 +17,9 @@
     /** Prefix of the keys under which processes register; followed by the VM. */
     public static final String PREFIX = "cs/control/node/";
 
+    /** Subject of the choice of the process that takes over what others abandoned. */
+    public static final String SWEEPER = "sweep";
+
     private final Map<String, NodeRecord> mNodes = new HashMap<>();
 
     /**
@@ -55,10 +59,22 @@
      * @return the owner name, empty if no process is available
      */
     public Optional<String> choose(String subject) {
+        return choose(subject, node -> true);
+    }
+
+    /**
+     * Chooses a process for a subject among some of them. The process chosen among all of several
+     * regions is also the one chosen among those of its own region.
+     *
+     * @param subject the subject
+     * @param filter selects among the processes
+     * @return the owner name, empty if no process is available
+     */
+    public Optional<String> choose(String subject, Predicate<NodeRecord> filter) {
         String best = "";
         long bestScore = Long.MIN_VALUE;
         for (NodeRecord node : mNodes.values()) {
-            if (node.isLeaving()) {
+            if (node.isLeaving() || !filter.test(node)) {
                 continue;
             }
             long score = score(subject, node.owner());
--- a/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/RelayedStore.java
@@ -1,6 +1,8 @@
 package dev.cactusspan.peer;
 
 import dev.cactusspan.observe.Decision;
+import dev.cactusspan.region.RegionMap;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.store.KeyStore;
@@ -37,9 +39,8 @@
     private static final long NO_RELAY_PERIOD_MS = 1_000;
 
     private final KeyStore mDirect;
-    private final NodeDirectory mNodes;
+    private final RelayRule mRelays;
     private final PeerClient mPeers;
-    private final String mSelf;
     private final Executor mThread;
     private final SplittableRandom mRandom;
     private final LongSupplier mNowMs;
@@ -53,6 +54,7 @@
      * @param direct sends calls to the store itself
      * @param nodes the processes that can relay
      * @param peers sends requests to them
+     * @param regions region of each availability zone
      * @param self this process's owner name
      * @param thread runs the callbacks; all methods are called on its thread
      * @param random source of randomness
@@ -62,14 +64,14 @@
             KeyStore direct,
             NodeDirectory nodes,
             PeerClient peers,
+            RegionMap regions,
             String self,
             Executor thread,
             SplittableRandom random,
             LongSupplier nowMs) {
         mDirect = direct;
-        mNodes = nodes;
+        mRelays = new RelayRule(nodes, regions, self);
         mPeers = peers;
-        mSelf = self;
         mThread = thread;
         mRandom = random;
         mNowMs = nowMs;
@@ -79,7 +81,12 @@
 
     @Override
     public CompletableFuture<Result<Optional<StoredItem>>> get(String key) {
+        return get(Residency.ANYWHERE, key);
+    }
+
+    private CompletableFuture<Result<Optional<StoredItem>>> get(Residency residency, String key) {
         return call(
+                residency,
                 () -> mDirect.get(key),
                 StoreOperation.get(key),
                 response -> response.items().stream().findFirst());
@@ -87,7 +94,13 @@
 
     @Override
     public CompletableFuture<Result<Page>> range(String prefix, String after) {
+        return range(Residency.ANYWHERE, prefix, after);
+    }
+
+    private CompletableFuture<Result<Page>> range(
+            Residency residency, String prefix, String after) {
         return call(
+                residency,
                 () -> mDirect.range(prefix, after),
                 StoreOperation.range(prefix, after),
                 response -> new Page(response.items(), response.hasMore(), response.number()));
@@ -95,7 +108,12 @@
 
     @Override
     public CompletableFuture<Result<Long>> commit(Transaction transaction) {
+        return commit(Residency.ANYWHERE, transaction);
+    }
+
+    private CompletableFuture<Result<Long>> commit(Residency residency, Transaction transaction) {
         return call(
+                residency,
                 () -> mDirect.commit(transaction),
                 StoreOperation.commit(transaction),
                 StoreResponse::number);
@@ -104,6 +122,7 @@
     @Override
     public CompletableFuture<Result<Long>> renewLease(long lease) {
         return call(
+                Residency.ANYWHERE,
                 () -> mDirect.renewLease(lease),
                 StoreOperation.renew(lease),
                 StoreResponse::number);
@@ -130,21 +149,72 @@
         return mFailures == 0;
     }
 
+    @Override
+    public KeyStore within(Residency residency) {
+        return residency.isBound() ? new BoundStore(residency) : this;
+    }
+
+    /** Relays calls only through processes in the regions to which a request is bound. */
+    private final class BoundStore implements KeyStore {
+        private final Residency mResidency;
+
+        BoundStore(Residency residency) {
+            mResidency = residency;
+        }
+
+        @Override
+        public CompletableFuture<Result<Optional<StoredItem>>> get(String key) {
+            return RelayedStore.this.get(mResidency, key);
+        }
+
+        @Override
+        public CompletableFuture<Result<Page>> range(String prefix, String after) {
+            return RelayedStore.this.range(mResidency, prefix, after);
+        }
+
+        @Override
+        public CompletableFuture<Result<Changes>> watch(
+                String prefix, long afterRevision, long waitMs) {
+            return RelayedStore.this.watch(prefix, afterRevision, waitMs);
+        }
+
+        @Override
+        public CompletableFuture<Result<Long>> commit(Transaction transaction) {
+            return RelayedStore.this.commit(mResidency, transaction);
+        }
+
+        @Override
+        public CompletableFuture<Result<Long>> grantLease(long ttlMs) {
+            return RelayedStore.this.grantLease(ttlMs);
+        }
+
+        @Override
+        public CompletableFuture<Result<Long>> renewLease(long lease) {
+            return RelayedStore.this.renewLease(lease);
+        }
+
+        @Override
+        public CompletableFuture<Result<Boolean>> endLease(long lease) {
+            return RelayedStore.this.endLease(lease);
+        }
+    }
+
     private <T> CompletableFuture<Result<T>> call(
+            Residency residency,
             Supplier<CompletableFuture<Result<T>>> direct,
             StoreOperation operation,
             Function<StoreResponse, T> mapper) {
         long nowMs = mNowMs.getAsLong();
         boolean isRelayed = nowMs < mRelayUntilMs && nowMs >= mNoRelayUntilMs;
         if (isRelayed) {
-            return relay(operation, mapper);
+            return relay(residency, operation, mapper);
         }
         return direct.get()
                 .thenComposeAsync(
                         result -> {
                             boolean isUnreachable = recordOutcome(result);
                             return isUnreachable && mNowMs.getAsLong() >= mNoRelayUntilMs
-                                    ? relay(operation, mapper)
+                                    ? relay(residency, operation, mapper)
                                     : CompletableFuture.completedFuture(result);
                         },
                         mThread);
@@ -167,12 +237,13 @@
     }
 
     private <T> CompletableFuture<Result<T>> relay(
-            StoreOperation operation, Function<StoreResponse, T> mapper) {
-        List<NodeRecord> others =
-                mNodes.all().stream().filter(n -> !n.owner().equals(mSelf)).toList();
+            Residency residency, StoreOperation operation, Function<StoreResponse, T> mapper) {
+        List<NodeRecord> others = mRelays.relays(residency);
         if (others.isEmpty()) {
             return CompletableFuture.completedFuture(
-                    Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, "no other process is known"));
+                    Result.fail(
+                            ErrorKind.PLATFORM_UNAVAILABLE,
+                            "no other process is known in " + residency));
         }
         NodeRecord node = others.get(mRandom.nextInt(others.size()));
         byte[] body = JsonText.write(operation);
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -11,12 +11,14 @@
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.text.JsonText;
@@ -109,7 +111,8 @@
                 new FleetRoute.BatchBounds(
                         node.path("run_slo_ms").asLong(0),
                         (long) (node.path("retention_s").asDouble(0) * MS_PER_S),
-                        node.path("single_version").asBoolean(false)));
+                        node.path("single_version").asBoolean(false)),
+                residency(node));
     }
 
     /** Parses the kind of a route. An unknown kind becomes non-idempotent, the safest one. */
@@ -136,7 +139,14 @@
     private static FleetAccount account(JsonNode node) {
         Set<String> keys = new HashSet<>();
         node.path("api_keys").forEach(n -> keys.add(n.asText()));
-        return new FleetAccount(AccountId.of(node.path("name").asText()), Set.copyOf(keys));
+        return new FleetAccount(
+                AccountId.of(node.path("name").asText()), Set.copyOf(keys), residency(node));
+    }
+
+    private static Residency residency(JsonNode node) {
+        Set<RegionId> regions = new HashSet<>();
+        node.path("allowed_regions").forEach(n -> regions.add(RegionId.of(n.asText())));
+        return Residency.of(regions);
     }
 
     private static ClientLimits limits(JsonNode node) {
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/region/package-info.java
@@ -0,0 +1,2 @@
+/** The regions to which requests are bound. */
+package dev.cactusspan.region;
--- a/cactusspan/src/main/java/dev/cactusspan/result/ErrorKind.java
+++ b/cactusspan/src/main/java/dev/cactusspan/result/ErrorKind.java
@@ -26,6 +26,8 @@
     OVERLOADED,
     /** No target can accept the request. */
     NO_TARGET,
+    /** No target in the regions to which the request is bound accepts work. */
+    NO_TARGET_IN_REGION,
     /** The request crashed several targets and is not run any more for a while. */
     REQUEST_QUARANTINED,
     /** The request resumes a stream of which it is not known where it began. */
--- a/cactusspan/src/main/java/dev/cactusspan/store/KeyStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/KeyStore.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.store;
 
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.Result;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +23,17 @@
         return true;
     }
 
+    /**
+     * Returns this store for calls that carry the body of a request. They pass through no process
+     * outside the regions to which the request is bound.
+     *
+     * @param residency these regions
+     * @return the store
+     */
+    default KeyStore within(Residency residency) {
+        return this;
+    }
+
     /**
      * Reads a key.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -6,6 +6,10 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.id.TargetId;
+import dev.cactusspan.peer.NodeDirectory;
 import org.junit.jupiter.api.Test;
 
 /** Checks the rules on dependencies between packages. */
@@ -29,6 +33,7 @@
                         "dev.cactusspan.usage",
                         "dev.cactusspan.scaling",
                         "dev.cactusspan.placement",
+                        "dev.cactusspan.region",
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
                         "dev.cactusspan.chart",
@@ -85,6 +90,33 @@
                 .check(CLASSES);
     }
 
+    /** Only {@code TargetTable} and {@code RelayRule} know which regions bind a request. */
+    @Test
+    void shouldChooseTargetsAndProcessesForARequestOnlyWithItsResidency() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("dev.cactusspan.batch", "dev.cactusspan.forward")
+                .should()
+                .callMethod(TargetTable.class, "all")
+                .orShould()
+                .callMethod(TargetTable.class, "records", ServiceId.class)
+                .orShould()
+                .callMethod(TargetTable.class, "find", TargetId.class)
+                .orShould()
+                .callMethod(NodeDirectory.class, "all")
+                .check(CLASSES);
+        noClasses()
+                .that()
+                .resideInAPackage("dev.cactusspan.peer")
+                .and()
+                .doNotHaveSimpleName("RelayRule")
+                .and()
+                .doNotHaveSimpleName("NodeDirectory")
+                .should()
+                .callMethod(NodeDirectory.class, "all")
+                .check(CLASSES);
+    }
+
     @Test
     void shouldNotDependOnEntryOrCommandFromOtherPackages() {
         noClasses()
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchFixture.java
@@ -1,6 +1,7 @@
 package dev.cactusspan.batch;
 
 import dev.cactusspan.id.BatchId;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.store.FakeKeyStore;
 import dev.cactusspan.store.ManualThread;
 import java.util.ArrayList;
@@ -50,6 +51,6 @@
     }
 
     List<ItemResult> stored() {
-        return new BatchStore(mStore).load(ID).join().get().results();
+        return new BatchStore(mStore).load(ID, Residency.ANYWHERE).join().get().results();
     }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -10,6 +10,7 @@
 
 import dev.cactusspan.fleet.FakeTargets;
 import dev.cactusspan.id.ItemId;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import java.util.ArrayList;
@@ -412,7 +413,7 @@
                     node.respondToAll(sent -> respondRandomly(sent, random));
                 }
             }
-            Result<StoredBatch> now = new BatchStore(mStore).load(ID).join();
+            Result<StoredBatch> now = new BatchStore(mStore).load(ID, Residency.ANYWHERE).join();
             if (now.isOk()) {
                 List<ItemResult> results = now.get().results();
                 assertThat(results.subList(0, seen.size()), is(seen));
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -8,12 +8,14 @@
 import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetChooser;
+import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
@@ -23,6 +25,8 @@
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.peer.NodeRecord;
+import dev.cactusspan.region.RegionMap;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.store.FakeKeyStore;
@@ -35,6 +39,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /** The batches of one process, with a fake store and fake targets. */
@@ -47,7 +52,15 @@
     private static final long RECONNECT_MS = 4_000;
 
     private final FakeTargets mPort = new FakeTargets();
-    private final TargetTable mTargets = new TargetTable();
+    private final TargetTable mTargets =
+            new TargetTable(
+                    RegionMap.of(
+                            Map.of(
+                                    AvailabilityZoneId.of("a"),
+                                    RegionId.of("ra"),
+                                    AvailabilityZoneId.of("b"),
+                                    RegionId.of("rb"))));
+    private DesiredState mDesired = DESIRED;
     private final NodeDirectory mNodes = new NodeDirectory();
     private final NodeRecord mSelf;
     private final ManualThread mThread;
@@ -59,15 +72,29 @@
     private int mRespondedCount;
 
     BatchNode(String name, FakeKeyStore store, ManualThread thread) {
-        this(name, store, thread, thread::nowMs);
+        this(name, "a", store, thread, thread::nowMs);
+    }
+
+    /** Creates a process in another zone; zones a and b are in the regions ra and rb. */
+    BatchNode(String name, String zone, FakeKeyStore store, ManualThread thread) {
+        this(name, zone, store, thread, thread::nowMs);
     }
 
     BatchNode(String name, FakeKeyStore store, ManualThread thread, WallClock wallClock) {
+        this(name, "a", store, thread, wallClock);
+    }
+
+    private BatchNode(
+            String name,
+            String zone,
+            FakeKeyStore store,
+            ManualThread thread,
+            WallClock wallClock) {
         mThread = thread;
         mStore = store;
         mSelf =
                 new NodeRecord(
-                        VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1, false);
+                        VmId.of(name), "1", AvailabilityZoneId.of(zone), "10.0.0.1", 1, false);
         mManager =
                 BatchManagerFactory.create(
                         new BatchManagerFactory.Dependencies(
@@ -78,8 +105,8 @@
                                 mTargets,
                                 new ObservingTargets(mPort, mTargets, thread::nowMs),
                                 new TargetChooser(
-                                        zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
-                                () -> Optional.of(DESIRED),
+                                        z -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                                () -> Optional.of(mDesired),
                                 Telemetry.create(),
                                 new Backoff(10, 50, new SplittableRandom(2)),
                                 thread::nowMs,
@@ -109,28 +136,40 @@
     }
 
     private static DesiredState desired() {
-        FleetRoute scoring =
-                new FleetRoute(
-                        RouteId.of("score"),
-                        "h",
-                        "/score/",
-                        RouteKind.IDEMPOTENT,
-                        1_000,
-                        200,
-                        0,
-                        List.of(new FleetRoute.Share(SCORER, 1)),
-                        3,
-                        true,
-                        false,
-                        new FleetRoute.BatchBounds(0, 0, false));
+        return desired(List.of(scoringRoute(Residency.ANYWHERE)));
+    }
+
+    private static DesiredState desired(List<FleetRoute> routes) {
         return DesiredState.of(
                 Revision.of(1),
-                List.of(scoring),
+                routes,
                 List.of(new FleetService(ENGINE, 10, List.of(ModelId.of("m")))),
                 List.of(),
                 new ClientLimits(1_000, 1_000, 1_000, 1_000));
     }
 
+    private static FleetRoute scoringRoute(Residency residency) {
+        return route("score", "/score/", SCORER, residency);
+    }
+
+    private static FleetRoute route(
+            String name, String prefix, ServiceId service, Residency residency) {
+        return new FleetRoute(
+                RouteId.of(name),
+                "h",
+                prefix,
+                RouteKind.IDEMPOTENT,
+                1_000,
+                200,
+                0,
+                List.of(new FleetRoute.Share(service, 1)),
+                3,
+                true,
+                false,
+                new FleetRoute.BatchBounds(0, 0, false),
+                residency);
+    }
+
     static Batch batch(String id, int groups, int size, long nowMs) {
         return batch(id, groups, size, nowMs, false);
     }
@@ -189,7 +228,9 @@
         }
         mMirror.tick();
         boolean isSweeper =
-                mMirror.isHealthy() && mNodes.choose("sweep").equals(Optional.of(owner()));
+                mMirror.isHealthy()
+                        && (mNodes.choose(NodeDirectory.SWEEPER).equals(Optional.of(owner()))
+                                || isRegionSweeper());
         if (isSweeper || mManager.openBatches() > 0) {
             mOwners.tick();
         }
@@ -197,6 +238,23 @@
         mThread.runAll();
     }
 
+    private boolean isRegionSweeper() {
+        return mDesired.hasBoundRequests()
+                && mNodes.choose(NodeDirectory.SWEEPER, node -> node.zone().equals(mSelf.zone()))
+                        .equals(Optional.of(owner()));
+    }
+
+    /** Binds the route of the batches, and that of the scores, to regions. */
+    void bind(Set<RegionId> batches, Set<RegionId> scores) {
+        FleetRoute scoring = scoringRoute(Residency.of(scores));
+        FleetRoute training = route("r", "/p/", ENGINE, Residency.of(batches));
+        mDesired = desired(List.of(scoring, training));
+    }
+
+    void putTarget(TargetRecord target) {
+        mTargets.put(target);
+    }
+
     /** Adds or updates a target that generates texts with the given software version. */
     void putEngine(String id, String software, int slots) {
         mTargets.put(FakeTargets.record(id, "lm", software, slots, MIN_VERSION));
--- a/cactusspan/src/test/java/dev/cactusspan/batch/MoveRuleTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/MoveRuleTest.java
@@ -11,6 +11,7 @@
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.routing.ZoneDistance;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,7 +39,7 @@
     }
 
     private List<TargetState> candidates() {
-        return mTargets.serving(ServiceId.of("lm"), t -> t.inFlight() < SLOTS);
+        return mTargets.serving(ServiceId.of("lm"), Residency.ANYWHERE, t -> t.inFlight() < SLOTS);
     }
 
     @Test
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -194,6 +194,21 @@
                 target.versions());
     }
 
+    /** Returns the registration entry of a target in another zone. */
+    public static TargetRecord inZone(String zone, TargetRecord target) {
+        return new TargetRecord(
+                target.id(),
+                target.service(),
+                target.software(),
+                target.address(),
+                AvailabilityZoneId.of(zone),
+                target.slots(),
+                target.isLeaving(),
+                target.orders(),
+                target.startedMs(),
+                target.versions());
+    }
+
     /** Returns the registration entry of a target with the given version of its software. */
     public static TargetRecord record(
             String id, String service, String software, int slots, long version) {
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
@@ -7,6 +7,7 @@
 
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.routing.ZoneDistance;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -20,7 +21,7 @@
     private final TargetTable mTable = new TargetTable();
 
     private List<TargetState> serving() {
-        return mTable.serving(APP, t -> true);
+        return mTable.serving(APP, Residency.ANYWHERE, t -> true);
     }
 
     @Test
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.forward;
 
+import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FakeTargets;
 import dev.cactusspan.fleet.FleetRoute;
 import dev.cactusspan.fleet.ObservingTargets;
@@ -7,10 +8,13 @@
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AccountId;
+import dev.cactusspan.id.AvailabilityZoneId;
+import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.store.ManualThread;
@@ -29,7 +33,15 @@
 
     final ManualThread mThread = new ManualThread();
     final FakeTargets mPort = new FakeTargets();
-    final TargetTable mTargets = new TargetTable();
+    final RegionMap mRegions =
+            RegionMap.of(
+                    Map.of(
+                            AvailabilityZoneId.of("a"),
+                            RegionId.of("ra"),
+                            AvailabilityZoneId.of("b"),
+                            RegionId.of("rb")));
+    final TargetTable mTargets = new TargetTable(mRegions);
+    Optional<DesiredState> mDesired = Optional.empty();
     final FakeOrigins mOrigins = new FakeOrigins();
     final List<AccountId> mUsage = new ArrayList<>();
     final RequestForwarder mForwarder =
@@ -37,7 +49,7 @@
                     mTargets,
                     new ObservingTargets(mPort, mTargets, mThread::nowMs),
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
-                    Optional::empty,
+                    () -> mDesired,
                     this::countUsage,
                     new CrashGuard("entry"),
                     mOrigins,
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -9,12 +9,16 @@
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.ModelId;
+import dev.cactusspan.id.RegionId;
+import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.Result;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -80,6 +84,25 @@
         assertThat(state.account("k3"), is(Optional.empty()));
     }
 
+    @Test
+    void shouldReadTheRegionsOfRoutesAndAccounts() {
+        String text =
+                "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/a/\","
+                        + "\"service\":\"x\",\"allowed_regions\":[\"ra\",\"rb\"]},"
+                        + "{\"name\":\"q\",\"host\":\"h\",\"prefix\":\"/b/\",\"service\":\"x\","
+                        + "\"allowed_regions\":[]}],"
+                        + "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[],"
+                        + "\"allowed_regions\":[\"rb\"]}]}";
+        DesiredState state = PlatformReader.desiredState(bytes(text)).get();
+        assertThat(
+                state.residency(RouteId.of("r")),
+                is(Optional.of(Residency.of(Set.of(RegionId.of("ra"), RegionId.of("rb"))))));
+        assertThat(state.residency(RouteId.of("q")), is(Optional.of(Residency.ANYWHERE)));
+        assertThat(
+                state.residency(AccountId.of("acme")), is(Residency.of(Set.of(RegionId.of("rb")))));
+        assertThat(state.hasBoundRequests(), is(true));
+    }
+
     @Property(seed = "81", tries = 500)
     void shouldNotThrowOnMalformedText(@ForAll String text, @ForAll int cut) {
         target(text);
