Let work wait in one line per service and wake when a place is free

Cause: each item polled all targets every 10 ms, with pauses of 40 ms after a refusal and 20 ms after a failure, in the order of its batch only; route and account priorities were read and used nowhere. Change: package waiting: WaitingLine orders items, scores and client requests by rank (account priority before route priority), by what their callers lose, by turns among flows and by due time, with a bound on starvation; ServiceLines offers work when a run ends, a target appears or changes, permits come or an avoidance ends. FairShare is the fair queueing of FairQueue, now used by both. A refused item goes to another target at once. HedgeRule moves out of RequestForwarder. Tests: WaitingLineTest replays overload of two ranks and a stream of more urgent work; ItemsWaitInLineTest; RanksTest.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -444,6 +444,7 @@
     /** Stops running items and saves their texts; finished results are still appended. */
     public void drain() {
         mIsDraining = true;
+        mRunner.stop();
         for (OwnedBatch owned : mOwned.values()) {
             mSaver.save(owned);
             owned.runs().forEach(ItemRun::cancelAttempt);
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
@@ -8,6 +8,8 @@
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.time.WallClock;
+import dev.cactusspan.waiting.Ranks;
+import dev.cactusspan.waiting.ServiceLines;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -27,6 +29,8 @@
      * @param targets the targets
      * @param port sends requests to targets
      * @param chooser selects a target for each request
+     * @param lines the lines in which work waits
+     * @param ranks the ranks of work
      * @param desired supplies the desired state in force
      * @param telemetry metrics
      * @param backoff retry delays after store failures
@@ -41,6 +45,8 @@
             TargetTable targets,
             TargetPort port,
             TargetChooser chooser,
+            ServiceLines lines,
+            Ranks ranks,
             Supplier<Optional<DesiredState>> desired,
             Telemetry telemetry,
             Backoff backoff,
@@ -65,6 +71,8 @@
                                 dependencies.chooser(),
                                 dependencies.desired(),
                                 dependencies.nowMs()),
+                        dependencies.lines(),
+                        dependencies.ranks(),
                         dependencies.telemetry(),
                         dependencies.nowMs());
         return new BatchManager(
--- a/cactusspan/src/main/java/dev/cactusspan/batch/FailedTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/FailedTargets.java
@@ -31,6 +31,10 @@
         mTargets.add(target);
     }
 
+    boolean isEmpty() {
+        return mTargets.isEmpty();
+    }
+
     /**
      * Tells whether the item may be sent to a target.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -6,6 +6,7 @@
 import dev.cactusspan.fleet.TextEvent;
 import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.waiting.Need;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,7 +24,9 @@
             StateChart.load("/dev/cactusspan/chart/item.json", ItemState.class, ItemEvent.class);
 
     private final BatchItem mItem;
-    private final StateMachine<ItemState, ItemEvent> mPosition = StateMachine.of(CHART);
+    private final Need mNeed;
+    private final int mPosition;
+    private final StateMachine<ItemState, ItemEvent> mState = StateMachine.of(CHART);
     private final List<String> mTexts = new ArrayList<>();
     private int mTextChars;
     private final Set<WeightVersion> mVersions = new LinkedHashSet<>();
@@ -38,6 +41,7 @@
     private int mMoveCount;
     private long mEventIntervalMs;
     private long mNextAttemptMs;
+    private boolean mIsInLine;
     private long mWaitingSinceMs = -1;
     private long mLastProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
@@ -48,8 +52,17 @@
     /** Number of the current attempt, used to ignore late events of former attempts. */
     private int mAttemptNumber;
 
-    ItemRun(BatchItem item) {
+    /**
+     * Creates the run of an item.
+     *
+     * @param item the item
+     * @param need what the trainer loses while it waits
+     * @param position its position in the dispatch order of its batch
+     */
+    ItemRun(BatchItem item, Need need, int position) {
         mItem = item;
+        mNeed = need;
+        mPosition = position;
     }
 
     // Operations
@@ -68,7 +81,7 @@
     }
 
     boolean apply(ItemEvent event) {
-        return mPosition.apply(event);
+        return mState.apply(event);
     }
 
     /** Starts an attempt, which generates or scores the text at a target; returns its number. */
@@ -78,6 +91,7 @@
         mLatestSoftware = target.record().software();
         target.recordSent(nowMs);
         mSendCount++;
+        mIsInLine = false;
         mWaitingSinceMs = -1;
         mLastProgressMs = nowMs;
         mEventIntervalMs = 0;
@@ -164,6 +178,11 @@
         mMoveCount++;
     }
 
+    /** Records that the run waits in the line of a service. */
+    void enterLine() {
+        mIsInLine = true;
+    }
+
     void retryAt(long atMs) {
         mNextAttemptMs = atMs;
     }
@@ -207,12 +226,36 @@
         return mVersions.stream().noneMatch(minVersion::isAfter);
     }
 
+    /** Returns what the trainer loses while the run waits. */
+    Need need() {
+        return state() == ItemState.SCORING ? Need.SCORE : mNeed;
+    }
+
+    int position() {
+        return mPosition;
+    }
+
+    /** Tells whether the run needs a place at a target. */
+    boolean isWaiting() {
+        return mTarget.isEmpty() && (state() == ItemState.WAITING || state() == ItemState.SCORING);
+    }
+
+    boolean isInLine() {
+        return mIsInLine;
+    }
+
+    /** Returns which targets suit the run, equal for those that the same targets suit. */
+    Object needs() {
+        boolean isRestricted = !mFailedTargets.isEmpty() || !mFailedScorers.isEmpty();
+        return isRestricted ? this : List.of(state(), mSoftware, mTexts.isEmpty());
+    }
+
     BatchItem item() {
         return mItem;
     }
 
     ItemState state() {
-        return mPosition.state();
+        return mState.state();
     }
 
     boolean isCurrentAttempt(int number) {
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -8,10 +8,17 @@
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.fleet.TextEvent;
+import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.SendFailure;
+import dev.cactusspan.waiting.Flow;
+import dev.cactusspan.waiting.Rank;
+import dev.cactusspan.waiting.Ranks;
+import dev.cactusspan.waiting.ServiceLines;
+import dev.cactusspan.waiting.WaitingWork;
+import dev.cactusspan.waiting.WorkOrder;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -23,10 +30,10 @@
  */
 final class ItemRunner {
 
-    /** Delay after a refusal, in milliseconds. */
-    private static final long REFUSAL_DELAY_MS = 40;
+    /** Time that a target is avoided after it refused an item, in milliseconds. */
+    private static final long REFUSAL_AVOIDANCE_MS = 40;
 
-    /** Delay after a failed attempt, in milliseconds. */
+    /** Pause of an item after a failed attempt, in milliseconds. */
     private static final long FAILURE_DELAY_MS = 20;
 
     /**
@@ -54,20 +61,27 @@
     private final TargetPort mPort;
     private final TargetChooser mChooser;
     private final ItemScorer mScorer;
+    private final ServiceLines mLines;
+    private final Ranks mRanks;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
+    private boolean mIsStopped;
 
     ItemRunner(
             TargetTable targets,
             TargetPort port,
             TargetChooser chooser,
             ItemScorer scorer,
+            ServiceLines lines,
+            Ranks ranks,
             Telemetry telemetry,
             LongSupplier nowMs) {
         mTargets = targets;
         mPort = port;
         mChooser = chooser;
         mScorer = scorer;
+        mLines = lines;
+        mRanks = ranks;
         mTelemetry = telemetry;
         mNowMs = nowMs;
     }
@@ -77,24 +91,76 @@
     /** Advances each item of a batch as far as possible. */
     void tick(OwnedBatch owned) {
         long nowMs = mNowMs.getAsLong();
-        boolean isExpired = owned.remainingMs(nowMs) <= 0;
-        for (ItemRun run : List.copyOf(owned.runs())) {
-            if (isExpired) {
-                owned.abandon(run, "retention", nowMs);
-            } else if (run.target().isPresent()) {
+        if (owned.remainingMs(nowMs) <= 0) {
+            List.copyOf(owned.runs()).forEach(run -> owned.abandon(run, "retention", nowMs));
+            return;
+        }
+        for (ItemRun run : owned.runs()) {
+            if (run.target().isPresent()) {
                 checkProgress(owned, run, nowMs);
-            } else if (nowMs >= run.nextAttemptMs()) {
-                advance(owned, run, nowMs);
+            } else if (!run.isInLine() && nowMs >= run.nextAttemptMs()) {
+                enterLine(owned, run);
             }
         }
     }
 
-    private void advance(OwnedBatch owned, ItemRun run, long nowMs) {
-        if (run.state() == ItemState.SCORING) {
-            mScorer.score(owned, run, nowMs);
+    /** Stops placing items. */
+    void stop() {
+        mIsStopped = true;
+    }
+
+    /** Has an item wait for a place at a target that generates or scores its text. */
+    private void enterLine(OwnedBatch owned, ItemRun run) {
+        Batch batch = owned.batch();
+        Optional<ServiceId> service =
+                run.state() == ItemState.SCORING
+                        ? mScorer.service(run)
+                        : Optional.of(batch.service());
+        if (service.isEmpty()) {
             return;
         }
-        generate(owned, run, nowMs);
+        WorkOrder order =
+                new WorkOrder(
+                        rank(batch, run),
+                        run.need(),
+                        new Flow(batch.account(), batch.route()),
+                        owned.dueMs(),
+                        run.position());
+        run.enterLine();
+        mLines.add(service.get(), new ItemWork(owned, run), order);
+    }
+
+    private Rank rank(Batch batch, ItemRun run) {
+        return mRanks.of(batch.host(), run.item().path(), Optional.of(batch.account()));
+    }
+
+    /** An item that waits for a place. */
+    private final class ItemWork implements WaitingWork {
+        private final OwnedBatch mOwned;
+        private final ItemRun mRun;
+
+        ItemWork(OwnedBatch owned, ItemRun run) {
+            mOwned = owned;
+            mRun = run;
+        }
+
+        @Override
+        public boolean isWaiting() {
+            return !mIsStopped && mOwned.isRunning() && mRun.isInLine() && mRun.isWaiting();
+        }
+
+        @Override
+        public Object needs() {
+            return List.of(mOwned.batch().id(), mRun.needs());
+        }
+
+        @Override
+        public boolean place() {
+            long nowMs = mNowMs.getAsLong();
+            return mRun.state() == ItemState.SCORING
+                    ? mScorer.score(mOwned, mRun, nowMs)
+                    : generate(mOwned, mRun, nowMs);
+        }
     }
 
     private void checkProgress(OwnedBatch owned, ItemRun run, long nowMs) {
@@ -161,7 +227,7 @@
                         && isFresh(batch, t.record().version(batch.model()));
     }
 
-    private void generate(OwnedBatch owned, ItemRun run, long nowMs) {
+    private boolean generate(OwnedBatch owned, ItemRun run, long nowMs) {
         Batch batch = owned.batch();
         if (!run.meetsMinVersion(batch.minVersion())) {
             run.discardText();
@@ -172,7 +238,9 @@
         if (candidates.isEmpty() && run.eventCount() > 0) {
             candidates = candidatesForRestart(batch, run, filter, nowMs);
         }
-        mChooser.choose(candidates, nowMs).ifPresent(t -> send(owned, run, t, nowMs));
+        Optional<TargetState> target = mChooser.choose(candidates, nowMs);
+        target.ifPresent(t -> send(owned, run, t, nowMs));
+        return target.isPresent();
     }
 
     /** Discards a text that no target of its software version can take, if any other can. */
@@ -212,7 +280,8 @@
                         run.item().body(),
                         Optional.of(batch.account()),
                         Math.max(1, owned.remainingMs(nowMs)),
-                        run.lastEvent());
+                        run.lastEvent(),
+                        mRanks.urgency(batch.service(), rank(batch, run)));
         Decision.of("item_sent")
                 .with("request", run.item().id().value())
                 .with("target", run.latestTarget())
@@ -348,7 +417,7 @@
         long nowMs = mNowMs.getAsLong();
         if (isText(head)) {
             if (!isFresh(owned.batch(), head.version())) {
-                run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_DELAY_MS));
+                run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS));
                 run.cancelAttempt();
                 interrupt(run, "weights are at version " + head.version(), nowMs);
                 return;
@@ -356,7 +425,7 @@
             run.setVersion(head.version());
             return;
         }
-        run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_DELAY_MS));
+        run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS));
         boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
         boolean isExhausted = false;
         if (head.isSuccess()) {
@@ -377,6 +446,10 @@
             owned.abandon(run, "failed at each run", nowMs);
         } else {
             interrupt(run, "the target answered " + head.status(), nowMs);
+            if (head.isNotRun()) {
+                run.retryAt(nowMs);
+                enterLine(owned, run);
+            }
         }
     }
 
@@ -398,6 +471,6 @@
             return;
         }
         run.apply(ItemEvent.TEXT_WHOLE);
-        mScorer.score(owned, run, nowMs);
+        enterLine(owned, run);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -9,10 +9,12 @@
 import dev.cactusspan.fleet.TargetRequest;
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.result.SendFailure;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -25,10 +27,10 @@
      */
     static final long TIMEOUT_MS = 1_500;
 
-    /** Delay after a refusal, in milliseconds. */
-    private static final long REFUSAL_DELAY_MS = 40;
+    /** Time that a target is avoided after it refused a text, in milliseconds. */
+    private static final long REFUSAL_AVOIDANCE_MS = 40;
 
-    /** Delay after a failed attempt, in milliseconds. */
+    /** Pause of a text after a failed attempt, in milliseconds. */
     private static final long FAILURE_DELAY_MS = 20;
 
     private static final int SERVER_ERROR = 500;
@@ -52,14 +54,22 @@
         mNowMs = nowMs;
     }
 
-    /** Sends the complete text of an item to a scorer, now or once one is available. */
-    void score(OwnedBatch owned, ItemRun run, long nowMs) {
+    /** Returns the service that scores an item, empty while there is no route to it. */
+    Optional<ServiceId> service(ItemRun run) {
+        return route(run).map(route -> route.chooseService(0));
+    }
+
+    private Optional<FleetRoute> route(ItemRun run) {
+        BatchItem.Scorer scorer = run.item().scorer().orElseThrow();
+        return mDesired.get().flatMap(d -> d.route(scorer.host(), scorer.path()));
+    }
+
+    /** Sends the complete text of an item to a scorer, or returns false if none has a place. */
+    boolean score(OwnedBatch owned, ItemRun run, long nowMs) {
         BatchItem.Scorer scorer = run.item().scorer().orElseThrow();
-        Optional<FleetRoute> route =
-                mDesired.get().flatMap(d -> d.route(scorer.host(), scorer.path()));
+        Optional<FleetRoute> route = route(run);
         if (route.isEmpty()) {
-            run.retryAt(nowMs + REFUSAL_DELAY_MS);
-            return;
+            return false;
         }
         List<TargetState> candidates =
                 mTargets.candidates(
@@ -70,8 +80,7 @@
                                         && run.allows(t, nowMs));
         Optional<TargetState> target = mChooser.choose(candidates, nowMs);
         if (target.isEmpty()) {
-            run.retryAt(nowMs + REFUSAL_DELAY_MS);
-            return;
+            return false;
         }
         int attempt = run.startAttempt(target.get(), nowMs);
         TargetRequest request =
@@ -84,13 +93,15 @@
                         scorer.body(),
                         Optional.empty(),
                         TIMEOUT_MS,
-                        OptionalLong.empty());
+                        OptionalLong.empty(),
+                        OptionalInt.empty());
         int attempts = Math.max(owned.batch().maxAttempts(), route.get().maxAttempts());
         run.setCancelAction(
                 mPort.send(
                         target.get().record(),
                         request,
                         new ScoreListener(owned, run, attempt, attempts)));
+        return true;
     }
 
     /** Receives the response to a scoring request. */
@@ -150,8 +161,8 @@
                 mOwned.abandon(mRun, "scoring failed at each run", nowMs);
                 return;
             }
-            target.avoidUntil(nowMs + REFUSAL_DELAY_MS);
-            mRun.retryAt(nowMs + FAILURE_DELAY_MS);
+            target.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS);
+            mRun.retryAt(head.isNotRun() ? nowMs : nowMs + FAILURE_DELAY_MS);
         }
 
         @Override
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -27,6 +27,7 @@
     private long mNextAppendMs;
     private int mAppendFailures;
     private boolean mIsEnded;
+    private boolean mIsLost;
     private boolean mIsSaving;
     private long mLastSaveMs;
     private int mLastSaveEventCount;
@@ -47,9 +48,10 @@
         mListed.forEach(r -> listed.add(r.id()));
         Map<ItemId, ItemProgress> progress = new HashMap<>();
         stored.progress().forEach(p -> progress.put(p.id(), p));
-        for (BatchItem item : DispatchOrder.of(mBatch)) {
+        for (DispatchOrder.Ordered ordered : DispatchOrder.of(mBatch)) {
+            BatchItem item = ordered.item();
             if (!listed.contains(item.id())) {
-                ItemRun run = new ItemRun(item);
+                ItemRun run = new ItemRun(item, ordered.need(), mRuns.size());
                 Optional.ofNullable(progress.get(item.id())).ifPresent(run::restore);
                 mRuns.add(run);
                 mUnfinishedByGroup.merge(item.group(), 1, Integer::sum);
@@ -220,6 +222,7 @@
 
     /** Cancels all runs without ending them, because another process owns the batch. */
     void onOwnershipLost() {
+        mIsLost = true;
         mRuns.forEach(ItemRun::cancelAttempt);
         mRuns.clear();
         mPendingReads.forEach(read -> read.receiver().accept(view(read.after())));
@@ -237,6 +240,11 @@
                 : mBatch.items().stream().filter(i -> i.id().equals(id)).findFirst();
     }
 
+    /** Returns when the results are due, milliseconds of the monotonic clock. */
+    long dueMs() {
+        return mAcceptedMs + mBatch.dueMs();
+    }
+
     /** Returns the time until items may be abandoned, in milliseconds; negative afterwards. */
     long remainingMs(long nowMs) {
         return mAcceptedMs + mBatch.retentionMs() - nowMs;
@@ -263,6 +271,11 @@
         return mListed.size();
     }
 
+    /** Tells whether this process runs the items. */
+    boolean isRunning() {
+        return !mIsEnded && !mIsLost;
+    }
+
     boolean isEnded() {
         return mIsEnded;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -5,9 +5,11 @@
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.ServiceId;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Immutable configuration of routes, services, client accounts and limits set by operators. */
 public final class DesiredState {
@@ -15,6 +17,7 @@
     private final List<FleetRoute> mRoutes;
     private final Map<ServiceId, FleetService> mServices = new HashMap<>();
     private final Map<String, AccountId> mAccountByKey = new HashMap<>();
+    private final Map<AccountId, Integer> mPriorityByAccount = new HashMap<>();
     private final ClientLimits mLimits;
     private final boolean mHasAccounts;
 
@@ -28,6 +31,7 @@
         mRoutes = List.copyOf(routes);
         services.forEach(s -> mServices.put(s.name(), s));
         accounts.forEach(a -> a.keys().forEach(key -> mAccountByKey.put(key, a.name())));
+        accounts.forEach(a -> mPriorityByAccount.put(a.name(), a.priority()));
         mLimits = limits;
         mHasAccounts = !accounts.isEmpty();
     }
@@ -89,6 +93,36 @@
         return Optional.ofNullable(mAccountByKey.get(key));
     }
 
+    /**
+     * Returns the priority of a client account.
+     *
+     * @param account the account
+     * @return its priority, where 0 is the highest; 0 if the account is unknown
+     */
+    public int accountPriority(AccountId account) {
+        return mPriorityByAccount.getOrDefault(account, 0);
+    }
+
+    /**
+     * Returns the priorities that client accounts have.
+     *
+     * @return each priority once, 0 among them
+     */
+    public Set<Integer> accountPriorities() {
+        Set<Integer> priorities = new HashSet<>(mPriorityByAccount.values());
+        priorities.add(0);
+        return priorities;
+    }
+
+    /**
+     * Returns all routes.
+     *
+     * @return the routes
+     */
+    public List<FleetRoute> routes() {
+        return mRoutes;
+    }
+
     /**
      * Finds a service by name.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/FleetAccount.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/FleetAccount.java
@@ -7,6 +7,7 @@
  * A client account of the desired state.
  *
  * @param name name of the account
+ * @param priority priority, where 0 is the highest
  * @param keys valid API keys of the account
  */
-public record FleetAccount(AccountId name, Set<String> keys) {}
+public record FleetAccount(AccountId name, int priority, Set<String> keys) {}
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.id.AccountId;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -18,6 +19,7 @@
  * @param timeLeftMs time that the target has left to process the request
  * @param resumeAfter id of the event after which to resume a stream, empty to start from the
  *     beginning
+ * @param priority urgency from 0 to 9, where 0 is the highest, empty if the target decides
  */
 public record TargetRequest(
         String id,
@@ -28,4 +30,5 @@
         byte[] body,
         Optional<AccountId> account,
         long timeLeftMs,
-        OptionalLong resumeAfter) {}
+        OptionalLong resumeAfter,
+        OptionalInt priority) {}
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -1,7 +1,9 @@
 package dev.cactusspan.fleet;
 
+import dev.cactusspan.id.ServiceId;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 /** A target's registration entry and the load and errors that this process has observed. */
 public final class TargetState {
@@ -23,6 +25,7 @@
     private static final double ERROR_HALF_LIFE_MS = 3_000;
 
     private final RequestAllowance mAllowance;
+    private final Consumer<ServiceId> mOnPlace;
     private TargetRecord mRecord;
     private double mErrorRate;
     private long mErrorRateAsOfMs;
@@ -34,14 +37,20 @@
     private double mMeanDurationMs;
     private long mMissingSinceMs = -1;
 
-    TargetState(TargetRecord record) {
+    TargetState(TargetRecord record, Consumer<ServiceId> onPlace) {
         mRecord = record;
+        mOnPlace = onPlace;
         mAllowance = new RequestAllowance(record.id());
     }
 
     void update(TargetRecord record) {
         mRecord = record;
         mMissingSinceMs = -1;
+        notifyPlace();
+    }
+
+    private void notifyPlace() {
+        mOnPlace.accept(mRecord.service());
     }
 
     void markMissing(long nowMs) {
@@ -94,6 +103,7 @@
      */
     public void onPermits(PermitGrant grant, long nowMs) {
         mAllowance.onPermits(grant, nowMs);
+        notifyPlace();
     }
 
     /** Returns the expected time until the next permit, empty if the target has no limit. */
@@ -114,6 +124,7 @@
     /** Records that a request has ended, whatever its outcome. */
     public void recordEnded() {
         mInFlight--;
+        notifyPlace();
     }
 
     /**
@@ -125,6 +136,7 @@
         mConsecutiveFailures = 0;
         mAvoidUntilMs = 0;
         updateErrorRate(0, nowMs);
+        notifyPlace();
     }
 
     /**
@@ -256,6 +268,11 @@
         return nowMs < mAvoidUntilMs;
     }
 
+    /** Returns until when the target is avoided, milliseconds of the monotonic clock. */
+    long avoidedUntilMs() {
+        return mAvoidUntilMs;
+    }
+
     /**
      * Returns whether the target failed a short time ago and has responded to nothing since.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -26,12 +27,22 @@
     private static final int MAX_LEAVING = 4_096;
 
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
+    private Consumer<ServiceId> mOnPlace = service -> {};
 
     /** Start times of the targets that said that they leave, also after they are gone. */
     private final Map<TargetId, Long> mLeavingStartedMs = new LinkedHashMap<>();
 
     // Operations
 
+    /**
+     * Sets the listener for places that may have become free.
+     *
+     * @param onPlace receives the service of the target
+     */
+    public void setPlaceListener(Consumer<ServiceId> onPlace) {
+        mOnPlace = onPlace;
+    }
+
     /**
      * Adds or updates a target. A restarted target starts with a new state.
      *
@@ -42,13 +53,14 @@
         boolean isRestarted = state != null && state.record().startedMs() != record.startedMs();
         if (state == null || isRestarted) {
             mTargets.put(record.id(), newState(record));
+            mOnPlace.accept(record.service());
             return;
         }
         state.update(record);
     }
 
     private TargetState newState(TargetRecord record) {
-        TargetState state = new TargetState(record);
+        TargetState state = new TargetState(record, service -> mOnPlace.accept(service));
         if (hasSaidLeaving(record)) {
             state.recordLeaving();
         }
@@ -212,6 +224,23 @@
         return shortestMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(shortestMs);
     }
 
+    /**
+     * Returns when a target of a service is no longer avoided.
+     *
+     * @param service the service
+     * @param nowMs monotonic clock in milliseconds
+     * @return milliseconds of the monotonic clock, {@code Long.MAX_VALUE} if none is avoided
+     */
+    public long nextPlaceMs(ServiceId service, long nowMs) {
+        long earliestMs = Long.MAX_VALUE;
+        for (TargetState state : mTargets.values()) {
+            if (isServing(state, service) && state.isAvoided(nowMs)) {
+                earliestMs = Math.min(earliestMs, state.avoidedUntilMs());
+            }
+        }
+        return earliestMs;
+    }
+
     /**
      * Returns all known targets.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -31,6 +32,7 @@
     private Runnable mUsageUndo = () -> {};
     private boolean mIsStreaming;
     private boolean mIsFinished;
+    private boolean mIsInLine;
     private long mNextDispatchMs;
     private Optional<RequestFingerprint> mFingerprint = Optional.empty();
     private Optional<Failure> mLastFailure = Optional.empty();
@@ -59,6 +61,7 @@
         mAttempts.add(attempt);
         mTriedTargets.add(attempt.target().record().id());
         mSendCount++;
+        mIsInLine = false;
         mPossibleRunCount++;
         return attempt;
     }
@@ -82,6 +85,13 @@
         mAttempts.forEach(Attempt::cancel);
     }
 
+    /** Records that the request waits in line; returns false if it did so already. */
+    boolean enterLine() {
+        boolean isNew = !mIsInLine;
+        mIsInLine = true;
+        return isNew;
+    }
+
     boolean hasActiveAttempt() {
         return mAttempts.stream().anyMatch(a -> !a.isFinished());
     }
@@ -115,7 +125,7 @@
     // Accessors
 
     /** Returns the request as it is sent to a target now. */
-    TargetRequest toTargetRequest(long nowMs) {
+    TargetRequest toTargetRequest(OptionalInt priority, long nowMs) {
         return new TargetRequest(
                 mRequest.id().value(),
                 mRequest.method(),
@@ -125,7 +135,8 @@
                 mRequest.body(),
                 mAccount,
                 Math.max(1, mDeadlineMs - nowMs),
-                mRoute.isResumable() ? mRequest.resumeAfter() : OptionalLong.empty());
+                mRoute.isResumable() ? mRequest.resumeAfter() : OptionalLong.empty(),
+                priority);
     }
 
     /** Returns the failure that the client is told when there are no further attempts. */
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -3,7 +3,6 @@
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FleetRoute;
 import dev.cactusspan.fleet.ResponseHead;
-import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetListener;
 import dev.cactusspan.fleet.TargetPort;
@@ -38,9 +37,6 @@
     /** Delay before a refused request is retried, in milliseconds. */
     private static final long RETRY_DELAY_MS = 15;
 
-    /** Fraction of the latency objective after which a hedge is sent to a second target. */
-    private static final double HEDGE_SLO_FRACTION = 0.4;
-
     /** Maximum memory of the responses that are buffered at the same time. */
     private static final long MAX_BUFFERED_BYTES = 16 << 20;
 
@@ -53,6 +49,7 @@
     private final TargetTable mTargets;
     private final TargetPort mPort;
     private final TargetChooser mChooser;
+    private final WaitingRequests mWaiting;
     private final UsageListener mUsageListener;
     private final CrashGuard mCrashes;
     private final StreamOrigins mOrigins;
@@ -68,6 +65,7 @@
      * @param targets known targets
      * @param port transport to the targets
      * @param chooser selects a target
+     * @param waiting the requests that wait for a target
      * @param desired supplies the current desired state
      * @param usageListener counts the requests that run
      * @param crashes keeps requests that crash targets away from further ones
@@ -80,6 +78,7 @@
             TargetTable targets,
             TargetPort port,
             TargetChooser chooser,
+            WaitingRequests waiting,
             Supplier<Optional<DesiredState>> desired,
             UsageListener usageListener,
             CrashGuard crashes,
@@ -90,6 +89,7 @@
         mTargets = targets;
         mPort = port;
         mChooser = chooser;
+        mWaiting = waiting;
         mUsageListener = usageListener;
         mCrashes = crashes;
         mOrigins = origins;
@@ -150,14 +150,19 @@
             refuseSuspect(pending, refusedMs.getAsLong());
             return;
         }
+        if (!send(pending, nowMs)) {
+            waitForTarget(pending, nowMs);
+        }
+    }
+
+    private boolean send(ForwardedRequest pending, long nowMs) {
         Optional<TargetState> target = choose(pending, nowMs);
         if (target.isEmpty()) {
-            waitForTarget(pending, nowMs);
-            return;
+            return false;
         }
         boolean isFirst = pending.sendCount() == 0;
         Attempt attempt = pending.start(new Attempt(target.get(), mBudget, nowMs));
-        TargetRequest request = pending.toTargetRequest(nowMs);
+        TargetRequest request = pending.toTargetRequest(mWaiting.urgency(pending), nowMs);
         attempt.setCanceller(
                 mPort.send(target.get().record(), request, new AttemptListener(pending, attempt)));
         if (isFirst) {
@@ -165,11 +170,11 @@
         } else {
             mLog.retried();
         }
+        return true;
     }
 
     private Optional<TargetState> choose(ForwardedRequest pending, long nowMs) {
-        if (pending.sendCount() >= MAX_SENDS
-                || pending.possibleRunCount() >= pending.route().maxAttempts()) {
+        if (isExhausted(pending)) {
             return Optional.empty();
         }
         List<TargetState> serving = mTargets.candidates(pending.service(), t -> mayRun(pending, t));
@@ -197,11 +202,8 @@
             return;
         }
         long waitedMs = nowMs - pending.arrivedMs();
-        boolean isExhausted =
-                pending.sendCount() >= MAX_SENDS
-                        || pending.possibleRunCount() >= pending.route().maxAttempts();
         OptionalLong retryAfterMs =
-                isExhausted
+                isExhausted(pending)
                         ? OptionalLong.of(WaitRule.RETRY_AFTER_MS)
                         : WaitRule.rejectionMs(
                                 waitedMs,
@@ -209,7 +211,16 @@
                                 pending.route().sloMs(),
                                 mTargets.permitWaitMs(pending.service(), nowMs));
         retryAfterMs.ifPresentOrElse(
-                ms -> fail(pending, ms), () -> pending.retryAt(nowMs + RETRY_DELAY_MS));
+                ms -> fail(pending, ms),
+                () -> {
+                    pending.retryAt(nowMs + RETRY_DELAY_MS);
+                    mWaiting.add(pending, () -> send(pending, mNowMs.getAsLong()));
+                });
+    }
+
+    private static boolean isExhausted(ForwardedRequest pending) {
+        return pending.sendCount() >= MAX_SENDS
+                || pending.possibleRunCount() >= pending.route().maxAttempts();
     }
 
     private OptionalLong refusedMs(ForwardedRequest pending, long nowMs) {
@@ -451,13 +462,9 @@
     }
 
     private boolean isHedgeDue(ForwardedRequest pending, long nowMs) {
-        FleetRoute route = pending.route();
-        return !pending.isStreaming()
-                && route.kind() == RouteKind.IDEMPOTENT
-                && route.sloMs() > 0
+        return HedgeRule.isDue(pending, nowMs)
                 && mayRepeat(pending)
-                && !(mCrashes.hasSuspects() && mCrashes.isSuspect(pending.fingerprint()))
-                && nowMs - pending.lastSentMs() > HEDGE_SLO_FRACTION * route.sloMs();
+                && !(mCrashes.hasSuspects() && mCrashes.isSuspect(pending.fingerprint()));
     }
 
     private void handleTimeout(ForwardedRequest pending) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -13,6 +13,7 @@
 import dev.cactusspan.forward.CrashGuard;
 import dev.cactusspan.forward.RequestForwarder;
 import dev.cactusspan.forward.StreamResumer;
+import dev.cactusspan.forward.WaitingRequests;
 import dev.cactusspan.http.HttpClient;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.link.DrainLatch;
@@ -36,6 +37,8 @@
 import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.time.WallClock;
+import dev.cactusspan.waiting.Ranks;
+import dev.cactusspan.waiting.ServiceLines;
 import dev.cactusspan.wire.Message;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -89,6 +92,8 @@
     private final UsageReporter mUsage;
     private final WeightRollout mWeights;
     private final PermitExchange mPermits;
+    private final ServiceLines mLines;
+    private final Ranks mRanks;
     private final CrashGuard mCrashGuard;
     private final CrashExchange mCrashes;
     private final StreamOriginExchange mOrigins;
@@ -149,6 +154,10 @@
                         telemetry,
                         GatewayProcess::nowMs);
         mWeights = newWeights(port);
+        mRanks = new Ranks(mFleet::desiredState);
+        mLines = new ServiceLines(mThread, mFleet.targets()::nextPlaceMs, GatewayProcess::nowMs);
+        mFleet.targets().setPlaceListener(mLines::wake);
+        telemetry.gauge("waiting_work", mLines::size);
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
@@ -242,6 +251,7 @@
                 mFleet.targets(),
                 port,
                 chooser,
+                new WaitingRequests(mLines, mRanks),
                 mFleet::desiredState,
                 mUsage::count,
                 mCrashGuard,
@@ -262,6 +272,8 @@
                         mFleet.targets(),
                         port,
                         chooser,
+                        mLines,
+                        mRanks,
                         mFleet::desiredState,
                         mTelemetry,
                         backoff(),
@@ -363,6 +375,7 @@
         mWeights.tick();
         mBatches.tick(mFleet.recoveredMs(), isSweeper);
         mGateway.tick();
+        mLines.tick();
         mPermits.tick();
         mCrashes.tick();
         mOrigins.tick(isSweeper);
--- a/cactusspan/src/main/java/dev/cactusspan/limit/FairQueue.java
+++ b/cactusspan/src/main/java/dev/cactusspan/limit/FairQueue.java
@@ -29,7 +29,7 @@
 
     private final int mCapacityItems;
     private final Map<FlowId, Flow<T>> mFlows = new LinkedHashMap<>();
-    private double mVirtualTime;
+    private final FairShare<FlowId> mShare = new FairShare<>();
     private int mSize;
 
     /**
@@ -49,7 +49,7 @@
         Flow<T> flow = mFlows.computeIfAbsent(id, f -> new Flow<>());
         flow.mWeight = item.weight() * factor(item.requestClass());
         if (flow.mItems.isEmpty()) {
-            flow.mStart = Math.max(flow.mStart, mVirtualTime);
+            mShare.enter(id);
         }
         flow.mItems.addLast(item);
         mSize++;
@@ -69,32 +69,28 @@
 
     @Override
     public Optional<QueuedItem<T>> poll(Predicate<QueuedItem<T>> admitted) {
-        Flow<T> first = null;
-        for (Flow<T> flow : mFlows.values()) {
-            QueuedItem<T> head = flow.mItems.peekFirst();
+        FlowId first = null;
+        for (Map.Entry<FlowId, Flow<T>> flow : mFlows.entrySet()) {
+            QueuedItem<T> head = flow.getValue().mItems.peekFirst();
             if (head == null || !admitted.test(head)) {
                 continue;
             }
-            if (first == null || flow.mStart < first.mStart) {
-                first = flow;
+            if (first == null || mShare.start(flow.getKey()) < mShare.start(first)) {
+                first = flow.getKey();
             }
         }
         if (first == null) {
             return Optional.empty();
         }
-        mVirtualTime = Math.max(mVirtualTime, first.mStart);
-        first.mStart += COST / first.mWeight;
+        Flow<T> flow = mFlows.get(first);
+        mShare.serve(first, COST, flow.mWeight);
         mSize--;
-        QueuedItem<T> item = first.mItems.pollFirst();
-        removeIdleFlows();
+        QueuedItem<T> item = flow.mItems.pollFirst();
+        mFlows.values().removeIf(f -> f.mItems.isEmpty());
+        mShare.forget(id -> !mFlows.containsKey(id));
         return Optional.of(item);
     }
 
-    /** Removes idle flows whose start time is not in the future, to limit memory use. */
-    private void removeIdleFlows() {
-        mFlows.values().removeIf(f -> f.mItems.isEmpty() && f.mStart <= mVirtualTime);
-    }
-
     @Override
     public List<QueuedItem<T>> removeIf(Predicate<QueuedItem<T>> which) {
         List<QueuedItem<T>> removed = new ArrayList<>();
@@ -146,7 +142,6 @@
 
     private static final class Flow<T> {
         private final Deque<QueuedItem<T>> mItems = new ArrayDeque<>();
-        private double mStart;
         private int mWeight = 1;
 
         double backlog() {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -136,7 +136,10 @@
     private static FleetAccount account(JsonNode node) {
         Set<String> keys = new HashSet<>();
         node.path("api_keys").forEach(n -> keys.add(n.asText()));
-        return new FleetAccount(AccountId.of(node.path("name").asText()), Set.copyOf(keys));
+        return new FleetAccount(
+                AccountId.of(node.path("name").asText()),
+                node.path("priority").asInt(0),
+                Set.copyOf(keys));
     }
 
     private static ClientLimits limits(JsonNode node) {
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -29,6 +29,7 @@
                         "dev.cactusspan.usage",
                         "dev.cactusspan.scaling",
                         "dev.cactusspan.placement",
+                        "dev.cactusspan.waiting",
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
                         "dev.cactusspan.chart",
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -31,6 +31,9 @@
 import dev.cactusspan.store.StoredItem;
 import dev.cactusspan.text.JsonText;
 import dev.cactusspan.time.WallClock;
+import dev.cactusspan.waiting.Ranks;
+import dev.cactusspan.waiting.ServiceLines;
+import dev.cactusspan.waiting.ServiceLinesFixture;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +58,7 @@
     private final PrefixMirror mMirror;
     private final PrefixMirror mOwners;
     private final BatchManager mManager;
+    private final ServiceLines mLines;
     private boolean mIsAlive = true;
     private int mRespondedCount;
 
@@ -68,6 +72,7 @@
         mSelf =
                 new NodeRecord(
                         VmId.of(name), "1", AvailabilityZoneId.of("a"), "10.0.0.1", 1, false);
+        mLines = ServiceLinesFixture.lines(mTargets, thread);
         mManager =
                 BatchManagerFactory.create(
                         new BatchManagerFactory.Dependencies(
@@ -79,6 +84,8 @@
                                 new ObservingTargets(mPort, mTargets, thread::nowMs),
                                 new TargetChooser(
                                         zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                                mLines,
+                                new Ranks(() -> Optional.of(DESIRED)),
                                 () -> Optional.of(DESIRED),
                                 Telemetry.create(),
                                 new Backoff(10, 50, new SplittableRandom(2)),
@@ -194,6 +201,7 @@
             mOwners.tick();
         }
         mManager.tick(Long.MIN_VALUE / 2, isSweeper);
+        mLines.tick();
         mThread.runAll();
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/batch/DispatchOrderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/DispatchOrderTest.java
@@ -46,7 +46,7 @@
     }
 
     private static List<String> order(Batch batch) {
-        return DispatchOrder.of(batch).stream().map(i -> i.id().value()).toList();
+        return DispatchOrder.of(batch).stream().map(o -> o.item().id().value()).toList();
     }
 
     @Test
--- a/cactusspan/src/test/java/dev/cactusspan/batch/SoftwareVersionsMixedTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/SoftwareVersionsMixedTest.java
@@ -9,6 +9,7 @@
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.SoftwareVersion;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.waiting.Need;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.Collectors;
@@ -95,7 +96,8 @@
 
     @Test
     void shouldNotContinueATextSavedWithoutItsVersion() {
-        ItemRun run = new ItemRun(BatchNode.batch("b", 1, 1, 0).items().get(0));
+        ItemRun run =
+                new ItemRun(BatchNode.batch("b", 1, 1, 0).items().get(0), Need.WANTED_GROUPS, 0);
         run.restore(
                 new ItemProgress(
                         ItemId.of("b-0"),
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
@@ -14,6 +14,7 @@
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.store.ManualThread;
+import dev.cactusspan.waiting.ServiceLinesFixture;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,6 +38,7 @@
                     mTargets,
                     new ObservingTargets(mPort, mTargets, mThread::nowMs),
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                    ServiceLinesFixture.requests(mTargets, mThread),
                     Optional::empty,
                     this::countUsage,
                     new CrashGuard("entry"),
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/CrashExchangeTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/CrashExchangeTest.java
@@ -25,6 +25,7 @@
 import dev.cactusspan.store.FakeKeyStore;
 import dev.cactusspan.store.ManualThread;
 import dev.cactusspan.store.PrefixMirror;
+import dev.cactusspan.waiting.ServiceLinesFixture;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -72,6 +73,7 @@
                         mTargets,
                         mPort,
                         new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                        ServiceLinesFixture.requests(mTargets, mThread),
                         Optional::empty,
                         account -> () -> {},
                         mGuard,
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
@@ -31,6 +31,7 @@
 import dev.cactusspan.store.FakeKeyStore;
 import dev.cactusspan.store.ManualThread;
 import dev.cactusspan.store.PrefixMirror;
+import dev.cactusspan.waiting.ServiceLinesFixture;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -109,6 +110,7 @@
                         mPort,
                         new TargetChooser(
                                 zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(mRequests)),
+                        ServiceLinesFixture.requests(mTable, mThread),
                         () -> Optional.of(DESIRED),
                         account -> () -> {},
                         new CrashGuard("node"),
