--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -7,9 +7,11 @@
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.region.Residency;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Immutable configuration of routes, services, client accounts and limits set by operators. */
 public final class DesiredState {
@@ -19,6 +21,7 @@
     private final Map<String, AccountId> mAccountByKey = new HashMap<>();
     private final Map<RouteId, Residency> mRouteResidency = new HashMap<>();
     private final Map<AccountId, Residency> mAccountResidency = new HashMap<>();
+    private final Map<AccountId, Integer> mPriorityByAccount = new HashMap<>();
     private final ClientLimits mLimits;
     private final boolean mHasAccounts;
 
@@ -34,6 +37,7 @@
         accounts.forEach(a -> a.keys().forEach(key -> mAccountByKey.put(key, a.name())));
         routes.forEach(r -> mRouteResidency.merge(r.name(), r.residency(), Residency::and));
         accounts.forEach(a -> mAccountResidency.put(a.name(), a.residency()));
+        accounts.forEach(a -> mPriorityByAccount.put(a.name(), a.priority()));
         mLimits = limits;
         mHasAccounts = !accounts.isEmpty();
     }
@@ -95,6 +99,36 @@
         return Optional.ofNullable(mAccountByKey.get(key));
     }
 
+    /**
+     * Returns the priority of a client account.
+     *
+     * @param account the account
+     * @return its priority, where 0 is the highest; 0 if the account is unknown
+     */
+    public int accountPriority(AccountId account) {
+        return mPriorityByAccount.getOrDefault(account, 0);
+    }
+
+    /**
+     * Returns the priorities that client accounts have.
+     *
+     * @return each priority once, 0 among them
+     */
+    public Set<Integer> accountPriorities() {
+        Set<Integer> priorities = new HashSet<>(mPriorityByAccount.values());
+        priorities.add(0);
+        return priorities;
+    }
+
+    /**
+     * Returns all routes.
+     *
+     * @return the routes
+     */
+    public List<FleetRoute> routes() {
+        return mRoutes;
+    }
+
     /**
      * Finds a service by name.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRequest.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.intake.Body;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -19,6 +20,7 @@
  * @param timeLeftMs time that the target has left to process the request
  * @param resumeAfter id of the event after which to resume a stream, empty to start from the
  *     beginning
+ * @param priority urgency from 0 to 9, where 0 is the highest, empty if the target decides
  */
 public record TargetRequest(
         String id,
@@ -29,7 +31,8 @@
         Body body,
         Optional<AccountId> account,
         long timeLeftMs,
-        OptionalLong resumeAfter) {
+        OptionalLong resumeAfter,
+        OptionalInt priority) {
 
     /** Creates a request with a body that is an array. */
     public TargetRequest(
@@ -41,7 +44,18 @@
             byte[] body,
             Optional<AccountId> account,
             long timeLeftMs,
-            OptionalLong resumeAfter) {
-        this(id, method, path, host, headers, Body.of(body), account, timeLeftMs, resumeAfter);
+            OptionalLong resumeAfter,
+            OptionalInt priority) {
+        this(
+                id,
+                method,
+                path,
+                host,
+                headers,
+                Body.of(body),
+                account,
+                timeLeftMs,
+                resumeAfter,
+                priority);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -29,6 +30,7 @@
 
     private final RegionMap mRegions;
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
+    private Consumer<ServiceId> mOnPlace = service -> {};
 
     /** Start times of the targets that said that they leave, also after they are gone. */
     private final Map<TargetId, Long> mLeavingStartedMs = new LinkedHashMap<>();
@@ -49,6 +51,15 @@
 
     // Operations
 
+    /**
+     * Sets the listener for places that may have become free.
+     *
+     * @param onPlace receives the service of the target
+     */
+    public void setPlaceListener(Consumer<ServiceId> onPlace) {
+        mOnPlace = onPlace;
+    }
+
     /**
      * Adds or updates a target. A restarted target starts with a new state.
      *
@@ -59,13 +70,14 @@
         boolean isRestarted = state != null && state.record().startedMs() != record.startedMs();
         if (state == null || isRestarted) {
             mTargets.put(record.id(), newState(record));
+            mOnPlace.accept(record.service());
             return;
         }
         state.update(record);
     }
 
     private TargetState newState(TargetRecord record) {
-        TargetState state = new TargetState(record);
+        TargetState state = new TargetState(record, service -> mOnPlace.accept(service));
         if (hasSaidLeaving(record)) {
             state.recordLeaving();
         }
@@ -250,6 +262,23 @@
         return mRegions;
     }
 
+    /**
+     * Returns when a target of a service is no longer avoided.
+     *
+     * @param service the service
+     * @param nowMs monotonic clock in milliseconds
+     * @return milliseconds of the monotonic clock, {@code Long.MAX_VALUE} if none is avoided
+     */
+    public long nextPlaceMs(ServiceId service, long nowMs) {
+        long earliestMs = Long.MAX_VALUE;
+        for (TargetState state : mTargets.values()) {
+            if (isServing(state, service, Residency.ANYWHERE) && state.isAvoided(nowMs)) {
+                earliestMs = Math.min(earliestMs, state.avoidedUntilMs());
+            }
+        }
+        return earliestMs;
+    }
+
     /**
      * Returns all known targets.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -140,7 +140,10 @@
         Set<String> keys = new HashSet<>();
         node.path("api_keys").forEach(n -> keys.add(n.asText()));
         return new FleetAccount(
-                AccountId.of(node.path("name").asText()), Set.copyOf(keys), residency(node));
+                AccountId.of(node.path("name").asText()),
+                node.path("priority").asInt(0),
+                Set.copyOf(keys),
+                residency(node));
     }
 
     private static Residency residency(JsonNode node) {
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -34,6 +34,7 @@
                         "dev.cactusspan.scaling",
                         "dev.cactusspan.placement",
                         "dev.cactusspan.region",
+                        "dev.cactusspan.waiting",
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
                         "dev.cactusspan.intake",
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/ResidencyRuleTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/ResidencyRuleTest.java
@@ -52,7 +52,7 @@
                                 Revision.of(1),
                                 routes,
                                 List.of(),
-                                List.of(new FleetAccount(ACME, Set.of("k"), account)),
+                                List.of(new FleetAccount(ACME, 0, Set.of("k"), account)),
                                 new ClientLimits(1_000, 1_000, 1_000, 1_000)));
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
@@ -18,6 +18,7 @@
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.store.ManualThread;
+import dev.cactusspan.waiting.ServiceLinesFixture;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,6 +50,7 @@
                     mTargets,
                     new ObservingTargets(mPort, mTargets, mThread::nowMs),
                     new TargetChooser(zone -> ZoneDistance.SAME_ZONE, new SplittableRandom(1)),
+                    ServiceLinesFixture.requests(mTargets, mThread),
                     () -> mDesired,
                     this::countUsage,
                     new CrashGuard("entry"),
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestsBoundToRegionsTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestsBoundToRegionsTest.java
@@ -51,7 +51,7 @@
                                 Revision.of(++mRevision),
                                 List.of(bound),
                                 List.of(),
-                                List.of(new FleetAccount(ACME, Set.of("k"), of(account))),
+                                List.of(new FleetAccount(ACME, 0, Set.of("k"), of(account))),
                                 new ClientLimits(1_000, 1_000, 1_000, 1_000)));
     }
 
