Send no request twice on one connection, and count only an item's own 500

Cause: the id alone decided whether an answer belongs to a send, but all sends of a request share it, and the connection of a refused send was kept for the next one.

ItemRunner counts a 500 only if it bears the item's id. Answers without an id are taken as before.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -357,7 +357,8 @@
             return;
         }
         run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_DELAY_MS));
-        boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
+        boolean isFailedAttempt =
+                head.status() == SERVER_ERROR && !head.isNotRun() && head.isForThisRequest();
         boolean isExhausted = false;
         if (head.isSuccess()) {
             run.target().ifPresent(t -> t.recordError(nowMs));
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -13,6 +13,7 @@
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -26,7 +27,8 @@
 
 /**
  * Sends HTTP requests with Undertow's client. A limited number of idle connections is kept for a
- * short time for reuse.
+ * short time for reuse. No connection carries the same request twice, as the answer to the first
+ * send may come a second time.
  */
 public final class HttpClient implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 << 10;
@@ -44,6 +46,7 @@
     private static final long IDLE_MARGIN_MS = 700;
 
     private static final long MS_PER_S = 1_000;
+    private static final Deque<IdleConnection> NO_CONNECTIONS = new ArrayDeque<>();
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
 
     private final XnioWorker mWorker;
@@ -132,7 +135,7 @@
     private void start(HttpExchange exchange) {
         exchange.startTimer(mIoThread);
         HttpConnection idle =
-                exchange.request().newConnection() ? null : pollIdle(exchange.request().server());
+                exchange.request().newConnection() ? null : pollIdle(exchange.request());
         if (idle != null) {
             exchange.send(idle);
             return;
@@ -142,7 +145,11 @@
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
-                                exchange.send(new HttpConnection(connection, mIoThread.latest()));
+                                exchange.send(
+                                        new HttpConnection(
+                                                connection,
+                                                mIoThread.latest(),
+                                                new SentRequests()));
                             }
 
                             @Override
@@ -157,15 +164,19 @@
                         OptionMap.EMPTY);
     }
 
-    private HttpConnection pollIdle(URI server) {
-        Deque<IdleConnection> connections = mIdle.get(server);
-        while (connections != null && !connections.isEmpty()) {
-            IdleConnection idle = connections.pollLast();
-            boolean isFresh = nowMs() < idle.expiresMs();
-            if (isFresh && idle.connection().connection().isOpen()) {
-                return idle.connection();
+    private HttpConnection pollIdle(HttpRequest request) {
+        Deque<IdleConnection> connections = mIdle.getOrDefault(request.server(), NO_CONNECTIONS);
+        for (Iterator<IdleConnection> newest = connections.descendingIterator();
+                newest.hasNext(); ) {
+            IdleConnection idle = newest.next();
+            HttpConnection connection = idle.connection();
+            if (nowMs() >= idle.expiresMs() || !connection.connection().isOpen()) {
+                newest.remove();
+                IoUtils.safeClose(connection.connection());
+            } else if (!connection.sent().mayAnswer(request.id())) {
+                newest.remove();
+                return connection;
             }
-            IoUtils.safeClose(idle.connection().connection());
         }
         return null;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpConnection.java
@@ -7,5 +7,6 @@
  *
  * @param connection the connection
  * @param limit limits what the server sends on it
+ * @param sent the requests that were sent on it
  */
-record HttpConnection(ClientConnection connection, ResponseLimit limit) {}
+record HttpConnection(ClientConnection connection, ResponseLimit limit, SentRequests sent) {}
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -71,6 +71,7 @@
         }
         mConnection = connection;
         mConnection.limit().startResponse();
+        mConnection.sent().add(mRequest.id());
         mSent = true;
         ClientRequest request = new ClientRequest();
         request.setMethod(new HttpString(mRequest.method())).setPath(mRequest.path());
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -16,6 +16,8 @@
  * @param maxBytes maximum size of the response body; a response beyond it fails
  * @param newConnection true to open a new connection, so that a failure to connect proves that the
  *     request was not executed
+ * @param id id that the server repeats in its response, the same for all sends of one request;
+ *     empty if it repeats none
  */
 public record HttpRequest(
         String method,
@@ -25,11 +27,48 @@
         byte[] body,
         long timeoutMs,
         long maxBytes,
-        boolean newConnection) {
+        boolean newConnection,
+        String id) {
 
     /** Maximum size of a response body where the caller sets none, in bytes. */
     public static final long DEFAULT_MAX_BYTES = 32L << 20;
 
+    /**
+     * Creates a request whose id the server does not repeat.
+     *
+     * @param method HTTP method
+     * @param server scheme, IP and port
+     * @param path path and query
+     * @param headers headers without {@code Content-Length}
+     * @param body body, empty if none
+     * @param timeoutMs time-out for the complete response
+     * @param maxBytes maximum size of the response body
+     * @param newConnection true to open a new connection
+     */
+    public HttpRequest(
+            String method,
+            URI server,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMs,
+            long maxBytes,
+            boolean newConnection) {
+        this(method, server, path, headers, body, timeoutMs, maxBytes, newConnection, "");
+    }
+
+    /**
+     * Returns this request with an id, so that no second send of it uses a connection on which an
+     * answer to the first may still arrive.
+     *
+     * @param id id that the server repeats in its response
+     * @return the request
+     */
+    public HttpRequest withId(String id) {
+        return new HttpRequest(
+                method, server, path, headers, body, timeoutMs, maxBytes, newConnection, id);
+    }
+
     /**
      * Returns this request with another limit of its response.
      *
@@ -38,7 +77,7 @@
      */
     public HttpRequest withMaxBytes(long maxBytes) {
         return new HttpRequest(
-                method, server, path, headers, body, timeoutMs, maxBytes, newConnection);
+                method, server, path, headers, body, timeoutMs, maxBytes, newConnection, id);
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -64,7 +64,8 @@
                         request.body(),
                         request.timeLeftMs(),
                         MAX_RESPONSE_BYTES,
-                        false);
+                        false,
+                        request.id());
         return mHttp.send(httpRequest, new ResponseRelay(request.id(), listener));
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -188,6 +188,19 @@
         assertThat(node.port().sent(), hasSize(3));
     }
 
+    /** A late copy of the answer to another item says nothing about this one. */
+    @Test
+    void shouldNotCountTheFailureOfAnotherItem() {
+        BatchNode node = startWithOneRun();
+        for (int i = 0; i < 10; i++) {
+            node.respondToAll(s -> s.respondForOtherRequest(500));
+            run(1_000);
+        }
+        assertThat(stored(), is(empty()));
+        runWithResponses(2_000);
+        assertThat(stored().get(0).isCompleted(), is(true));
+    }
+
     /**
      * One target is full and the other fails at once, so it always has free slots: the items must
      * not be given up there while the full target still works.
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -132,9 +132,13 @@
         }
 
         public void respondForOtherRequest() {
+            respondForOtherRequest(200);
+        }
+
+        public void respondForOtherRequest(int status) {
             mListener.onHead(
                     new ResponseHead(
-                            200,
+                            status,
                             Map.of(),
                             "x",
                             false,
