Send nothing new to an evacuated zone

Cause: nothing read op/evacuate/ZONE.

Ruled out: one watch for all operators' keys (each weight version would wake each entry), and a copy of the keys by the sweeper (its death would use up the time that is allowed).

Change: where the settings name evacuate_ms, each entry mirrors the keys; TargetTable leaves the zone's targets out of each choice, and the weights' duty sends them nothing. What runs there goes on. While a zone of its region is evacuated, an entry counts other regions as near, so that free slots decide.

--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -92,6 +92,7 @@
                 true,
                 0,
                 0,
+                1,
                 1);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
+++ b/cactusspan/src/main/java/dev/cactusspan/duty/WeightRollout.java
@@ -170,7 +170,7 @@
         Set<ModelId> models = new HashSet<>(mDesired.keySet());
         for (TargetState target : mTargets.all()) {
             TargetRecord record = target.record();
-            if (!target.isLeaving() && !record.versions().isEmpty()) {
+            if (mTargets.acceptsWork(target) && !record.versions().isEmpty()) {
                 holding.add(record);
                 models.addAll(record.versions().keySet());
             }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -1,16 +1,19 @@
 package dev.cactusspan.fleet;
 
+import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.region.Residency;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -29,6 +32,7 @@
 
     private final RegionMap mRegions;
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
+    private final Set<AvailabilityZoneId> mEvacuatedZones = new HashSet<>();
 
     /** Start times of the targets that said that they leave, also after they are gone. */
     private final Map<TargetId, Long> mLeavingStartedMs = new LinkedHashMap<>();
@@ -126,6 +130,50 @@
         mTargets.values().forEach(state -> state.tick(nowMs));
     }
 
+    // Evacuations
+
+    /**
+     * Evacuates a zone: its targets get nothing new until it is taken back. What they run goes on.
+     *
+     * @param zone the zone
+     * @return false if it was evacuated already
+     */
+    public boolean evacuate(AvailabilityZoneId zone) {
+        return mEvacuatedZones.add(zone);
+    }
+
+    /**
+     * Ends the evacuation of a zone.
+     *
+     * @param zone the zone
+     * @return false if it was not evacuated
+     */
+    public boolean takeBack(AvailabilityZoneId zone) {
+        return mEvacuatedZones.remove(zone);
+    }
+
+    /**
+     * Tells whether any zone in the region of a zone is evacuated.
+     *
+     * @param zone the zone
+     * @return true if it or another one there is
+     */
+    public boolean isRegionEvacuatedAt(AvailabilityZoneId zone) {
+        return !mEvacuatedZones.isEmpty()
+                && mEvacuatedZones.stream()
+                        .anyMatch(z -> z.equals(zone) || mRegions.isSameRegion(z, zone));
+    }
+
+    /**
+     * Tells whether anything new may be sent to a target.
+     *
+     * @param target the target
+     * @return false if it leaves, or if its zone is evacuated
+     */
+    public boolean acceptsWork(TargetState target) {
+        return !target.isLeaving() && !mEvacuatedZones.contains(target.record().zone());
+    }
+
     // Accessors
 
     /**
@@ -201,7 +249,7 @@
 
     private boolean isServing(TargetState state, ServiceId service, Residency residency) {
         return state.record().service().equals(service)
-                && !state.isLeaving()
+                && acceptsWork(state)
                 && mRegions.allows(residency, state.record().zone());
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
@@ -20,6 +21,7 @@
 import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.PrefixMirror;
 import dev.cactusspan.store.StoredItem;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -48,6 +50,7 @@
     private final TargetTable mTargets;
     private final PrefixMirror mDesiredStateMirror;
     private final PrefixMirror mTargetMirror;
+    private final Optional<PrefixMirror> mEvacuationMirror;
     private final PrefixMirror mControlMirror;
     private final PrefixMirror mOwnerMirror;
     private final PrefixMirror mVersionMirror;
@@ -66,13 +69,12 @@
             RegionMap regions,
             Executor thread,
             Supplier<Backoff> backoffs,
-            long reconnectMs,
-            long drainMs,
+            FollowTimes times,
             LongSupplier nowMs) {
         mNodes = nodes;
         mRegions = regions;
         mTargets = new TargetTable(regions);
-        mRefreshInterval = new RefreshInterval(drainMs);
+        mRefreshInterval = new RefreshInterval(times.drainMs());
         mNowMs = nowMs;
         mDesiredStateMirror =
                 new PrefixMirror(
@@ -80,7 +82,7 @@
                         PlatformReader.DESIRED_STATE_KEY,
                         thread,
                         backoffs.get(),
-                        reconnectMs,
+                        times.reconnectMs(),
                         nowMs,
                         this::operatorChanged);
         mVersionMirror =
@@ -89,7 +91,7 @@
                         PlatformReader.VERSION_PREFIX,
                         thread,
                         backoffs.get(),
-                        reconnectMs,
+                        times.reconnectMs(),
                         nowMs,
                         this::operatorChanged);
         mOwnerMirror =
@@ -98,7 +100,7 @@
                         BatchStore.OWNER_PREFIX,
                         thread,
                         backoffs.get(),
-                        reconnectMs,
+                        times.reconnectMs(),
                         nowMs,
                         (key, item) -> mOnOwner.accept(key, item));
         mTargetMirror =
@@ -107,16 +109,28 @@
                         PlatformReader.TARGET_PREFIX,
                         thread,
                         backoffs.get(),
-                        reconnectMs,
+                        times.reconnectMs(),
                         nowMs,
                         this::targetChanged);
+        mEvacuationMirror =
+                times.evacuateMs() <= 0
+                        ? Optional.empty()
+                        : Optional.of(
+                                new PrefixMirror(
+                                        store,
+                                        PlatformReader.EVACUATION_PREFIX,
+                                        thread,
+                                        backoffs.get(),
+                                        Math.min(times.reconnectMs(), times.evacuateMs()),
+                                        nowMs,
+                                        this::evacuationChanged));
         mControlMirror =
                 new PrefixMirror(
                         store,
                         CONTROL_PREFIX,
                         thread,
                         backoffs.get(),
-                        reconnectMs,
+                        times.reconnectMs(),
                         nowMs,
                         this::controlChanged);
     }
@@ -145,6 +159,7 @@
         mTargetMirror.setGatherMs(mRefreshInterval.ms(isOrdering, openBatches, waitingItems));
         mDesiredStateMirror.tick();
         mTargetMirror.tick();
+        mEvacuationMirror.ifPresent(PrefixMirror::tick);
         mControlMirror.tick();
         if (isOrdering) {
             mVersionMirror.tick();
@@ -221,6 +236,24 @@
                 });
     }
 
+    /** Follows an evacuation, whose key says all; its value has no content. */
+    private void evacuationChanged(String key, Optional<StoredItem> item) {
+        AvailabilityZoneId zone =
+                AvailabilityZoneId.of(key.substring(PlatformReader.EVACUATION_PREFIX.length()));
+        boolean isChanged = item.isPresent() ? mTargets.evacuate(zone) : mTargets.takeBack(zone);
+        if (!isChanged) {
+            return;
+        }
+        List<TargetState> inZone =
+                mTargets.all().stream().filter(t -> t.record().zone().equals(zone)).toList();
+        Decision.of(item.isPresent() ? "zone_evacuated" : "zone_taken_back")
+                .with("zone", zone.value())
+                .with("revision", item.map(StoredItem::revision).orElse(0L))
+                .with("targets", inZone.size())
+                .with("in_flight", inZone.stream().mapToInt(TargetState::inFlight).sum())
+                .info();
+    }
+
     private void putTarget(TargetRecord record) {
         mTargets.put(record);
         mOnTarget.accept(record);
@@ -287,7 +320,10 @@
     }
 
     boolean isLoaded() {
-        return mDesired.isPresent() && mTargetMirror.isLoaded() && mControlMirror.isLoaded();
+        return mDesired.isPresent()
+                && mTargetMirror.isLoaded()
+                && mControlMirror.isLoaded()
+                && mEvacuationMirror.map(PrefixMirror::isLoaded).orElse(true);
     }
 
     /** Returns whether the store answered the latest call of the mirror of shared state. */
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
+import dev.cactusspan.fleet.EvacuationSpread;
 import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
@@ -135,8 +136,8 @@
                         mRegions,
                         mThread,
                         this::backoff,
-                        settings.reconnectMs(),
-                        settings.drainMs(),
+                        new FollowTimes(
+                                settings.reconnectMs(), settings.drainMs(), settings.evacuateMs()),
                         GatewayProcess::nowMs);
         TargetPort port =
                 new ObservingTargets(
@@ -156,7 +157,10 @@
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
-        TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
+        TargetChooser chooser =
+                new TargetChooser(
+                        new EvacuationSpread(this::distance, mFleet.targets(), settings.zone()),
+                        mRandom.split());
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
         mBatches = newBatches(batches, self, port, chooser);
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -38,6 +38,9 @@
     /** Prefix of the named weight versions; followed by the model. */
     public static final String VERSION_PREFIX = "op/version/";
 
+    /** Prefix of requests to evacuate an availability zone; followed by its name. */
+    public static final String EVACUATION_PREFIX = "op/evacuate/";
+
     /** Prefix of requests to retire a VM; followed by its name. */
     public static final String RETIRE_PREFIX = "op/retire/";
 
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -28,6 +28,8 @@
  * @param reconnectMs time within which the process must know all changes again after its connection
  *     to the store is restored, in milliseconds
  * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
+ * @param evacuateMs time within which no request reaches a zone that is evacuated, in milliseconds;
+ *     zero where zones are never evacuated
  * @param stopS time between the request to stop and the kill, in seconds
  */
 public record GatewaySettings(
@@ -46,6 +48,7 @@
         boolean isFencingChecked,
         long reconnectMs,
         long drainMs,
+        long evacuateMs,
         int stopS) {
 
     /** Reconnection time where the settings name none, in milliseconds. */
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -251,6 +251,10 @@
         mDesired = desired(List.of(scoring, training));
     }
 
+    void evacuate(AvailabilityZoneId zone) {
+        mTargets.evacuate(zone);
+    }
+
     void putTarget(TargetRecord target) {
         mTargets.put(target);
     }
--- a/cactusspan/src/test/java/dev/cactusspan/duty/WeightRolloutTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/WeightRolloutTest.java
@@ -9,6 +9,7 @@
 import dev.cactusspan.fleet.TargetLoad;
 import dev.cactusspan.fleet.TargetPort;
 import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.Result;
@@ -70,6 +71,23 @@
         assertThat(mNode.port().orders(), hasSize(4));
     }
 
+    @Test
+    void shouldSendNoOrderToAnEvacuatedZone() {
+        start(2);
+        mNode.targets().put(FakeTargets.inZone("b", FakeTargets.record("z-b", "lm", 4, 1)));
+        mNode.targets().evacuate(AvailabilityZoneId.of("a"));
+        setDesiredVersion(2);
+        run(2_000);
+        assertThat(mNode.port().orders(), hasSize(1));
+        assertThat(mNode.port().orders().get(0).target().value(), is("z-b"));
+        TargetRecord updated = FakeTargets.inZone("b", FakeTargets.record("z-b", "lm", 4, 2));
+        mNode.targets().put(updated);
+        mNode.rollout().onTargetRecord(updated);
+        mNode.targets().takeBack(AvailabilityZoneId.of("a"));
+        run(2_000);
+        assertThat(mNode.port().orders().size() > 1, is(true));
+    }
+
     @Test
     void shouldUpdateBusyTargetAfterMaxWait() {
         start(2);
