Shorten the constructors of FleetView and GatewayProcess

The mirror of evacuations made both longer than the linter allows. No change of behaviour; EvacuationFollowedTest is green before and after.

--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -76,63 +76,43 @@
         mTargets = new TargetTable(regions);
         mRefreshInterval = new RefreshInterval(times.drainMs());
         mNowMs = nowMs;
+        Mirrors mirrors =
+                (prefix, reconnectMs, listener) ->
+                        new PrefixMirror(
+                                store,
+                                prefix,
+                                thread,
+                                backoffs.get(),
+                                reconnectMs,
+                                nowMs,
+                                listener);
+        long reconnectMs = times.reconnectMs();
         mDesiredStateMirror =
-                new PrefixMirror(
-                        store,
-                        PlatformReader.DESIRED_STATE_KEY,
-                        thread,
-                        backoffs.get(),
-                        times.reconnectMs(),
-                        nowMs,
-                        this::operatorChanged);
+                mirrors.create(
+                        PlatformReader.DESIRED_STATE_KEY, reconnectMs, this::operatorChanged);
         mVersionMirror =
-                new PrefixMirror(
-                        store,
-                        PlatformReader.VERSION_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        times.reconnectMs(),
-                        nowMs,
-                        this::operatorChanged);
+                mirrors.create(PlatformReader.VERSION_PREFIX, reconnectMs, this::operatorChanged);
         mOwnerMirror =
-                new PrefixMirror(
-                        store,
+                mirrors.create(
                         BatchStore.OWNER_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        times.reconnectMs(),
-                        nowMs,
+                        reconnectMs,
                         (key, item) -> mOnOwner.accept(key, item));
         mTargetMirror =
-                new PrefixMirror(
-                        store,
-                        PlatformReader.TARGET_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        times.reconnectMs(),
-                        nowMs,
-                        this::targetChanged);
+                mirrors.create(PlatformReader.TARGET_PREFIX, reconnectMs, this::targetChanged);
         mEvacuationMirror =
                 times.evacuateMs() <= 0
                         ? Optional.empty()
                         : Optional.of(
-                                new PrefixMirror(
-                                        store,
+                                mirrors.create(
                                         PlatformReader.EVACUATION_PREFIX,
-                                        thread,
-                                        backoffs.get(),
-                                        Math.min(times.reconnectMs(), times.evacuateMs()),
-                                        nowMs,
+                                        Math.min(reconnectMs, times.evacuateMs()),
                                         this::evacuationChanged));
-        mControlMirror =
-                new PrefixMirror(
-                        store,
-                        CONTROL_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        times.reconnectMs(),
-                        nowMs,
-                        this::controlChanged);
+        mControlMirror = mirrors.create(CONTROL_PREFIX, reconnectMs, this::controlChanged);
+    }
+
+    /** Creates mirrors of this process's store. */
+    private interface Mirrors {
+        PrefixMirror create(String prefix, long reconnectMs, PrefixMirror.Listener listener);
     }
 
     void setListeners(
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -129,16 +129,7 @@
         mUsageDuty = duty(store, "usage");
         mWeightDuty = duty(store, "weights");
         mUsage = newUsage(store, self);
-        mFleet =
-                new FleetView(
-                        store,
-                        mNodes,
-                        mRegions,
-                        mThread,
-                        this::backoff,
-                        new FollowTimes(
-                                settings.reconnectMs(), settings.drainMs(), settings.evacuateMs()),
-                        GatewayProcess::nowMs);
+        mFleet = newFleet(store);
         TargetPort port =
                 new ObservingTargets(
                         new PlatformTargets(mHttp, mThread),
@@ -226,6 +217,18 @@
                 mWallClock);
     }
 
+    private FleetView newFleet(KeyStore store) {
+        return new FleetView(
+                store,
+                mNodes,
+                mRegions,
+                mThread,
+                this::backoff,
+                new FollowTimes(
+                        mSettings.reconnectMs(), mSettings.drainMs(), mSettings.evacuateMs()),
+                GatewayProcess::nowMs);
+    }
+
     private StreamOriginExchange newOrigins(KeyStore store) {
         return new StreamOriginExchange(
                 mFleet.targets(),
