Share the rate of a cold target among all processes by permits

Cause: all entries sent to a target that came back at the same moment, as it was the one without load; nothing read cold_remaining_ms or cold_per_s.

Ruled out: a fixed share for each entry (under one request a second each), permits of the usual lifetime of 1 s (half the rate for the same bound).

Change: a cold target is one with a request limit, whose permits are issued at cold_per_s x cold_overage / 3.9 and live 300 ms from their issue, so that three issuers at once keep the bound in any second. A target is taken for cold, too, after its zone was taken back and after it refused a connection. The rate doubles each 250 ms for a second after the cold time. TargetTable asks for the time with each choice, as a permit may have lapsed since the last tick.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -147,6 +147,7 @@
                         mTargets.serving(
                                 owned.batch().service(),
                                 residency(owned.batch()),
+                                nowMs,
                                 filter(owned.batch(), run, nowMs).and(run::mayContinueAt)));
         mChooser.choose(faster, nowMs)
                 .ifPresent(
@@ -175,7 +176,7 @@
         Predicate<TargetState> filter = filter(batch, run, nowMs);
         List<TargetState> candidates =
                 mTargets.candidates(
-                        batch.service(), residency(batch), filter.and(run::mayContinueAt));
+                        batch.service(), residency(batch), nowMs, filter.and(run::mayContinueAt));
         if (candidates.isEmpty() && run.eventCount() > 0) {
             candidates = candidatesForRestart(batch, run, filter, nowMs);
         }
@@ -192,7 +193,7 @@
             return List.of();
         }
         List<TargetState> candidates =
-                mTargets.candidates(batch.service(), residency(batch), filter);
+                mTargets.candidates(batch.service(), residency(batch), nowMs, filter);
         if (!candidates.isEmpty()) {
             Decision.of("text_restarted")
                     .with("request", run.item().id().value())
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -68,6 +68,7 @@
                 mTargets.candidates(
                         route.get().chooseService(0),
                         mResidency.of(route.get(), Optional.of(owned.batch().account())),
+                        nowMs,
                         t ->
                                 t.inFlight() < t.record().slots()
                                         && !t.isAvoided(nowMs)
--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -93,6 +93,7 @@
                 0,
                 0,
                 1,
+                1,
                 1);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -105,6 +105,15 @@
         return Optional.ofNullable(mServices.get(name));
     }
 
+    /**
+     * Returns the services.
+     *
+     * @return all services
+     */
+    public List<FleetService> services() {
+        return List.copyOf(mServices.values());
+    }
+
     /**
      * Returns whether the engines of a service serve a model.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/ObservingTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ObservingTargets.java
@@ -13,7 +13,7 @@
 
 /**
  * Sends requests through another port, and records what targets say of themselves in the heads of
- * their responses: the request limit that they name, and that they leave.
+ * their responses: the request limit that they name, that they leave, and how long they are cold.
  */
 public final class ObservingTargets implements TargetPort {
     private final TargetPort mPort;
@@ -106,6 +106,9 @@
 
         @Override
         public void onFailure(SendFailure failure, String reason) {
+            if (failure == SendFailure.NOT_SENT) {
+                mTargets.recordUnreachable(mTarget, mNowMs.getAsLong());
+            }
             mListener.onFailure(failure, reason);
         }
     }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/PermitIssuer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/PermitIssuer.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 /**
- * Divides the request limits of targets among the processes that have work for them. One process
- * issues the permits for a target; requests wait until there is a permit, and those that wait
- * longest come first.
+ * Divides the request limits of targets, and the rates of cold ones, among the processes that have
+ * work for them. One process issues the permits for a target; requests wait until there is a
+ * permit, and those that wait longest come first.
  */
 public final class PermitIssuer {
     /** Time that a request waits for a permit, in milliseconds. */
@@ -42,13 +42,18 @@
         void accept(PermitGrant grant);
     }
 
-    private record Waiting(int wanted, long deadlineMs, Receiver receiver) {}
+    private record Waiting(int wanted, long sinceMs, Receiver receiver) {
+        long deadlineMs() {
+            return sinceMs + MAX_WAIT_MS;
+        }
+    }
 
     /** The permits of one target. It starts empty, as another process may just have issued some. */
     private static final class Bucket {
         private final Deque<Waiting> mQueue = new ArrayDeque<>();
         private double mPerS;
         private double mPermits;
+        private boolean mIsCold;
         private long mAsOfMs;
         private long mRequestedMs;
 
@@ -58,7 +63,8 @@
 
         void refill(long nowMs) {
             double added = mPerS * (nowMs - mAsOfMs) / MS_PER_S;
-            mPermits = Math.min(Math.max(1, mPerS * BURST_S), mPermits + added);
+            double most = mIsCold ? 1 : Math.max(1, mPerS * BURST_S);
+            mPermits = Math.min(most, mPermits + added);
             mAsOfMs = nowMs;
         }
 
@@ -70,13 +76,18 @@
                 Waiting first = mQueue.poll();
                 int permits = Math.min(first.wanted(), share);
                 mPermits -= permits;
-                first.receiver().accept(new PermitGrant(permits, nextPermitMs()));
+                first.receiver().accept(grant(first, permits, nowMs));
             }
             while (!mQueue.isEmpty() && mQueue.peek().deadlineMs() <= nowMs) {
-                mQueue.poll().receiver().accept(new PermitGrant(0, nextPermitMs()));
+                Waiting first = mQueue.poll();
+                first.receiver().accept(grant(first, 0, nowMs));
             }
         }
 
+        private PermitGrant grant(Waiting waiting, int permits, long nowMs) {
+            return new PermitGrant(permits, nextPermitMs(), nowMs - waiting.sinceMs());
+        }
+
         private long nextPermitMs() {
             double missing = mQueue.size() + 1 - mPermits;
             return Math.max(0, (long) (missing / mPerS * MS_PER_S));
@@ -101,9 +112,10 @@
                             return new Bucket(nowMs);
                         });
         bucket.refill(nowMs);
+        bucket.mIsCold = request.isCold();
         bucket.mPerS = Math.max(MIN_LIMIT_PER_S, request.limitPerS());
         bucket.mRequestedMs = nowMs;
-        bucket.mQueue.add(new Waiting(request.wanted(), nowMs + MAX_WAIT_MS, receiver));
+        bucket.mQueue.add(new Waiting(request.wanted(), nowMs, receiver));
         bucket.grant(nowMs);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/RequestAllowance.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/RequestAllowance.java
@@ -10,9 +10,9 @@
 
 /**
  * What this process may send to one target. A target may name a request limit that holds for all
- * processes together; while it does, each request takes a permit that this process was granted.
- * Load pattern: each process alone sends less than the limit, and all of them together several
- * times as much.
+ * processes together, or be cold; while it does or is, each request takes a permit that this
+ * process was granted. Load pattern: each process alone sends less than the limit, and all of them
+ * together several times as much.
  */
 final class RequestAllowance {
     /**
@@ -21,6 +21,13 @@
      */
     static final long PERMIT_TTL_MS = 1_000;
 
+    /**
+     * Time after which an unused permit for a cold target lapses, in milliseconds. It counts from
+     * the earliest moment at which the permit may have been issued, so that no delay on the way
+     * adds to the requests of a second. It is several round trips between regions.
+     */
+    static final long COLD_PERMIT_TTL_MS = 300;
+
     /** Maximum number of permits to request at once. */
     static final int MAX_WANTED = 8;
 
@@ -34,6 +41,8 @@
     private final Deque<Long> mSentMs = new ArrayDeque<>();
     private final Deque<Long> mPermitExpiriesMs = new ArrayDeque<>();
     private OptionalDouble mLimitPerS = OptionalDouble.empty();
+    private OptionalDouble mColdLimitPerS = OptionalDouble.empty();
+    private long mRequestedMs;
     private long mNamedMs;
     private int mWanted;
     private boolean mIsRequesting;
@@ -86,12 +95,49 @@
                 .with("sent_in_4_s", mSentMs.size())
                 .info();
         mLimitPerS = limitPerS;
-        if (limitPerS.isEmpty()) {
+        dropIfUnlimited();
+    }
+
+    /**
+     * Sets the rate at which all processes together may send because the target is cold.
+     *
+     * @param limitPerS requests per second, empty if the target is not cold
+     * @param nowMs monotonic clock in milliseconds
+     */
+    void setColdLimit(OptionalDouble limitPerS, long nowMs) {
+        if (limitPerS.isPresent() == mColdLimitPerS.isPresent()) {
+            mColdLimitPerS = limitPerS;
+            return;
+        }
+        discardOld(nowMs);
+        Decision.of(limitPerS.isPresent() ? "target_cold" : "target_warm")
+                .with("target", mTarget.value())
+                .with("permits_per_s", limitPerS.orElse(0))
+                .with("sent_in_4_s", mSentMs.size())
+                .info();
+        mColdLimitPerS = limitPerS;
+        if (limitPerS.isPresent()) {
+            // Permits of the target's own limit live longer than a cold target bears.
+            mPermitExpiriesMs.clear();
+        }
+        dropIfUnlimited();
+    }
+
+    private void dropIfUnlimited() {
+        if (limitPerS().isEmpty()) {
             mPermitExpiriesMs.clear();
             mWanted = 0;
         }
     }
 
+    /** Returns the lower one of the limits that hold, empty if none does. */
+    private OptionalDouble limitPerS() {
+        if (mLimitPerS.isEmpty() || mColdLimitPerS.isEmpty()) {
+            return mLimitPerS.isPresent() ? mLimitPerS : mColdLimitPerS;
+        }
+        return OptionalDouble.of(Math.min(mLimitPerS.getAsDouble(), mColdLimitPerS.getAsDouble()));
+    }
+
     /** Discards permits that have lapsed. */
     void tick(long nowMs) {
         while (!mPermitExpiriesMs.isEmpty() && mPermitExpiriesMs.peek() <= nowMs) {
@@ -101,13 +147,17 @@
 
     /** Returns the request for permits that is due now, if there is one. */
     Optional<PermitRequest> nextRequest(long nowMs) {
-        if (mLimitPerS.isEmpty() || mWanted == 0 || mIsRequesting || nowMs < mNextRequestMs) {
+        OptionalDouble limitPerS = limitPerS();
+        if (limitPerS.isEmpty() || mWanted == 0 || mIsRequesting || nowMs < mNextRequestMs) {
             return Optional.empty();
         }
         mIsRequesting = true;
+        mRequestedMs = nowMs;
         int wanted = mWanted;
         mWanted = 0;
-        return Optional.of(new PermitRequest(mTarget, mLimitPerS.getAsDouble(), wanted));
+        return Optional.of(
+                new PermitRequest(
+                        mTarget, limitPerS.getAsDouble(), wanted, mColdLimitPerS.isPresent()));
     }
 
     /** Handles the response to a request for permits. */
@@ -117,8 +167,15 @@
         if (grant.permits() == 0) {
             mNextRequestMs = nowMs + RETRY_MS;
         }
-        for (int i = 0; i < grant.permits() && mLimitPerS.isPresent(); i++) {
-            mPermitExpiriesMs.add(nowMs + PERMIT_TTL_MS);
+        if (limitPerS().isEmpty()) {
+            return;
+        }
+        long expiryMs =
+                mColdLimitPerS.isPresent()
+                        ? mRequestedMs + grant.waitedMs() + COLD_PERMIT_TTL_MS
+                        : nowMs + PERMIT_TTL_MS;
+        for (int i = 0; i < grant.permits() && expiryMs > nowMs; i++) {
+            mPermitExpiriesMs.add(expiryMs);
         }
     }
 
@@ -131,13 +188,14 @@
     // Accessors
 
     /** Returns whether a request may be sent now. */
-    boolean admits() {
-        return mLimitPerS.isEmpty() || !mPermitExpiriesMs.isEmpty();
+    boolean admits(long nowMs) {
+        tick(nowMs);
+        return limitPerS().isEmpty() || !mPermitExpiriesMs.isEmpty();
     }
 
     /** Returns the expected time until the next permit, empty if the target has no limit. */
     OptionalLong permitWaitMs(long nowMs) {
-        return mLimitPerS.isEmpty()
+        return limitPerS().isEmpty()
                 ? OptionalLong.empty()
                 : OptionalLong.of(Math.max(0, mNextPermitMs - nowMs));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ResponseHead.java
@@ -3,6 +3,7 @@
 import dev.cactusspan.id.WeightVersion;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * Status and headers of a response from a target.
@@ -18,6 +19,8 @@
  * @param requestLimitPerS requests per second that the target accepts from all processes together,
  *     empty if it does not limit them
  * @param isTargetLeaving true if the target says that it leaves
+ * @param coldMs time for which the target says that it is still cold, in milliseconds; empty if it
+ *     says nothing of it
  */
 public record ResponseHead(
         int status,
@@ -29,7 +32,34 @@
         WeightVersion version,
         boolean isEventStream,
         OptionalDouble requestLimitPerS,
-        boolean isTargetLeaving) {
+        boolean isTargetLeaving,
+        OptionalLong coldMs) {
+    /** Creates the head of a response that does not tell whether the target is cold. */
+    public ResponseHead(
+            int status,
+            Map<String, String> headers,
+            String digest,
+            boolean isNotRun,
+            boolean isFromOtherTarget,
+            boolean isForThisRequest,
+            WeightVersion version,
+            boolean isEventStream,
+            OptionalDouble requestLimitPerS,
+            boolean isTargetLeaving) {
+        this(
+                status,
+                headers,
+                digest,
+                isNotRun,
+                isFromOtherTarget,
+                isForThisRequest,
+                version,
+                isEventStream,
+                requestLimitPerS,
+                isTargetLeaving,
+                OptionalLong.empty());
+    }
+
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
 
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRecord.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetRecord.java
@@ -22,6 +22,8 @@
  * @param orders number of orders accepted since the target started
  * @param startedMs start time, milliseconds of the wall clock
  * @param versions active weight version by model
+ * @param coldRemainingMs time for which the target was still cold when it wrote this, in
+ *     milliseconds
  */
 public record TargetRecord(
         TargetId id,
@@ -33,7 +35,24 @@
         boolean isLeaving,
         long orders,
         long startedMs,
-        Map<ModelId, WeightVersion> versions) {
+        Map<ModelId, WeightVersion> versions,
+        long coldRemainingMs) {
+    /** Creates an entry of a target that is not cold. */
+    public TargetRecord(
+            TargetId id,
+            ServiceId service,
+            SoftwareVersion software,
+            URI address,
+            AvailabilityZoneId zone,
+            int slots,
+            boolean isLeaving,
+            long orders,
+            long startedMs,
+            Map<ModelId, WeightVersion> versions) {
+        this(
+                id, service, software, address, zone, slots, isLeaving, orders, startedMs, versions,
+                0);
+    }
 
     /**
      * Returns the weight version of a model.
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -23,6 +23,8 @@
     private static final double ERROR_HALF_LIFE_MS = 3_000;
 
     private final RequestAllowance mAllowance;
+    private final ColdPeriod mCold = new ColdPeriod();
+    private double mColdIssuedPerS;
     private TargetRecord mRecord;
     private double mErrorRate;
     private long mErrorRateAsOfMs;
@@ -37,11 +39,13 @@
     TargetState(TargetRecord record) {
         mRecord = record;
         mAllowance = new RequestAllowance(record.id());
+        mCold.recordListed(record.coldRemainingMs());
     }
 
     void update(TargetRecord record) {
         mRecord = record;
         mMissingSinceMs = -1;
+        mCold.recordListed(record.coldRemainingMs());
     }
 
     void markMissing(long nowMs) {
@@ -61,10 +65,26 @@
     /**
      * Returns whether a request may be sent without exceeding the limit that the target names.
      *
-     * @return false if the target limits its requests and this process has no permit
+     * @param nowMs monotonic clock in milliseconds
+     * @return false if the target limits its requests or is cold, and this process has no permit
      */
-    boolean admitsRequest() {
-        return mAllowance.admits();
+    boolean admitsRequest(long nowMs) {
+        updateColdLimit(nowMs);
+        return mAllowance.admits(nowMs);
+    }
+
+    /** Sets the rate of permits while the target is cold, zero if it has no bound. */
+    void setColdRate(double issuedPerS) {
+        mColdIssuedPerS = issuedPerS;
+    }
+
+    /** Records that the target may be cold, as it may have started again. */
+    void suspectCold(long forMs, long nowMs) {
+        mCold.suspect(forMs, nowMs);
+    }
+
+    private void updateColdLimit(long nowMs) {
+        mAllowance.setColdLimit(mCold.limitPerS(mColdIssuedPerS, nowMs), nowMs);
     }
 
     /** Notes that a request could be sent to this target if there were a permit. */
@@ -73,6 +93,7 @@
     }
 
     void tick(long nowMs) {
+        updateColdLimit(nowMs);
         mAllowance.tick(nowMs);
     }
 
@@ -104,6 +125,7 @@
     /** Records the request limit in the head of a response, or that it has none. */
     void recordHead(ResponseHead head, long sentMs, long nowMs) {
         mAllowance.recordResponse(head.requestLimitPerS(), head.status(), sentMs, nowMs);
+        head.coldMs().ifPresent(ms -> mCold.recordObserved(ms, nowMs));
     }
 
     /** Records that the target said that it leaves, which holds until it starts again. */
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -27,11 +27,24 @@
     /** Time that a target has to register again after a store outage, in milliseconds. */
     private static final long REREGISTRATION_TIMEOUT_MS = 2_200;
 
+    /**
+     * Time after an evacuation for which its targets count as cold, in milliseconds. A target that
+     * became cold says so with its next report, one of which is 1.2 s after another.
+     */
+    private static final long TAKE_BACK_MS = 3_000;
+
+    /**
+     * Time beyond a cold start for which a target that refused a connection counts as cold, in
+     * milliseconds: it may start again only some time later.
+     */
+    private static final long RESTART_MS = 2_000;
+
     /** Maximum number of targets of which it is remembered that they said that they leave. */
     private static final int MAX_LEAVING = 4_096;
 
     private final RegionMap mRegions;
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
+    private ColdRates mColdRates = ColdRates.NONE;
     private final Set<AvailabilityZoneId> mEvacuatedZones = new HashSet<>();
 
     /** Start times of the targets that said that they leave, also after they are gone. */
@@ -70,6 +83,7 @@
 
     private TargetState newState(TargetRecord record) {
         TargetState state = new TargetState(record);
+        state.setColdRate(mColdRates.issuedPerS(record.service()));
         if (hasSaidLeaving(record)) {
             state.recordLeaving();
         }
@@ -130,6 +144,29 @@
         mTargets.values().forEach(state -> state.tick(nowMs));
     }
 
+    // Cold targets
+
+    /**
+     * Sets the rates of the permits for cold targets.
+     *
+     * @param rates the rates by service
+     */
+    public void setColdRates(ColdRates rates) {
+        mColdRates = rates;
+        mTargets.values().forEach(t -> t.setColdRate(rates.issuedPerS(t.record().service())));
+    }
+
+    /**
+     * Records that a target refused a connection, so that it may have started again.
+     *
+     * @param target registration entry that the target had when the request was sent
+     * @param nowMs monotonic clock in milliseconds
+     */
+    void recordUnreachable(TargetRecord target, long nowMs) {
+        long forMs = mColdRates.coldStartMs(target.service()) + RESTART_MS;
+        find(target.id()).ifPresent(state -> state.suspectCold(forMs, nowMs));
+    }
+
     // Evacuations
 
     /**
@@ -143,13 +180,20 @@
     }
 
     /**
-     * Ends the evacuation of a zone.
+     * Ends the evacuation of a zone, whose targets may be cold now.
      *
      * @param zone the zone
+     * @param nowMs monotonic clock in milliseconds
      * @return false if it was not evacuated
      */
-    public boolean takeBack(AvailabilityZoneId zone) {
-        return mEvacuatedZones.remove(zone);
+    public boolean takeBack(AvailabilityZoneId zone, long nowMs) {
+        if (!mEvacuatedZones.remove(zone)) {
+            return false;
+        }
+        mTargets.values().stream()
+                .filter(t -> t.record().zone().equals(zone))
+                .forEach(t -> t.suspectCold(TAKE_BACK_MS, nowMs));
+        return true;
     }
 
     /**
@@ -192,15 +236,16 @@
      *
      * @param service the service
      * @param residency regions in which the request may run
+     * @param nowMs monotonic clock in milliseconds
      * @param filter selects among these targets
      * @return the matching targets
      */
     public List<TargetState> serving(
-            ServiceId service, Residency residency, Predicate<TargetState> filter) {
+            ServiceId service, Residency residency, long nowMs, Predicate<TargetState> filter) {
         List<TargetState> serving = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
             if (isServing(state, service, residency)
-                    && state.admitsRequest()
+                    && state.admitsRequest(nowMs)
                     && filter.test(state)) {
                 serving.add(state);
             }
@@ -214,17 +259,18 @@
      *
      * @param service the service
      * @param residency regions in which the request may run
+     * @param nowMs monotonic clock in milliseconds
      * @param filter selects among these targets
      * @return the matching targets
      */
     public List<TargetState> candidates(
-            ServiceId service, Residency residency, Predicate<TargetState> filter) {
+            ServiceId service, Residency residency, long nowMs, Predicate<TargetState> filter) {
         List<TargetState> candidates = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
             if (!isServing(state, service, residency) || !filter.test(state)) {
                 continue;
             }
-            if (state.admitsRequest()) {
+            if (state.admitsRequest(nowMs)) {
                 candidates.add(state);
             } else {
                 state.wantPermit();
--- a/cactusspan/src/main/java/dev/cactusspan/forward/TargetSelection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/TargetSelection.java
@@ -35,7 +35,8 @@
 
     Optional<TargetState> choose(ForwardedRequest pending, long nowMs) {
         List<TargetState> serving =
-                mTargets.candidates(pending.service(), residency(pending), t -> mayRun(pending, t));
+                mTargets.candidates(
+                        pending.service(), residency(pending), nowMs, t -> mayRun(pending, t));
         List<TargetState> untried = new ArrayList<>(serving);
         untried.removeIf(t -> pending.triedTargets().contains(t.record().id()));
         return mChooser.choose(untried.isEmpty() ? serving : untried, nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.batch.BatchStore;
 import dev.cactusspan.duty.DutyHolder;
+import dev.cactusspan.fleet.ColdRates;
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.fleet.TargetState;
@@ -56,6 +57,7 @@
     private final PrefixMirror mVersionMirror;
     private Optional<DesiredState> mDesired = Optional.empty();
     private boolean mHasBoundRequests;
+    private final double mColdOverage;
     private BiConsumer<String, Optional<StoredItem>> mOnOwner = (key, item) -> {};
     private Consumer<Optional<StoredItem>> mOnUsageDuty = item -> {};
     private Consumer<Optional<StoredItem>> mOnWeightDuty = item -> {};
@@ -70,10 +72,12 @@
             Executor thread,
             Supplier<Backoff> backoffs,
             FollowTimes times,
+            double coldOverage,
             LongSupplier nowMs) {
         mNodes = nodes;
         mRegions = regions;
         mTargets = new TargetTable(regions);
+        mColdOverage = coldOverage;
         mRefreshInterval = new RefreshInterval(times.drainMs());
         mNowMs = nowMs;
         Mirrors mirrors =
@@ -194,6 +198,7 @@
         }
         mDesired = Optional.of(desired);
         mHasBoundRequests |= desired.hasBoundRequests();
+        mTargets.setColdRates(ColdRates.of(desired.services(), mColdOverage));
         Decision.of("desired_state_in_force").with("revision", desired.revision().number()).info();
     }
 
@@ -220,7 +225,10 @@
     private void evacuationChanged(String key, Optional<StoredItem> item) {
         AvailabilityZoneId zone =
                 AvailabilityZoneId.of(key.substring(PlatformReader.EVACUATION_PREFIX.length()));
-        boolean isChanged = item.isPresent() ? mTargets.evacuate(zone) : mTargets.takeBack(zone);
+        boolean isChanged =
+                item.isPresent()
+                        ? mTargets.evacuate(zone)
+                        : mTargets.takeBack(zone, mNowMs.getAsLong());
         if (!isChanged) {
             return;
         }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -226,6 +226,7 @@
                 this::backoff,
                 new FollowTimes(
                         mSettings.reconnectMs(), mSettings.drainMs(), mSettings.evacuateMs()),
+                mSettings.coldOverage(),
                 GatewayProcess::nowMs);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Names of the platform's HTTP headers. */
@@ -33,6 +34,9 @@
     /** Set to 1 in all responses of a target that leaves. */
     static final String LEAVING = "Server-Leaving";
 
+    /** Milliseconds for which the target is still cold. */
+    static final String COLD_MS = "Cold-Ms";
+
     static final String NOT_EXECUTED = "Not-Executed";
 
     /** A single version, which produced the start of the response. */
@@ -90,6 +94,19 @@
         return isValid ? OptionalDouble.of(limitPerS) : OptionalDouble.empty();
     }
 
+    /**
+     * Reads how long a target is still cold.
+     *
+     * @param lowerCase response headers with names in lower case
+     * @return milliseconds; empty if there is no such header, or one that is not a number of at
+     *     least zero
+     */
+    static OptionalLong coldMs(Map<String, String> lowerCase) {
+        Double ms = Doubles.tryParse(get(lowerCase, COLD_MS).strip());
+        boolean isValid = ms != null && ms >= 0 && Double.isFinite(ms);
+        return isValid ? OptionalLong.of((long) Math.ceil(ms)) : OptionalLong.empty();
+    }
+
     static Map<String, String> forwarded(Map<String, String> headers) {
         Map<String, String> forwarded = new LinkedHashMap<>();
         headers.forEach(
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -136,7 +136,9 @@
         return new FleetService(
                 ServiceId.of(node.path("name").asText()),
                 node.path("max_connections").asInt(0),
-                List.copyOf(models));
+                List.copyOf(models),
+                (long) (node.path("cold_start_s").asDouble(0) * MS_PER_S),
+                Math.max(0, node.path("cold_per_s").asDouble(0)));
     }
 
     private static FleetAccount account(JsonNode node) {
@@ -206,7 +208,8 @@
                         state.equals("draining"),
                         node.path("sequence").asLong(),
                         node.path("born").asLong(0),
-                        Map.copyOf(versions)));
+                        Map.copyOf(versions),
+                        Math.max(0, node.path("cold_remaining_ms").asLong(0))));
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -180,7 +180,8 @@
                             : WeightVersion.NONE,
                     headers.getOrDefault("content-type", "").startsWith("text/event-stream"),
                     PlatformHeaders.requestLimit(headers),
-                    PlatformHeaders.get(headers, PlatformHeaders.LEAVING).strip().equals("1"));
+                    PlatformHeaders.get(headers, PlatformHeaders.LEAVING).strip().equals("1"),
+                    PlatformHeaders.coldMs(headers));
         }
 
         @Override
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -30,6 +30,7 @@
  * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
  * @param evacuateMs time within which no request reaches a zone that is evacuated, in milliseconds;
  *     zero where zones are never evacuated
+ * @param coldOverage how many times the rate that a cold target bears it may get in any second
  * @param stopS time between the request to stop and the kill, in seconds
  */
 public record GatewaySettings(
@@ -49,6 +50,7 @@
         long reconnectMs,
         long drainMs,
         long evacuateMs,
+        double coldOverage,
         int stopS) {
 
     /** Reconnection time where the settings name none, in milliseconds. */
--- a/cactusspan/src/test/java/dev/cactusspan/batch/MoveRuleTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/MoveRuleTest.java
@@ -39,7 +39,8 @@
     }
 
     private List<TargetState> candidates() {
-        return mTargets.serving(ServiceId.of("lm"), Residency.ANYWHERE, t -> t.inFlight() < SLOTS);
+        return mTargets.serving(
+                ServiceId.of("lm"), Residency.ANYWHERE, 0, t -> t.inFlight() < SLOTS);
     }
 
     @Test
--- a/cactusspan/src/test/java/dev/cactusspan/duty/WeightRolloutTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/WeightRolloutTest.java
@@ -83,7 +83,7 @@
         TargetRecord updated = FakeTargets.inZone("b", FakeTargets.record("z-b", "lm", 4, 2));
         mNode.targets().put(updated);
         mNode.rollout().onTargetRecord(updated);
-        mNode.targets().takeBack(AvailabilityZoneId.of("a"));
+        mNode.targets().takeBack(AvailabilityZoneId.of("a"), mThread.nowMs());
         run(2_000);
         assertThat(mNode.port().orders().size() > 1, is(true));
     }
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/EvacuationTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/EvacuationTest.java
@@ -39,7 +39,7 @@
     }
 
     private List<String> serving() {
-        return mTable.serving(APP, Residency.ANYWHERE, t -> true).stream()
+        return mTable.serving(APP, Residency.ANYWHERE, 0, t -> true).stream()
                 .map(t -> t.record().id().value())
                 .sorted()
                 .toList();
@@ -51,7 +51,7 @@
         assertThat(mTable.evacuate(A1), is(true));
         assertThat(mTable.evacuate(A1), is(false));
         assertThat(serving(), is(List.of("t-a2", "t-b1")));
-        assertThat(mTable.candidates(APP, Residency.ANYWHERE, t -> true).size(), is(2));
+        assertThat(mTable.candidates(APP, Residency.ANYWHERE, 0, t -> true).size(), is(2));
         put("t-a1-new", "a1");
         put("t-a1", "a1");
         assertThat(serving(), is(List.of("t-a2", "t-b1")));
@@ -63,8 +63,8 @@
     @Test
     void shouldOfferTheTargetsOfAZoneThatIsTakenBack() {
         mTable.evacuate(A1);
-        assertThat(mTable.takeBack(A1), is(true));
-        assertThat(mTable.takeBack(A1), is(false));
+        assertThat(mTable.takeBack(A1, 0), is(true));
+        assertThat(mTable.takeBack(A1, 0), is(false));
         assertThat(serving(), is(List.of("t-a1", "t-a2", "t-b1")));
     }
 
@@ -83,7 +83,7 @@
         mTable.evacuate(A1);
         assertThat(fromB.to(A2), is(ZoneDistance.OTHER_REGION));
         assertThat(fromA.to(B1), is(ZoneDistance.SAME_REGION));
-        mTable.takeBack(A1);
+        mTable.takeBack(A1, 0);
         assertThat(fromA.to(B1), is(ZoneDistance.OTHER_REGION));
     }
 
@@ -110,6 +110,7 @@
                                     mTable.serving(
                                             APP,
                                             Residency.ANYWHERE,
+                                            0,
                                             t -> !t.record().zone().equals(A1)),
                                     0)
                             .orElseThrow();
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/PermitIssuerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/PermitIssuerTest.java
@@ -67,7 +67,7 @@
             RequestAllowance process = mProcesses.get(index);
             process.tick(mNowMs);
             if (mRandom.nextDouble() < demand) {
-                if (process.admits()) {
+                if (process.admits(mNowMs)) {
                     process.recordSent(mNowMs);
                     mSentMs.add(mNowMs);
                 } else {
@@ -176,8 +176,8 @@
         RequestAllowance allowance = new RequestAllowance(TARGET);
         allowance.recordResponse(OptionalDouble.of(2), 200, 0, 100);
         allowance.recordResponse(OptionalDouble.empty(), 200, 50, 110);
-        assertThat(allowance.admits(), is(false));
+        assertThat(allowance.admits(110), is(false));
         allowance.recordResponse(OptionalDouble.empty(), 500, 120, 150);
-        assertThat(allowance.admits(), is(true));
+        assertThat(allowance.admits(150), is(true));
     }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/TargetTableTest.java
@@ -21,7 +21,7 @@
     private final TargetTable mTable = new TargetTable();
 
     private List<TargetState> serving() {
-        return mTable.serving(APP, Residency.ANYWHERE, t -> true);
+        return mTable.serving(APP, Residency.ANYWHERE, 0, t -> true);
     }
 
     @Test
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/EvacuationFollowedTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/EvacuationFollowedTest.java
@@ -36,6 +36,7 @@
                 mThread,
                 () -> new Backoff(60, 600, new SplittableRandom(1)),
                 times,
+                1.5,
                 mThread::nowMs);
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -5,6 +5,7 @@
 
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FleetRoute;
+import dev.cactusspan.fleet.FleetService;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetRecord;
 import dev.cactusspan.id.AccountId;
@@ -84,6 +85,25 @@
         assertThat(state.account("k3"), is(Optional.empty()));
     }
 
+    @Test
+    void shouldReadHowLongTargetsAreCold() {
+        assertThat(
+                target(TARGET.replace("remaining_ms\":0", "remaining_ms\":1200.5"))
+                        .get()
+                        .coldRemainingMs(),
+                is(1_200L));
+        String text =
+                "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"lm\","
+                        + "\"cold_start_s\":3.0,\"cold_per_s\":12.0}]}";
+        FleetService service =
+                PlatformReader.desiredState(bytes(text))
+                        .get()
+                        .service(ServiceId.of("lm"))
+                        .orElseThrow();
+        assertThat(service.coldStartMs(), is(3_000L));
+        assertThat(service.coldPerS(), is(12.0));
+    }
+
     @Test
     void shouldReadTheRegionsOfRoutesAndAccounts() {
         String text =
