--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -26,6 +26,8 @@
 
     private final RequestAllowance mAllowance;
     private final Consumer<ServiceId> mOnPlace;
+    private final ColdPeriod mCold = new ColdPeriod();
+    private double mColdIssuedPerS;
     private TargetRecord mRecord;
     private double mErrorRate;
     private long mErrorRateAsOfMs;
@@ -41,11 +43,13 @@
         mRecord = record;
         mOnPlace = onPlace;
         mAllowance = new RequestAllowance(record.id());
+        mCold.recordListed(record.coldRemainingMs());
     }
 
     void update(TargetRecord record) {
         mRecord = record;
         mMissingSinceMs = -1;
+        mCold.recordListed(record.coldRemainingMs());
         notifyPlace();
     }
 
@@ -70,10 +74,26 @@
     /**
      * Returns whether a request may be sent without exceeding the limit that the target names.
      *
-     * @return false if the target limits its requests and this process has no permit
+     * @param nowMs monotonic clock in milliseconds
+     * @return false if the target limits its requests or is cold, and this process has no permit
      */
-    boolean admitsRequest() {
-        return mAllowance.admits();
+    boolean admitsRequest(long nowMs) {
+        updateColdLimit(nowMs);
+        return mAllowance.admits(nowMs);
+    }
+
+    /** Sets the rate of permits while the target is cold, zero if it has no bound. */
+    void setColdRate(double issuedPerS) {
+        mColdIssuedPerS = issuedPerS;
+    }
+
+    /** Records that the target may be cold, as it may have started again. */
+    void suspectCold(long forMs, long nowMs) {
+        mCold.suspect(forMs, nowMs);
+    }
+
+    private void updateColdLimit(long nowMs) {
+        mAllowance.setColdLimit(mCold.limitPerS(mColdIssuedPerS, nowMs), nowMs);
     }
 
     /** Notes that a request could be sent to this target if there were a permit. */
@@ -82,6 +102,7 @@
     }
 
     void tick(long nowMs) {
+        updateColdLimit(nowMs);
         mAllowance.tick(nowMs);
     }
 
@@ -114,6 +135,7 @@
     /** Records the request limit in the head of a response, or that it has none. */
     void recordHead(ResponseHead head, long sentMs, long nowMs) {
         mAllowance.recordResponse(head.requestLimitPerS(), head.status(), sentMs, nowMs);
+        head.coldMs().ifPresent(ms -> mCold.recordObserved(ms, nowMs));
     }
 
     /** Records that the target said that it leaves, which holds until it starts again. */
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -1,17 +1,20 @@
 package dev.cactusspan.fleet;
 
+import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.region.Residency;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -25,12 +28,26 @@
     /** Time that a target has to register again after a store outage, in milliseconds. */
     private static final long REREGISTRATION_TIMEOUT_MS = 2_200;
 
+    /**
+     * Time after an evacuation for which its targets count as cold, in milliseconds. A target that
+     * became cold says so with its next report, one of which is 1.2 s after another.
+     */
+    private static final long TAKE_BACK_MS = 3_000;
+
+    /**
+     * Time beyond a cold start for which a target that refused a connection counts as cold, in
+     * milliseconds: it may start again only some time later.
+     */
+    private static final long RESTART_MS = 2_000;
+
     /** Maximum number of targets of which it is remembered that they said that they leave. */
     private static final int MAX_LEAVING = 4_096;
 
     private final RegionMap mRegions;
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
     private Consumer<ServiceId> mOnPlace = service -> {};
+    private ColdRates mColdRates = ColdRates.NONE;
+    private final Set<AvailabilityZoneId> mEvacuatedZones = new HashSet<>();
 
     /** Start times of the targets that said that they leave, also after they are gone. */
     private final Map<TargetId, Long> mLeavingStartedMs = new LinkedHashMap<>();
@@ -78,6 +95,7 @@
 
     private TargetState newState(TargetRecord record) {
         TargetState state = new TargetState(record, service -> mOnPlace.accept(service));
+        state.setColdRate(mColdRates.issuedPerS(record.service()));
         if (hasSaidLeaving(record)) {
             state.recordLeaving();
         }
@@ -138,6 +156,80 @@
         mTargets.values().forEach(state -> state.tick(nowMs));
     }
 
+    // Cold targets
+
+    /**
+     * Sets the rates of the permits for cold targets.
+     *
+     * @param rates the rates by service
+     */
+    public void setColdRates(ColdRates rates) {
+        mColdRates = rates;
+        mTargets.values().forEach(t -> t.setColdRate(rates.issuedPerS(t.record().service())));
+    }
+
+    /**
+     * Records that a target refused a connection, so that it may have started again.
+     *
+     * @param target registration entry that the target had when the request was sent
+     * @param nowMs monotonic clock in milliseconds
+     */
+    void recordUnreachable(TargetRecord target, long nowMs) {
+        long forMs = mColdRates.coldStartMs(target.service()) + RESTART_MS;
+        find(target.id()).ifPresent(state -> state.suspectCold(forMs, nowMs));
+    }
+
+    // Evacuations
+
+    /**
+     * Evacuates a zone: its targets get nothing new until it is taken back. What they run goes on.
+     *
+     * @param zone the zone
+     * @return false if it was evacuated already
+     */
+    public boolean evacuate(AvailabilityZoneId zone) {
+        return mEvacuatedZones.add(zone);
+    }
+
+    /**
+     * Ends the evacuation of a zone, whose targets may be cold now.
+     *
+     * @param zone the zone
+     * @param nowMs monotonic clock in milliseconds
+     * @return false if it was not evacuated
+     */
+    public boolean takeBack(AvailabilityZoneId zone, long nowMs) {
+        if (!mEvacuatedZones.remove(zone)) {
+            return false;
+        }
+        mTargets.values().stream()
+                .filter(t -> t.record().zone().equals(zone))
+                .forEach(t -> t.suspectCold(TAKE_BACK_MS, nowMs));
+        return true;
+    }
+
+    /**
+     * Tells whether any zone in the region of a zone is evacuated.
+     *
+     * @param zone the zone
+     * @return true if it or another one there is
+     */
+    public boolean isRegionEvacuatedAt(AvailabilityZoneId zone) {
+        return !mEvacuatedZones.isEmpty()
+                && mEvacuatedZones.stream()
+                        .anyMatch(z -> z.equals(zone) || mRegions.isSameRegion(z, zone));
+    }
+
+    /**
+     * Tells whether anything new may be sent to a target.
+     *
+     * @param target the target
+     * @return false if it leaves, or if its zone is evacuated
+     */
+    public boolean acceptsWork(TargetState target) {
+        return !target.isLeaving() && !mEvacuatedZones.contains(target.record().zone());
+    }
+
     // Accessors
 
     /**
@@ -156,15 +248,16 @@
      *
      * @param service the service
      * @param residency regions in which the request may run
+     * @param nowMs monotonic clock in milliseconds
      * @param filter selects among these targets
      * @return the matching targets
      */
     public List<TargetState> serving(
-            ServiceId service, Residency residency, Predicate<TargetState> filter) {
+            ServiceId service, Residency residency, long nowMs, Predicate<TargetState> filter) {
         List<TargetState> serving = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
             if (isServing(state, service, residency)
-                    && state.admitsRequest()
+                    && state.admitsRequest(nowMs)
                     && filter.test(state)) {
                 serving.add(state);
             }
@@ -178,17 +271,18 @@
      *
      * @param service the service
      * @param residency regions in which the request may run
+     * @param nowMs monotonic clock in milliseconds
      * @param filter selects among these targets
      * @return the matching targets
      */
     public List<TargetState> candidates(
-            ServiceId service, Residency residency, Predicate<TargetState> filter) {
+            ServiceId service, Residency residency, long nowMs, Predicate<TargetState> filter) {
         List<TargetState> candidates = new ArrayList<>();
         for (TargetState state : mTargets.values()) {
             if (!isServing(state, service, residency) || !filter.test(state)) {
                 continue;
             }
-            if (state.admitsRequest()) {
+            if (state.admitsRequest(nowMs)) {
                 candidates.add(state);
             } else {
                 state.wantPermit();
@@ -213,7 +307,7 @@
 
     private boolean isServing(TargetState state, ServiceId service, Residency residency) {
         return state.record().service().equals(service)
-                && !state.isLeaving()
+                && acceptsWork(state)
                 && mRegions.allows(residency, state.record().zone());
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -2,8 +2,10 @@
 
 import dev.cactusspan.batch.BatchStore;
 import dev.cactusspan.duty.DutyHolder;
+import dev.cactusspan.fleet.ColdRates;
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
@@ -20,6 +22,7 @@
 import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.PrefixMirror;
 import dev.cactusspan.store.StoredItem;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -48,11 +51,13 @@
     private final TargetTable mTargets;
     private final PrefixMirror mDesiredStateMirror;
     private final PrefixMirror mTargetMirror;
+    private final Optional<PrefixMirror> mEvacuationMirror;
     private final PrefixMirror mControlMirror;
     private final PrefixMirror mOwnerMirror;
     private final PrefixMirror mVersionMirror;
     private Optional<DesiredState> mDesired = Optional.empty();
     private boolean mHasBoundRequests;
+    private final double mColdOverage;
     private BiConsumer<String, Optional<StoredItem>> mOnOwner = (key, item) -> {};
     private Consumer<Optional<StoredItem>> mOnUsageDuty = item -> {};
     private Consumer<Optional<StoredItem>> mOnWeightDuty = item -> {};
@@ -66,59 +71,52 @@
             RegionMap regions,
             Executor thread,
             Supplier<Backoff> backoffs,
-            long reconnectMs,
-            long drainMs,
+            FollowTimes times,
+            double coldOverage,
             LongSupplier nowMs) {
         mNodes = nodes;
         mRegions = regions;
         mTargets = new TargetTable(regions);
-        mRefreshInterval = new RefreshInterval(drainMs);
+        mColdOverage = coldOverage;
+        mRefreshInterval = new RefreshInterval(times.drainMs());
         mNowMs = nowMs;
+        Mirrors mirrors =
+                (prefix, reconnectMs, listener) ->
+                        new PrefixMirror(
+                                store,
+                                prefix,
+                                thread,
+                                backoffs.get(),
+                                reconnectMs,
+                                nowMs,
+                                listener);
+        long reconnectMs = times.reconnectMs();
         mDesiredStateMirror =
-                new PrefixMirror(
-                        store,
-                        PlatformReader.DESIRED_STATE_KEY,
-                        thread,
-                        backoffs.get(),
-                        reconnectMs,
-                        nowMs,
-                        this::operatorChanged);
+                mirrors.create(
+                        PlatformReader.DESIRED_STATE_KEY, reconnectMs, this::operatorChanged);
         mVersionMirror =
-                new PrefixMirror(
-                        store,
-                        PlatformReader.VERSION_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        reconnectMs,
-                        nowMs,
-                        this::operatorChanged);
+                mirrors.create(PlatformReader.VERSION_PREFIX, reconnectMs, this::operatorChanged);
         mOwnerMirror =
-                new PrefixMirror(
-                        store,
+                mirrors.create(
                         BatchStore.OWNER_PREFIX,
-                        thread,
-                        backoffs.get(),
                         reconnectMs,
-                        nowMs,
                         (key, item) -> mOnOwner.accept(key, item));
         mTargetMirror =
-                new PrefixMirror(
-                        store,
-                        PlatformReader.TARGET_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        reconnectMs,
-                        nowMs,
-                        this::targetChanged);
-        mControlMirror =
-                new PrefixMirror(
-                        store,
-                        CONTROL_PREFIX,
-                        thread,
-                        backoffs.get(),
-                        reconnectMs,
-                        nowMs,
-                        this::controlChanged);
+                mirrors.create(PlatformReader.TARGET_PREFIX, reconnectMs, this::targetChanged);
+        mEvacuationMirror =
+                times.evacuateMs() <= 0
+                        ? Optional.empty()
+                        : Optional.of(
+                                mirrors.create(
+                                        PlatformReader.EVACUATION_PREFIX,
+                                        Math.min(reconnectMs, times.evacuateMs()),
+                                        this::evacuationChanged));
+        mControlMirror = mirrors.create(CONTROL_PREFIX, reconnectMs, this::controlChanged);
+    }
+
+    /** Creates mirrors of this process's store. */
+    private interface Mirrors {
+        PrefixMirror create(String prefix, long reconnectMs, PrefixMirror.Listener listener);
     }
 
     void setListeners(
@@ -145,6 +143,7 @@
         mTargetMirror.setGatherMs(mRefreshInterval.ms(isOrdering, openBatches, waitingItems));
         mDesiredStateMirror.tick();
         mTargetMirror.tick();
+        mEvacuationMirror.ifPresent(PrefixMirror::tick);
         mControlMirror.tick();
         if (isOrdering) {
             mVersionMirror.tick();
@@ -199,6 +198,7 @@
         }
         mDesired = Optional.of(desired);
         mHasBoundRequests |= desired.hasBoundRequests();
+        mTargets.setColdRates(ColdRates.of(desired.services(), mColdOverage));
         Decision.of("desired_state_in_force").with("revision", desired.revision().number()).info();
     }
 
@@ -221,6 +221,27 @@
                 });
     }
 
+    /** Follows an evacuation, whose key says all; its value has no content. */
+    private void evacuationChanged(String key, Optional<StoredItem> item) {
+        AvailabilityZoneId zone =
+                AvailabilityZoneId.of(key.substring(PlatformReader.EVACUATION_PREFIX.length()));
+        boolean isChanged =
+                item.isPresent()
+                        ? mTargets.evacuate(zone)
+                        : mTargets.takeBack(zone, mNowMs.getAsLong());
+        if (!isChanged) {
+            return;
+        }
+        List<TargetState> inZone =
+                mTargets.all().stream().filter(t -> t.record().zone().equals(zone)).toList();
+        Decision.of(item.isPresent() ? "zone_evacuated" : "zone_taken_back")
+                .with("zone", zone.value())
+                .with("revision", item.map(StoredItem::revision).orElse(0L))
+                .with("targets", inZone.size())
+                .with("in_flight", inZone.stream().mapToInt(TargetState::inFlight).sum())
+                .info();
+    }
+
     private void putTarget(TargetRecord record) {
         mTargets.put(record);
         mOnTarget.accept(record);
@@ -287,7 +308,10 @@
     }
 
     boolean isLoaded() {
-        return mDesired.isPresent() && mTargetMirror.isLoaded() && mControlMirror.isLoaded();
+        return mDesired.isPresent()
+                && mTargetMirror.isLoaded()
+                && mControlMirror.isLoaded()
+                && mEvacuationMirror.map(PrefixMirror::isLoaded).orElse(true);
     }
 
     /** Returns whether the store answered the latest call of the mirror of shared state. */
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
+import dev.cactusspan.fleet.EvacuationSpread;
 import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
@@ -135,16 +136,7 @@
         mUsageDuty = duty(store, "usage");
         mWeightDuty = duty(store, "weights");
         mUsage = newUsage(store, self);
-        mFleet =
-                new FleetView(
-                        store,
-                        mNodes,
-                        mRegions,
-                        mThread,
-                        this::backoff,
-                        settings.reconnectMs(),
-                        settings.drainMs(),
-                        GatewayProcess::nowMs);
+        mFleet = newFleet(store);
         TargetPort port =
                 new ObservingTargets(
                         new PlatformTargets(mHttp, mThread),
@@ -167,7 +159,10 @@
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
-        TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
+        TargetChooser chooser =
+                new TargetChooser(
+                        new EvacuationSpread(this::distance, mFleet.targets(), settings.zone()),
+                        mRandom.split());
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
         mBatches = newBatches(batches, self, port, chooser);
@@ -234,6 +229,19 @@
                 mWallClock);
     }
 
+    private FleetView newFleet(KeyStore store) {
+        return new FleetView(
+                store,
+                mNodes,
+                mRegions,
+                mThread,
+                this::backoff,
+                new FollowTimes(
+                        mSettings.reconnectMs(), mSettings.drainMs(), mSettings.evacuateMs()),
+                mSettings.coldOverage(),
+                GatewayProcess::nowMs);
+    }
+
     private StreamOriginExchange newOrigins(KeyStore store) {
         return new StreamOriginExchange(
                 mFleet.targets(),
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -28,6 +28,9 @@
  * @param reconnectMs time within which the process must know all changes again after its connection
  *     to the store is restored, in milliseconds
  * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
+ * @param evacuateMs time within which no request reaches a zone that is evacuated, in milliseconds;
+ *     zero where zones are never evacuated
+ * @param coldOverage how many times the rate that a cold target bears it may get in any second
  * @param stopS time between the request to stop and the kill, in seconds
  * @param memoryMb memory that the process may take, in MB, zero if not known
  * @param maxFds descriptors that the process may open, zero if not known
@@ -48,6 +51,8 @@
         boolean isFencingChecked,
         long reconnectMs,
         long drainMs,
+        long evacuateMs,
+        double coldOverage,
         int stopS,
         int memoryMb,
         int maxFds) {
