Look at deadlines again where a request is sent

Cause: the time left was read when a request was decided. A request that lay in the queue, or whose connection took seconds, was sent on after its caller had given up, with a time left of 1 ms or with the old one.

Change: the time that a request waited in this process counts from its deadline; a dispatch after the deadline ends the request unsent; the I/O thread does not send what was decided over 400 ms before.

--- a/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
@@ -18,6 +18,7 @@
  * @param clientTimeoutMs the client's time-out in milliseconds, empty if not specified
  * @param resumeAfter id of the last stream event that the client received
  * @param resumes the client's request that brought the first event of that stream
+ * @param waitedMs how long it has waited in this process, in milliseconds
  */
 public record ClientRequest(
         RequestId id,
@@ -29,7 +30,36 @@
         Optional<String> key,
         OptionalLong clientTimeoutMs,
         OptionalLong resumeAfter,
-        Optional<RequestId> resumes) {
+        Optional<RequestId> resumes,
+        long waitedMs) {
+
+    /**
+     * Creates a request that has not waited.
+     *
+     * @param id request id
+     * @param method HTTP method
+     * @param path path and query
+     * @param host value of the Host header
+     * @param headers headers to forward
+     * @param body request body
+     * @param key API key sent with the request
+     * @param clientTimeoutMs the client's time-out in milliseconds
+     * @param resumeAfter id of the last stream event that the client received
+     * @param resumes the client's request that brought the first event of that stream
+     */
+    public ClientRequest(
+            RequestId id,
+            String method,
+            String path,
+            String host,
+            Map<String, String> headers,
+            byte[] body,
+            Optional<String> key,
+            OptionalLong clientTimeoutMs,
+            OptionalLong resumeAfter,
+            Optional<RequestId> resumes) {
+        this(id, method, path, host, headers, body, key, clientTimeoutMs, resumeAfter, resumes, 0);
+    }
 
     /**
      * Returns whether the request resumes a stream of which the client has events.
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -129,7 +129,7 @@
                         account,
                         origin,
                         nowMs,
-                        nowMs + Math.min(clientTimeoutMs, timeoutMs));
+                        nowMs - request.waitedMs() + Math.min(clientTimeoutMs, timeoutMs));
         mPending.add(pending);
         dispatch(pending);
         return () -> abandon(pending);
@@ -145,6 +145,10 @@
 
     private void dispatch(ForwardedRequest pending) {
         long nowMs = mNowMs.getAsLong();
+        if (nowMs >= pending.deadlineMs()) {
+            handleTimeout(pending);
+            return;
+        }
         OptionalLong refusedMs = refusedMs(pending, nowMs);
         if (refusedMs.isPresent()) {
             refuseSuspect(pending, refusedMs.getAsLong());
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -16,6 +16,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.xnio.IoUtils;
@@ -77,6 +80,20 @@
 
     // Operations
 
+    /**
+     * Creates a probe that tells how far behind the thread is on which responses are acted on.
+     *
+     * @param thread that thread
+     * @param nowMs monotonic clock in milliseconds
+     * @param onReadThrough receives times; all that had arrived by then has been acted on
+     * @return the probe
+     * @throws IOException if it cannot be opened
+     */
+    public ReadProbe newProbe(Executor thread, LongSupplier nowMs, LongConsumer onReadThrough)
+            throws IOException {
+        return ReadProbe.of(mWorker.getIoThread(), thread, nowMs, onReadThrough);
+    }
+
     /**
      * Sends a request.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -28,11 +28,14 @@
     /** Maximum bytes read in one turn, so that one server does not occupy the I/O thread. */
     private static final int MAX_TURN_BYTES = 128 << 10;
 
+    private static final long NS_PER_MS = 1_000_000;
+
     private final HttpClient mClient;
     private final HttpRequest mRequest;
     private final ResponseListener mListener;
     private final ByteBuffer mReadBuffer = ByteBuffer.allocate(READ_BYTES);
     private final ReadWindow mWindow = new ReadWindow();
+    private final long mCreatedNs = System.nanoTime();
     private HttpConnection mConnection;
     private XnioIoThread mIoThread;
     private XnioExecutor.Key mTimer;
@@ -70,6 +73,10 @@
             return;
         }
         mConnection = connection;
+        if (isTooLate()) {
+            fail(SendFailure.NOT_SENT, "held up for over " + mRequest.maxSendDelayMs() + " ms");
+            return;
+        }
         mConnection.limit().startResponse();
         mSent = true;
         ClientRequest request = new ClientRequest();
@@ -83,6 +90,11 @@
         connection.connection().sendRequest(request, callback(this::onStarted));
     }
 
+    private boolean isTooLate() {
+        long delayMs = (System.nanoTime() - mCreatedNs) / NS_PER_MS;
+        return mRequest.maxSendDelayMs() > 0 && delayMs > mRequest.maxSendDelayMs();
+    }
+
     private void onStarted(ClientExchange exchange) {
         exchange.setResponseListener(callback(this::onResponse));
         if (mRequest.body().length > 0) {
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -16,6 +16,8 @@
  * @param maxBytes maximum size of the response body; a response beyond it fails
  * @param newConnection true to open a new connection, so that a failure to connect proves that the
  *     request was not executed
+ * @param maxSendDelayMs time after which the request is not sent any more, because what it says
+ *     would no longer hold, in milliseconds; 0 for no limit
  */
 public record HttpRequest(
         String method,
@@ -25,7 +27,32 @@
         byte[] body,
         long timeoutMs,
         long maxBytes,
-        boolean newConnection) {
+        boolean newConnection,
+        long maxSendDelayMs) {
+
+    /**
+     * Creates a request that may be sent at any time.
+     *
+     * @param method HTTP method
+     * @param server scheme, IP and port
+     * @param path path and query
+     * @param headers headers
+     * @param body body
+     * @param timeoutMs time-out for the complete response
+     * @param maxBytes maximum size of the response body
+     * @param newConnection true to open a new connection
+     */
+    public HttpRequest(
+            String method,
+            URI server,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMs,
+            long maxBytes,
+            boolean newConnection) {
+        this(method, server, path, headers, body, timeoutMs, maxBytes, newConnection, 0);
+    }
 
     /** Maximum size of a response body where the caller sets none, in bytes. */
     public static final long DEFAULT_MAX_BYTES = 32L << 20;
@@ -38,7 +65,15 @@
      */
     public HttpRequest withMaxBytes(long maxBytes) {
         return new HttpRequest(
-                method, server, path, headers, body, timeoutMs, maxBytes, newConnection);
+                method,
+                server,
+                path,
+                headers,
+                body,
+                timeoutMs,
+                maxBytes,
+                newConnection,
+                maxSendDelayMs);
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -33,6 +33,12 @@
      */
     private static final long ORDER_TIMEOUT_MS = 1_000;
 
+    /**
+     * Time after which a request is not sent any more, in milliseconds. The time left that it names
+     * may be half a second too long, and what its decision rested on may be replaced.
+     */
+    private static final long MAX_SEND_DELAY_MS = 400;
+
     /** Maximum size of a target's response to a request. */
     private static final long MAX_RESPONSE_BYTES = 8 << 20;
 
@@ -64,7 +70,8 @@
                         request.body(),
                         request.timeLeftMs(),
                         MAX_RESPONSE_BYTES,
-                        false);
+                        false,
+                        MAX_SEND_DELAY_MS);
         return mHttp.send(httpRequest, new ResponseRelay(request.id(), listener));
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderTest.java
@@ -9,7 +9,11 @@
 
 import dev.cactusspan.fleet.FakeTargets;
 import dev.cactusspan.fleet.RouteKind;
+import dev.cactusspan.id.RequestId;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -332,4 +336,54 @@
         }
         return false;
     }
+
+    /** A request that lay in the queue past its deadline was sent with a time left of 1 ms. */
+    @Test
+    void shouldNotSendWhatWaitedPastItsDeadline() {
+        targets(2);
+        Sink sink = new Sink();
+        ClientRequest request =
+                new ClientRequest(
+                        RequestId.of("r1"),
+                        "POST",
+                        "/x",
+                        "h",
+                        Map.of(),
+                        new byte[0],
+                        Optional.empty(),
+                        OptionalLong.of(800),
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        800);
+        mForwarder.submit(
+                request, route(RouteKind.IDEMPOTENT), Optional.empty(), Optional.empty(), sink);
+        assertThat(mPort.sent().isEmpty(), is(true));
+        assertThat(sink.responseCount(), is(1));
+        assertThat(sink.mFailures.get(0).isNotRun(), is(true));
+    }
+
+    @Test
+    void shouldTakeTheTimeInTheQueueFromTheTimeLeft() {
+        targets(1);
+        ClientRequest request =
+                new ClientRequest(
+                        RequestId.of("r1"),
+                        "POST",
+                        "/x",
+                        "h",
+                        Map.of(),
+                        new byte[0],
+                        Optional.empty(),
+                        OptionalLong.of(800),
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        300);
+        mForwarder.submit(
+                request,
+                route(RouteKind.IDEMPOTENT),
+                Optional.empty(),
+                Optional.empty(),
+                new Sink());
+        assertThat(mPort.last().request().timeLeftMs(), is(500L));
+    }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -125,6 +125,55 @@
         }
     }
 
+    /** A request that its thread could not send for a second was sent with the old time left. */
+    @Test
+    void shouldNotSendWhatWasHeldUp() throws Exception {
+        try (RawServer server = new RawServer(out -> out.write(new byte[0]))) {
+            HttpRequest request =
+                    new HttpRequest(
+                            "GET",
+                            server.uri(),
+                            "/",
+                            Map.of(),
+                            new byte[0],
+                            LONG_TIMEOUT_MS,
+                            MAX_BODY_BYTES,
+                            true,
+                            100);
+            // Holds the I/O thread up, as other work does in a process without processor time.
+            mHttp.newProbe(Runnable::run, () -> 0, atMs -> pause(500)).tick();
+            CompletableFuture<SendFailure> failure = new CompletableFuture<>();
+            pause(50);
+            mHttp.send(
+                    request,
+                    new ResponseListener() {
+                        @Override
+                        public void onHead(int status, Map<String, String> headers) {}
+
+                        @Override
+                        public void onData(byte[] data, Runnable consumed) {}
+
+                        @Override
+                        public void onEnd() {}
+
+                        @Override
+                        public void onFailure(SendFailure kind, String reason) {
+                            failure.complete(kind);
+                        }
+                    });
+            assertThat(
+                    failure.get(LONG_TIMEOUT_MS, TimeUnit.MILLISECONDS), is(SendFailure.NOT_SENT));
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void shouldEndDripFedHeadAtTheTimeout() throws Exception {
         try (RawServer server =
