Stop sends on knowledge older than its bound, and shed load

Cause: an entry short of processor time decided on a desired state that had been replaced 6 s before and sent items of ended batches. Ruled out: the queue of the task thread alone; a request was refused 81 ms after it was sent, on knowledge 6 s old.

A quiet store and an outage of the store do not stop service. GuardedTargets looks again on the thread that sends. News of the store run on the control lane. OverloadGate measures the entry's own delay and refuses new work at the door before a body is read, batches first.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -46,6 +46,7 @@
     private final DelayedTasks mDelayed;
     private boolean mIsStopping;
     private boolean mIsDraining;
+    private boolean mIsHeld;
 
     /**
      * Creates a manager.
@@ -427,8 +428,10 @@
             takeOverBatches(isSweeper && isSettled);
         }
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
-            if (!mIsDraining) {
+            if (!mIsDraining && !mIsHeld) {
                 mRunner.tick(owned);
+            }
+            if (!mIsDraining) {
                 mSaver.tick(owned);
             }
             mAppender.tick(owned);
@@ -436,6 +439,15 @@
         }
     }
 
+    /**
+     * Sets whether items wait, because it is not known whether their batches have ended.
+     *
+     * @param isHeld true if no item may be sent
+     */
+    public void holdItems(boolean isHeld) {
+        mIsHeld = isHeld;
+    }
+
     /** Stops accepting batches; owned batches continue. */
     public void stopAccepting() {
         mIsStopping = true;
--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -92,6 +92,8 @@
                 true,
                 0,
                 0,
+                0,
+                0,
                 1);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -155,6 +155,12 @@
                 && mNodes.choose("sweep").equals(Optional.of(self));
     }
 
+    /** Records that all that had arrived from the store at a time has been handled. */
+    void recordReadThrough(long atMs) {
+        mDesiredStateMirror.recordReadThrough(atMs);
+        mOwnerMirror.recordReadThrough(atMs);
+    }
+
     // Changes
 
     private void operatorChanged(String key, Optional<StoredItem> item) {
@@ -257,6 +263,14 @@
         return mDesired;
     }
 
+    PrefixMirror desiredStateMirror() {
+        return mDesiredStateMirror;
+    }
+
+    PrefixMirror ownerMirror() {
+        return mOwnerMirror;
+    }
+
     TargetTable targets() {
         return mTargets;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
+import dev.cactusspan.fleet.GuardedTargets;
 import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
@@ -14,12 +15,14 @@
 import dev.cactusspan.forward.RequestForwarder;
 import dev.cactusspan.forward.StreamResumer;
 import dev.cactusspan.http.HttpClient;
+import dev.cactusspan.http.ReadProbe;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.TaskThread;
 import dev.cactusspan.observe.AdminServer;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.overload.OverloadGate;
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.peer.NodeRecord;
 import dev.cactusspan.peer.NodeSession;
@@ -43,6 +46,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 
 /** An entry process on a hosting platform that serves clients and trainers, and holds duties. */
 public final class GatewayProcess implements AutoCloseable {
@@ -78,12 +83,15 @@
     private final WallClock mWallClock;
     private final HttpClient mHttp;
     private final TaskThread mThread = new TaskThread("gateway", QUEUE_TASKS, TICK_MS);
+    private final Executor mControl = mThread.control();
     private final SplittableRandom mRandom = new SplittableRandom();
     private final NodeDirectory mNodes = new NodeDirectory();
     private final KeyStore mDirect;
     private final NodeSession mSession;
     private final PeerClient mPeers;
     private final FleetView mFleet;
+    private final KnowledgeGuard mKnowledge;
+    private final ReadProbe mProbe;
     private final DutyHolder mUsageDuty;
     private final DutyHolder mWeightDuty;
     private final UsageReporter mUsage;
@@ -96,7 +104,9 @@
     private final BatchManager mBatches;
     private final BatchReader mReader;
     private final Gateway mGateway;
+    private final OverloadGate mGate = new OverloadGate();
     private final PlatformServer mServer;
+    private ReadProbe mClientProbe;
     private final AdminServer mAdmin;
     private final DrainLatch mDrained = new DrainLatch();
     private volatile boolean mIsReady;
@@ -119,9 +129,9 @@
         mHttp = HttpClient.create();
         NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
-        mPeers = new PeerClient(self, mThread, GatewayProcess::nowMs);
+        mPeers = new PeerClient(self, mControl, GatewayProcess::nowMs);
         KeyStore store = newStore(self);
-        mSession = new NodeSession(store, self, mThread, backoff(), GatewayProcess::nowMs);
+        mSession = new NodeSession(store, self, mControl, backoff(), GatewayProcess::nowMs);
         mUsageDuty = duty(store, "usage");
         mWeightDuty = duty(store, "weights");
         mUsage = newUsage(store, self);
@@ -129,7 +139,7 @@
                 new FleetView(
                         store,
                         mNodes,
-                        mThread,
+                        mControl,
                         this::backoff,
                         settings.reconnectMs(),
                         settings.drainMs(),
@@ -139,24 +149,26 @@
                         new PlatformTargets(mHttp, mThread),
                         mFleet.targets(),
                         GatewayProcess::nowMs);
+        mKnowledge = new KnowledgeGuard(mFleet, settings, telemetry, GatewayProcess::nowMs);
+        mProbe = mHttp.newProbe(mControl, GatewayProcess::nowMs, mKnowledge::recordReadThrough);
         mPermits =
                 new PermitExchange(
                         mFleet.targets(),
                         mNodes,
                         self.owner(),
                         mPeers,
-                        mThread,
+                        mControl,
                         telemetry,
                         GatewayProcess::nowMs);
         mWeights = newWeights(port);
         mCrashGuard = new CrashGuard(self.owner());
-        mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
+        mCrashes = new CrashExchange(mCrashGuard, store, mControl, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
         TargetChooser chooser = new TargetChooser(this::distance, mRandom.split());
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
         mBatches = newBatches(batches, self, port, chooser);
-        mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mThread);
+        mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mControl);
         mGateway = newGateway();
         mServer = newServer();
         mAdmin =
@@ -199,7 +211,7 @@
                 mNodes,
                 mPeers,
                 self.owner(),
-                mThread,
+                mControl,
                 mRandom.split(),
                 GatewayProcess::nowMs);
     }
@@ -212,7 +224,7 @@
                 self,
                 new PlatformUsage(mHttp, uri(mSettings.usageAddress())),
                 mSettings.usageWindowS() * MS_PER_S,
-                mThread,
+                mControl,
                 GatewayProcess::nowMs,
                 mWallClock);
     }
@@ -223,7 +235,7 @@
                 mFleet::desiredState,
                 store,
                 mFleet::isStoreAvailable,
-                mThread,
+                mControl,
                 GatewayProcess::nowMs);
     }
 
@@ -233,14 +245,14 @@
                 mFleet.targets(),
                 port,
                 mSettings.vm(),
-                mThread,
+                mControl,
                 GatewayProcess::nowMs);
     }
 
     private RequestForwarder newForwarder(TargetPort port, TargetChooser chooser) {
         return new RequestForwarder(
                 mFleet.targets(),
-                port,
+                guarded(port, mKnowledge::isDesiredStateCurrent, "desired_state"),
                 chooser,
                 mFleet::desiredState,
                 mUsage::count,
@@ -251,6 +263,10 @@
                 GatewayProcess::nowMs);
     }
 
+    private TargetPort guarded(TargetPort port, BooleanSupplier isCurrent, String knowledge) {
+        return new GuardedTargets(port, isCurrent, knowledge, mTelemetry, mThread);
+    }
+
     private BatchManager newBatches(
             BatchStore batches, NodeRecord self, TargetPort port, TargetChooser chooser) {
         return BatchManagerFactory.create(
@@ -258,11 +274,11 @@
                         batches,
                         mNodes,
                         self.owner(),
-                        mThread,
+                        mControl,
                         mFleet.targets(),
-                        port,
+                        guarded(port, mKnowledge::areBatchEndsCurrent, "batch_ends"),
                         chooser,
-                        mFleet::desiredState,
+                        mKnowledge::desiredState,
                         mTelemetry,
                         backoff(),
                         GatewayProcess::nowMs,
@@ -271,7 +287,7 @@
 
     private Gateway newGateway() {
         return new Gateway(
-                mFleet::desiredState,
+                mKnowledge::desiredState,
                 mForwarder,
                 new StreamResumer(mForwarder, mOrigins, mTelemetry),
                 mBatches,
@@ -289,7 +305,9 @@
                 address(mSettings.readyAddress()),
                 mGateway,
                 mThread,
-                () -> mIsReady && !mIsLeaving);
+                () -> mIsReady && !mIsLeaving,
+                mGate,
+                GatewayProcess::nowMs);
     }
 
     private DutyHolder duty(KeyStore store, String name) {
@@ -300,7 +318,7 @@
                 name,
                 mSettings.turnMs(),
                 mSettings.isFencingChecked() ? 0 : mSettings.turnMs(),
-                mThread,
+                mControl,
                 GatewayProcess::nowMs);
     }
 
@@ -329,6 +347,7 @@
         mPeers.start(this::respond);
         mAdmin.start();
         mServer.start();
+        mClientProbe = mServer.newProbe(mThread, atMs -> mGate.record(nowMs() - atMs));
         mThread.start(this::tick);
         Decision.of("started")
                 .with("node", mSession.self().owner())
@@ -349,6 +368,10 @@
     }
 
     private void tick() {
+        mProbe.tick();
+        mClientProbe.tick();
+        mGate.recordPending(mClientProbe.pendingMs());
+        mGate.recordQueue(mThread.queueMs());
         boolean isSweeper = mFleet.isSweeper(mSession.self().owner());
         mFleet.tick(
                 mWeightDuty.fencing().isPresent(),
@@ -361,6 +384,7 @@
         mWeightDuty.tick();
         mUsage.tick();
         mWeights.tick();
+        mKnowledge.tick(mBatches);
         mBatches.tick(mFleet.recoveredMs(), isSweeper);
         mGateway.tick();
         mPermits.tick();
@@ -425,6 +449,8 @@
         mAdmin.close();
         mPeers.close();
         mThread.close();
+        mProbe.close();
+        mClientProbe.close();
         mHttp.close();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -2,9 +2,13 @@
 
 import dev.cactusspan.forward.ClientRequest;
 import dev.cactusspan.gateway.Gateway;
+import dev.cactusspan.http.ReadProbe;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.RequestId;
+import dev.cactusspan.observe.Decision;
+import dev.cactusspan.overload.OverloadGate;
+import dev.cactusspan.overload.OverloadGate.Work;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
@@ -23,6 +27,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 
 /** Serves client requests and the readiness check over HTTP. */
 public final class PlatformServer implements AutoCloseable {
@@ -32,6 +38,14 @@
     private static final int WORKER_THREADS = 1;
     private static final int BUFFER_BYTES = 16 << 10;
 
+    private static final int UNAVAILABLE = 503;
+
+    /** Size from which a body is taken for a batch before it is read; its items are hundreds. */
+    private static final long BATCH_BYTES = 8 << 10;
+
+    /** Time after which a refused client comes again, at another process, in seconds. */
+    private static final String SHED_RETRY_AFTER_S = "0.15";
+
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final long MAX_BODY_BYTES = 32 << 20;
     private static final int HEADER_TIMEOUT_MS = 3_000;
@@ -40,6 +54,8 @@
     private final Gateway mGateway;
     private final Executor mThread;
     private final BooleanSupplier mIsReady;
+    private final OverloadGate mGate;
+    private final LongSupplier mNowMs;
     private final int mReadyPort;
     private final Undertow mServer;
 
@@ -51,16 +67,22 @@
      * @param gateway handles the requests
      * @param thread the thread on which the gateway is called
      * @param isReady returns whether this process accepts new connections
+     * @param gate refuses new work that this process cannot carry
+     * @param nowMs monotonic clock in milliseconds
      */
     public PlatformServer(
             InetSocketAddress clients,
             InetSocketAddress ready,
             Gateway gateway,
             Executor thread,
-            BooleanSupplier isReady) {
+            BooleanSupplier isReady,
+            OverloadGate gate,
+            LongSupplier nowMs) {
         mGateway = gateway;
         mThread = thread;
         mIsReady = isReady;
+        mGate = gate;
+        mNowMs = nowMs;
         mReadyPort = ready.getPort();
         mServer =
                 Undertow.builder()
@@ -85,6 +107,19 @@
         mServer.start();
     }
 
+    /**
+     * Creates a probe that tells how far behind this process is with what clients send. The server
+     * must have been started.
+     *
+     * @param thread the thread on which the gateway is called
+     * @param onReadThrough receives times; all that had arrived by then has been acted on
+     * @return the probe
+     * @throws IOException if it cannot be opened
+     */
+    public ReadProbe newProbe(Executor thread, LongConsumer onReadThrough) throws IOException {
+        return ReadProbe.of(mServer.getWorker().getIoThread(), thread, mNowMs, onReadThrough);
+    }
+
     private void handle(HttpServerExchange exchange) {
         InetSocketAddress local = (InetSocketAddress) exchange.getConnection().getLocalAddress();
         if (local.getPort() == mReadyPort) {
@@ -94,9 +129,34 @@
             exchange.endExchange();
             return;
         }
+        if (isNewWork(exchange) && mGate.refuses(work(exchange))) {
+            refuse(exchange);
+            return;
+        }
         exchange.getRequestReceiver().receiveFullBytes(this::received, this::rejectUnreadable);
     }
 
+    private static boolean isNewWork(HttpServerExchange exchange) {
+        String path = exchange.getRequestURI();
+        return !path.startsWith(RESULTS_PREFIX) && !path.startsWith(ITEM_PREFIX);
+    }
+
+    private static Work work(HttpServerExchange exchange) {
+        return exchange.getRequestContentLength() > BATCH_BYTES ? Work.BATCH : Work.REQUEST;
+    }
+
+    /** Refuses a request before its body is read, as each of its bytes costs processor time. */
+    private void refuse(HttpServerExchange exchange) {
+        Decision.of("request_shed")
+                .with("request", header(exchange, PlatformHeaders.REQUEST_ID).orElse(""))
+                .with("work", work(exchange).name())
+                .with("delay_ms", mGate.delayMs())
+                .info();
+        exchange.setStatusCode(UNAVAILABLE);
+        exchange.getResponseHeaders().put(Headers.RETRY_AFTER, SHED_RETRY_AFTER_S);
+        exchange.endExchange();
+    }
+
     private void rejectUnreadable(HttpServerExchange exchange, IOException e) {
         exchange.dispatch(
                 (HttpHandler)
@@ -111,21 +171,24 @@
 
     private void received(HttpServerExchange exchange, byte[] body) {
         PlatformSink sink = PlatformSink.of(exchange);
+        long receivedMs = mNowMs.getAsLong();
         exchange.dispatch(
                 mThread,
                 () -> {
+                    long waitedMs = mNowMs.getAsLong() - receivedMs;
                     String path = exchange.getRequestURI();
                     if (path.startsWith(RESULTS_PREFIX)) {
                         handleBatch(exchange, sink, path.substring(RESULTS_PREFIX.length()));
                     } else if (path.startsWith(ITEM_PREFIX)) {
                         handleItem(exchange, sink, path.substring(ITEM_PREFIX.length()));
                     } else {
-                        forward(exchange, sink, body);
+                        forward(exchange, sink, body, Math.max(waitedMs, mGate.delayMs()));
                     }
                 });
     }
 
-    private void forward(HttpServerExchange exchange, PlatformSink sink, byte[] body) {
+    private void forward(
+            HttpServerExchange exchange, PlatformSink sink, byte[] body, long waitedMs) {
         Optional<String> id = header(exchange, PlatformHeaders.REQUEST_ID);
         if (id.isEmpty()) {
             sink.fail(Failure.of(ErrorKind.BAD_REQUEST, "no " + PlatformHeaders.REQUEST_ID), 0);
@@ -145,7 +208,8 @@
                         header(exchange, PlatformHeaders.API_KEY),
                         number(exchange, PlatformHeaders.TIME_LEFT),
                         number(exchange, PlatformHeaders.LAST_EVENT_ID),
-                        header(exchange, PlatformHeaders.RESUMES).map(RequestId::of));
+                        header(exchange, PlatformHeaders.RESUMES).map(RequestId::of),
+                        waitedMs);
         sink.onClientDisconnect(mThread, mGateway.handle(request, sink));
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -28,6 +28,8 @@
  * @param reconnectMs time within which the process must know all changes again after its connection
  *     to the store is restored, in milliseconds
  * @param drainMs time within which no request reaches a target that is leaving, in milliseconds
+ * @param desiredStateMs time within which a new desired state must be in force, in milliseconds
+ * @param batchEndMs time within which the end of a batch must be in force, in milliseconds
  * @param stopS time between the request to stop and the kill, in seconds
  */
 public record GatewaySettings(
@@ -46,6 +48,8 @@
         boolean isFencingChecked,
         long reconnectMs,
         long drainMs,
+        long desiredStateMs,
+        long batchEndMs,
         int stopS) {
 
     /** Reconnection time where the settings name none, in milliseconds. */
@@ -54,6 +58,12 @@
     /** Drain time where the settings name none, in milliseconds. */
     private static final long DEFAULT_DRAIN_MS = 2_500;
 
+    /** Time until a desired state is in force where the settings name none, in milliseconds. */
+    private static final long DEFAULT_DESIRED_STATE_MS = 2_500;
+
+    /** Time until the end of a batch is in force where the settings name none, in milliseconds. */
+    private static final long DEFAULT_BATCH_END_MS = 3_000;
+
     private static final List<String> TEXT_FIELDS =
             List.of("vm", "zone", "ip", "store_address", "usage_address");
     private static final List<String> NUMBER_FIELDS =
@@ -66,6 +76,8 @@
     public GatewaySettings {
         reconnectMs = reconnectMs <= 0 ? DEFAULT_RECONNECT_MS : reconnectMs;
         drainMs = drainMs <= 0 ? DEFAULT_DRAIN_MS : drainMs;
+        desiredStateMs = desiredStateMs <= 0 ? DEFAULT_DESIRED_STATE_MS : desiredStateMs;
+        batchEndMs = batchEndMs <= 0 ? DEFAULT_BATCH_END_MS : batchEndMs;
         clientAddress = clientAddress == null ? "" : clientAddress;
         readyAddress = readyAddress == null ? "" : readyAddress;
         zones = zones == null ? Map.of() : Map.copyOf(zones);
--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -31,6 +31,12 @@
 
     private static final long MIN_WATCH_MS = 500;
 
+    /**
+     * Time within which a change that is older than a watch reaches the watch, in milliseconds: 60
+     * times the usual 4 ms of the store, and the way between regions.
+     */
+    private static final long RESPONSE_MS = 300;
+
     /**
      * Minimum interval between lists while the store is reached only through another process, in
      * milliseconds.
@@ -60,6 +66,9 @@
     private long mChangedMs = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAsOf;
+    private long mCallStartedMs;
+    private long mListStartedMs;
+    private long mKnownMs = Long.MIN_VALUE / 2;
     private long mConfirmedMs = Long.MIN_VALUE / 2;
     private long mRecoveredMs = Long.MIN_VALUE / 2;
     private String mPageAfter = "";
@@ -123,7 +132,9 @@
             mState = State.LISTING;
         }
         mIsBusy = true;
+        mCallStartedMs = nowMs;
         if (mState == State.LISTING) {
+            mListStartedMs = mPageAfter.isEmpty() ? nowMs : mListStartedMs;
             FutureResults.deliver(
                     mStore.range(mPrefix, mPageAfter),
                     mThread,
@@ -146,6 +157,19 @@
         mGatherMs = gatherMs;
     }
 
+    /**
+     * Records that everything that had arrived from the store at a time has been handled. A watch
+     * that waits at that time has then seen all earlier changes.
+     *
+     * @param atMs the time, on the monotonic clock in milliseconds
+     */
+    public void recordReadThrough(long atMs) {
+        boolean isWatching = mIsBusy && mState == State.WATCHING;
+        if (isWatching && mCallStartedMs <= atMs - RESPONSE_MS) {
+            mKnownMs = Math.max(mKnownMs, atMs - RESPONSE_MS);
+        }
+    }
+
     private Void listed(KeyStore.Page page) {
         succeeded();
         if (mPageAfter.isEmpty()) {
@@ -165,6 +189,7 @@
         removed.forEach(key -> remove(key, mAsOf));
         mPageAfter = "";
         mState = State.WATCHING;
+        mKnownMs = Math.max(mKnownMs, mListStartedMs);
         if (!mStore.isDirect()) {
             mNextMs = mNowMs.getAsLong() + Math.max(POLL_MS, mGatherMs);
         }
@@ -179,6 +204,7 @@
 
     private Void changed(KeyStore.Changes changes) {
         succeeded();
+        mKnownMs = Math.max(mKnownMs, mCallStartedMs);
         for (KeyStore.Change change : changes.changes()) {
             change.item().ifPresentOrElse(this::put, () -> remove(change.key(), change.revision()));
         }
@@ -283,6 +309,15 @@
         return mConfirmedMs;
     }
 
+    /**
+     * Returns the latest time at which the items were certainly those of the store.
+     *
+     * @return monotonic clock in milliseconds, far in the past before the first complete list
+     */
+    public long knownMs() {
+        return mKnownMs;
+    }
+
     /**
      * Returns the time of the first response after the last series of failures.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -31,6 +31,7 @@
                         "dev.cactusspan.placement",
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
+                        "dev.cactusspan.overload",
                         "dev.cactusspan.chart",
                         "dev.cactusspan.id",
                         "dev.cactusspan.result")
--- a/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -148,6 +148,57 @@
         assertThat(mStore.longestWaitMs() <= RECONNECT_MS - slackMs - backoffMs, is(true));
     }
 
+    /** A quiet store must not make a process stop. */
+    @Test
+    void shouldKnowThatNothingChangedWhileItsWatchWaits() {
+        mStore.put("a/1", new byte[0]);
+        run(500);
+        for (int i = 0; i < 100; i++) {
+            run(100);
+            mMirror.recordReadThrough(mThread.nowMs());
+        }
+        assertThat(mThread.nowMs() - mMirror.knownMs() <= 800, is(true));
+    }
+
+    /** Without processor time to read what arrived, a watch that waits proves nothing. */
+    @Test
+    void shouldNotKnowWhatIsUnread() {
+        mStore.put("a/1", new byte[0]);
+        run(1_000);
+        mMirror.recordReadThrough(mThread.nowMs());
+        long knownMs = mMirror.knownMs();
+        mThread.advance(2_000);
+        assertThat(mMirror.knownMs(), is(knownMs));
+    }
+
+    @Test
+    void shouldNotKnowMoreThroughAnOutage() {
+        mStore.put("a/1", new byte[0]);
+        run(500);
+        mStore.setDown(true);
+        run(6_000);
+        long knownMs = mMirror.knownMs();
+        for (int i = 0; i < 50; i++) {
+            run(100);
+            mMirror.recordReadThrough(mThread.nowMs());
+        }
+        assertThat(mMirror.knownMs(), is(knownMs));
+        mStore.setDown(false);
+        run(1_000);
+        assertThat(mMirror.knownMs() > knownMs, is(true));
+    }
+
+    /** A change that the watch has not seen yet is not known before a response had time to come. */
+    @Test
+    void shouldNotKnowTheTimeRightAfterAWatchBegan() {
+        mStore.put("a/1", new byte[0]);
+        run(20);
+        long startedMs = mThread.nowMs();
+        mMirror.tick();
+        mMirror.recordReadThrough(startedMs + 100);
+        assertThat(mMirror.knownMs() <= startedMs, is(true));
+    }
+
     @Property(seed = "31", tries = 100)
     void shouldConvergeToTheStoreAndNeverRevert(@ForAll long seed) {
         Random random = new Random(seed);
