Hold batches while the store is away, and tick less

A tick of 10 ms hashed all processes three times for duties that hardly change, and ran duties, lease and usage 100 times a second.

Choices of processes are remembered until the list changes. Control ticks each 40 ms, everything each 40 ms while nothing is in progress.

--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -39,11 +39,8 @@
     /** Delay after which a client should retry a refused request, in milliseconds. */
     private static final long RETRY_AFTER_MS = 150;
 
-    /**
-     * Time within which a submitted batch gets a response, in milliseconds. After it, the client is
-     * told that the deadline was exceeded, which leaves the outcome open.
-     */
-    private static final long SUBMIT_TIMEOUT_MS = 2_500;
+    /** Maximum number of batches that wait for the store; each holds its items in memory. */
+    private static final int MAX_WAITING_BATCHES = 24;
 
     private final Supplier<Optional<DesiredState>> mDesired;
     private final RequestForwarder mForwarder;
@@ -52,6 +49,7 @@
     private final BatchReader mReader;
     private final BatchCodec mCodec;
     private final BooleanSupplier mIsStopping;
+    private final BooleanSupplier mIsStoreAnswering;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
     private final WallClock mWallClock;
@@ -65,6 +63,7 @@
             BatchReader reader,
             BatchCodec codec,
             BooleanSupplier isStopping,
+            BooleanSupplier isStoreAnswering,
             Telemetry telemetry,
             LongSupplier nowMs,
             WallClock wallClock) {
@@ -75,6 +74,7 @@
         mReader = reader;
         mCodec = codec;
         mIsStopping = isStopping;
+        mIsStoreAnswering = isStoreAnswering;
         mTelemetry = telemetry;
         mNowMs = nowMs;
         mWallClock = wallClock;
@@ -82,15 +82,22 @@
 
     /** A batch submission that waits for its outcome and gets exactly one response. */
     private static final class Submission {
-        private final BatchId mId;
+        private final Batch mBatch;
         private final ClientSink mSink;
-        private final long mDeadlineMs;
+        private final long mWaitUntilMs;
+        private Optional<Failure> mFailure = Optional.empty();
+        private long mTriedMs;
         private boolean mIsCompleted;
 
-        Submission(BatchId id, ClientSink sink, long deadlineMs) {
-            mId = id;
+        Submission(Batch batch, ClientSink sink, long waitUntilMs) {
+            mBatch = batch;
             mSink = sink;
-            mDeadlineMs = deadlineMs;
+            mWaitUntilMs = waitUntilMs;
+        }
+
+        /** Tells whether its last try certainly had no effect. */
+        boolean isWaiting() {
+            return mFailure.isPresent();
         }
     }
 
@@ -117,8 +124,7 @@
                     request, sink, Result.fail(ErrorKind.SHUTTING_DOWN, "the process is stopping"));
         }
         if (route.get().kind() == RouteKind.BATCH) {
-            submit(request, route.get(), account.get(), sink);
-            return () -> {};
+            return submit(request, route.get(), account.get(), sink);
         }
         return mStreams.submit(request, route.get(), account.get(), sink);
     }
@@ -148,34 +154,66 @@
 
     private Runnable refuse(ClientRequest request, ClientSink sink, Result<?> result) {
         Failure failure = result.fold(f -> f, v -> Failure.of(ErrorKind.INTERNAL, "no failure"));
-        refuse("request_refused", request.id().value(), sink, failure);
+        refuse("request_refused", request.id().value(), sink, failure, RETRY_AFTER_MS);
         return () -> {};
     }
 
-    private void refuse(String event, String id, ClientSink sink, Failure failure) {
+    private void refuse(
+            String event, String id, ClientSink sink, Failure failure, long retryAfterMs) {
         mTelemetry.count("refusals_total", "kind", failure.kind().wireName());
         Decision.of(event)
                 .with("request", id)
                 .with("revision", mDesired.get().map(d -> d.revision().number()).orElse(0L))
                 .with("failure", failure.toString())
                 .info();
-        sink.fail(failure, failure.isNotRun() ? RETRY_AFTER_MS : 0);
+        sink.fail(failure, failure.isNotRun() ? retryAfterMs : 0);
     }
 
     // Batches
 
-    private void submit(
+    private Runnable submit(
             ClientRequest request, FleetRoute route, Optional<AccountId> account, ClientSink sink) {
         Result<Batch> batch =
                 mCodec.read(request, route, account.orElse(AccountId.of("")), mWallClock.wallMs());
         if (!batch.isOk()) {
-            refuse(request, sink, batch);
-            return;
+            return refuse(request, sink, batch);
         }
-        Submission submission =
-                new Submission(batch.get().id(), sink, mNowMs.getAsLong() + SUBMIT_TIMEOUT_MS);
+        long waitUntilMs =
+                SubmissionRule.waitUntilMs(
+                        mNowMs.getAsLong() - request.waitedMs(),
+                        request.clientTimeoutMs().orElse(0));
+        Submission submission = new Submission(batch.get(), sink, waitUntilMs);
         mSubmissions.add(submission);
-        mBatches.submit(batch.get(), result -> completeSubmission(submission, result));
+        create(submission);
+        return () -> withdraw(submission);
+    }
+
+    private void create(Submission submission) {
+        submission.mFailure = Optional.empty();
+        mBatches.submit(submission.mBatch, result -> onCreated(submission, result));
+    }
+
+    /** Has a batch wait whose write certainly had no effect, because the store is away. */
+    private void onCreated(Submission submission, Result<Boolean> result) {
+        Optional<Failure> failure = result.fold(Optional::of, ok -> Optional.empty());
+        long nowMs = mNowMs.getAsLong();
+        boolean isAway = failure.map(f -> f.kind() == ErrorKind.PLATFORM_UNAVAILABLE).orElse(false);
+        boolean mayWait =
+                nowMs < submission.mWaitUntilMs && mSubmissions.size() <= MAX_WAITING_BATCHES;
+        if (!isAway || !mayWait || submission.mIsCompleted) {
+            completeSubmission(submission, result);
+            return;
+        }
+        submission.mFailure = failure;
+        submission.mTriedMs = nowMs;
+    }
+
+    /** Forgets a batch that is not being written, as its client has gone. */
+    private void withdraw(Submission submission) {
+        if (submission.isWaiting()) {
+            mSubmissions.remove(submission);
+            submission.mIsCompleted = true;
+        }
     }
 
     private void completeSubmission(Submission submission, Result<Boolean> result) {
@@ -186,7 +224,10 @@
         submission.mIsCompleted = true;
         result.fold(
                 f -> {
-                    refuse("batch_refused", submission.mId.value(), submission.mSink, f);
+                    long retryAfterMs =
+                            submission.isWaiting() ? SubmissionRule.retryAfterMs() : RETRY_AFTER_MS;
+                    String id = submission.mBatch.id().value();
+                    refuse("batch_refused", id, submission.mSink, f, retryAfterMs);
                     return null;
                 },
                 ok -> {
@@ -290,16 +331,28 @@
 
     // Time
 
-    /** Runs periodic work, and fails submissions whose outcome did not arrive in time. */
+    /** Returns whether no request and no submission is in progress. */
+    boolean isIdle() {
+        return mSubmissions.isEmpty() && mForwarder.size() == 0;
+    }
+
+    /** Runs periodic work, and handles the submissions that wait for the store. */
     void tick() {
-        long nowMs = mNowMs.getAsLong();
         mForwarder.tick();
-        for (Submission submission : List.copyOf(mSubmissions)) {
-            if (nowMs >= submission.mDeadlineMs) {
-                completeSubmission(
-                        submission,
-                        Result.fail(ErrorKind.DEADLINE_EXCEEDED, "the store does not answer"));
-            }
+        if (!mSubmissions.isEmpty()) {
+            List.copyOf(mSubmissions).forEach(this::tick);
+        }
+    }
+
+    private void tick(Submission submission) {
+        long nowMs = mNowMs.getAsLong();
+        if (nowMs >= submission.mWaitUntilMs) {
+            Failure open = Failure.of(ErrorKind.DEADLINE_EXCEEDED, "the store does not answer");
+            completeSubmission(submission, Result.fail(submission.mFailure.orElse(open)));
+        } else if (submission.isWaiting()
+                && SubmissionRule.isTryDue(
+                        submission.mTriedMs, mIsStoreAnswering.getAsBoolean(), nowMs)) {
+            create(submission);
         }
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -53,6 +53,19 @@
 public final class GatewayProcess implements AutoCloseable {
     private static final int QUEUE_TASKS = 8_192;
     private static final long TICK_MS = 10;
+
+    /**
+     * Interval of the tick without requests and batches in progress, in milliseconds. Each wake-up
+     * costs processor time, and nothing but control is due then.
+     */
+    private static final long IDLE_TICK_MS = 40;
+
+    /**
+     * Interval of duties, lease, usage and reports of crashes, in milliseconds; a fraction of the
+     * shortest of their delays, the 60 ms of a back-off.
+     */
+    private static final long CONTROL_TICK_MS = 40;
+
     private static final long MS_PER_S = 1_000;
 
     /** Bounds of the delay after a failed call to the store, in milliseconds. */
@@ -109,6 +122,7 @@
     private ReadProbe mClientProbe;
     private final AdminServer mAdmin;
     private final DrainLatch mDrained = new DrainLatch();
+    private long mNextControlMs = Long.MIN_VALUE;
     private volatile boolean mIsReady;
     private volatile boolean mIsLeaving;
     private volatile boolean mIsStopping;
@@ -294,6 +308,7 @@
                 mReader,
                 new PlatformBatches(),
                 () -> mIsStopping,
+                mFleet::isStoreAvailable,
                 mTelemetry,
                 GatewayProcess::nowMs,
                 mWallClock);
@@ -372,30 +387,39 @@
         mClientProbe.tick();
         mGate.recordPending(mClientProbe.pendingMs());
         mGate.recordQueue(mThread.queueMs());
+        int openBatches = mBatches.openBatches();
         boolean isSweeper = mFleet.isSweeper(mSession.self().owner());
         mFleet.tick(
                 mWeightDuty.fencing().isPresent(),
                 isSweeper,
-                mBatches.openBatches(),
-                mBatches.waitingItems());
-        mSession.tick();
+                openBatches,
+                openBatches == 0 ? 0 : mBatches.waitingItems());
         mPeers.tick();
-        mUsageDuty.tick();
-        mWeightDuty.tick();
-        mUsage.tick();
-        mWeights.tick();
-        mKnowledge.tick(mBatches);
+        mKnowledge.tick(mBatches, openBatches);
         mBatches.tick(mFleet.recoveredMs(), isSweeper);
         mGateway.tick();
         mPermits.tick();
-        mCrashes.tick();
         mOrigins.tick(isSweeper);
+        if (nowMs() >= mNextControlMs) {
+            mNextControlMs = nowMs() + CONTROL_TICK_MS;
+            tickControl();
+        }
         mIsReady = mFleet.isLoaded();
+        mThread.setTickMs(openBatches == 0 && mGateway.isIdle() ? IDLE_TICK_MS : TICK_MS);
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
         }
     }
 
+    private void tickControl() {
+        mSession.tick();
+        mUsageDuty.tick();
+        mWeightDuty.tick();
+        mUsage.tick();
+        mWeights.tick();
+        mCrashes.tick();
+    }
+
     /**
      * Stops gracefully: leaves the load balancer's rotation while it still serves, then refuses new
      * requests, waits for those in progress, and passes its remaining batches to other processes.
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/KnowledgeGuard.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/KnowledgeGuard.java
@@ -42,7 +42,7 @@
     }
 
     /** Updates the ages, and holds items back while the ends of batches are not known. */
-    void tick(BatchManager batches) {
+    void tick(BatchManager batches, int openBatches) {
         long nowMs = mNowMs.getAsLong();
         mDesiredState.recordMirror(
                 mFleet.desiredStateMirror().knownMs(),
@@ -50,7 +50,7 @@
                 nowMs);
         // A process without open batches cannot miss the end of one.
         mBatchEnds.recordMirror(
-                batches.openBatches() == 0 ? nowMs : mFleet.ownerMirror().knownMs(),
+                openBatches == 0 ? nowMs : mFleet.ownerMirror().knownMs(),
                 mFleet.ownerMirror().isHealthy(),
                 nowMs);
         batches.holdItems(!mBatchEnds.isCurrent(nowMs));
--- a/cactusspan/src/main/java/dev/cactusspan/link/TaskThread.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/TaskThread.java
@@ -34,7 +34,7 @@
     private final MpscBlockingConsumerArrayQueue<Runnable> mQueue;
     private final MpscArrayQueue<Runnable> mControl;
     private final Deque<Runnable> mOwnTasks = new ArrayDeque<>();
-    private final long mTickMs;
+    private long mTickMs;
     private Runnable mTick = () -> {};
     private final Thread mThread;
     private int mControlInRow;
@@ -123,6 +123,15 @@
         }
     }
 
+    /**
+     * Sets the interval of the tick from the next one on. Called on the thread itself.
+     *
+     * @param tickMs interval in milliseconds
+     */
+    public void setTickMs(long tickMs) {
+        mTickMs = tickMs;
+    }
+
     /**
      * Returns how long the queued tasks are expected to take. Called on the thread itself.
      *
@@ -155,8 +164,9 @@
                     mMeanTaskNs += MEAN_WEIGHT * (System.nanoTime() - startedNs - mMeanTaskNs);
                 }
                 if (System.nanoTime() >= nextTickNs) {
-                    nextTickNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mTickMs);
+                    long tickNs = System.nanoTime();
                     mTick.run();
+                    nextTickNs = tickNs + TimeUnit.MILLISECONDS.toNanos(mTickMs);
                 }
             } catch (InterruptedException e) {
                 return;
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
@@ -16,8 +16,14 @@
     /** Prefix of the keys under which processes register; followed by the VM. */
     public static final String PREFIX = "cs/control/node/";
 
+    /** Maximum number of remembered choices; there is one for each duty and limited target. */
+    private static final int MAX_CHOSEN = 4_096;
+
     private final Map<String, NodeRecord> mNodes = new HashMap<>();
 
+    /** Choices since the last change; duties ask for theirs at each tick. */
+    private final Map<String, Optional<String>> mChosen = new HashMap<>();
+
     /**
      * Applies a change of a process's key.
      *
@@ -31,6 +37,7 @@
                                 JsonText.read(i.value(), NodeRecord.class)
                                         .fold(f -> Optional.empty(), Optional::of));
         node.ifPresentOrElse(n -> mNodes.put(key, n), () -> mNodes.remove(key));
+        mChosen.clear();
         Decision.of(node.isPresent() ? "node_seen" : "node_gone")
                 .with("node", node.map(NodeRecord::owner).orElse(key))
                 .with("nodes", mNodes.size())
@@ -55,6 +62,13 @@
      * @return the owner name, empty if no process is available
      */
     public Optional<String> choose(String subject) {
+        if (mChosen.size() >= MAX_CHOSEN) {
+            mChosen.clear();
+        }
+        return mChosen.computeIfAbsent(subject, this::computeChoice);
+    }
+
+    private Optional<String> computeChoice(String subject) {
         String best = "";
         long bestScore = Long.MIN_VALUE;
         for (NodeRecord node : mNodes.values()) {
--- a/cactusspan/src/test/java/dev/cactusspan/link/TaskThreadTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/link/TaskThreadTest.java
@@ -114,4 +114,18 @@
         }
         assertThat(mRun.size(), is(10));
     }
+
+    @Test
+    void shouldTickAtTheIntervalThatTheTickSets() throws InterruptedException {
+        CountDownLatch ticks = new CountDownLatch(20);
+        try (TaskThread thread = new TaskThread("test", CAPACITY_TASKS, 1)) {
+            thread.start(
+                    () -> {
+                        ticks.countDown();
+                        thread.setTickMs(ticks.getCount() == 10 ? TICK_MS : 1);
+                    });
+            assertThat(ticks.await(300, TimeUnit.MILLISECONDS), is(false));
+            assertThat(ticks.getCount(), is(10L));
+        }
+    }
 }
