--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -94,6 +94,8 @@
                 0,
                 1,
                 1,
+                0,
+                0,
                 1,
                 0,
                 0);
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -13,8 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ClientRequest.java
@@ -19,6 +19,7 @@
  * @param clientTimeoutMs the client's time-out in milliseconds, empty if not specified
  * @param resumeAfter id of the last stream event that the client received
  * @param resumes the client's request that brought the first event of that stream
+ * @param waitedMs how long it has waited in this process, in milliseconds
  */
 public record ClientRequest(
         RequestId id,
@@ -30,9 +31,23 @@
         Optional<String> key,
         OptionalLong clientTimeoutMs,
         OptionalLong resumeAfter,
-        Optional<RequestId> resumes) {
+        Optional<RequestId> resumes,
+        long waitedMs) {
 
-    /** Creates a request with a body that is an array. */
+    /**
+     * Creates a request that has not waited, with a body that is an array.
+     *
+     * @param id request id
+     * @param method HTTP method
+     * @param path path and query
+     * @param host value of the Host header
+     * @param headers headers to forward
+     * @param body request body
+     * @param key API key sent with the request
+     * @param clientTimeoutMs the client's time-out in milliseconds
+     * @param resumeAfter id of the last stream event that the client received
+     * @param resumes the client's request that brought the first event of that stream
+     */
     public ClientRequest(
             RequestId id,
             String method,
@@ -54,7 +69,8 @@
                 key,
                 clientTimeoutMs,
                 resumeAfter,
-                resumes);
+                resumes,
+                0);
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -177,6 +177,12 @@
                 && mNowMs.getAsLong() - mControlMirror.confirmedMs() < MAX_LIST_AGE_MS;
     }
 
+    /** Records that all that had arrived from the store at a time has been handled. */
+    void recordReadThrough(long atMs) {
+        mDesiredStateMirror.recordReadThrough(atMs);
+        mOwnerMirror.recordReadThrough(atMs);
+    }
+
     // Changes
 
     private void operatorChanged(String key, Optional<StoredItem> item) {
@@ -303,6 +309,14 @@
         return mDesired;
     }
 
+    PrefixMirror desiredStateMirror() {
+        return mDesiredStateMirror;
+    }
+
+    PrefixMirror ownerMirror() {
+        return mOwnerMirror;
+    }
+
     TargetTable targets() {
         return mTargets;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
 import dev.cactusspan.fleet.EvacuationSpread;
+import dev.cactusspan.fleet.GuardedTargets;
 import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
@@ -16,13 +17,15 @@
 import dev.cactusspan.forward.StreamResumer;
 import dev.cactusspan.forward.WaitingRequests;
 import dev.cactusspan.http.HttpClient;
+import dev.cactusspan.http.ReadProbe;
 import dev.cactusspan.id.AvailabilityZoneId;
-import dev.cactusspan.intake.DoorCheck;
 import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.TaskThread;
 import dev.cactusspan.observe.AdminServer;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.overload.OverloadCheck;
+import dev.cactusspan.overload.OverloadGate;
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.peer.NodeRecord;
 import dev.cactusspan.peer.NodeSession;
@@ -49,11 +52,26 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 
 /** An entry process on a hosting platform that serves clients and trainers, and holds duties. */
 public final class GatewayProcess implements AutoCloseable {
     private static final int QUEUE_TASKS = 8_192;
     private static final long TICK_MS = 10;
+
+    /**
+     * Interval of the tick without requests and batches in progress, in milliseconds. Each wake-up
+     * costs processor time, and nothing but control is due then.
+     */
+    private static final long IDLE_TICK_MS = 40;
+
+    /**
+     * Interval of duties, lease, usage and reports of crashes, in milliseconds; a fraction of the
+     * shortest of their delays, the 60 ms of a back-off.
+     */
+    private static final long CONTROL_TICK_MS = 40;
+
     private static final long MS_PER_S = 1_000;
 
     /** Bounds of the delay after a failed call to the store, in milliseconds. */
@@ -84,6 +102,7 @@
     private final WallClock mWallClock;
     private final HttpClient mHttp;
     private final TaskThread mThread = new TaskThread("gateway", QUEUE_TASKS, TICK_MS);
+    private final Executor mControl = mThread.control();
     private final SplittableRandom mRandom = new SplittableRandom();
     private final NodeDirectory mNodes = new NodeDirectory();
     private final RegionMap mRegions;
@@ -91,6 +110,8 @@
     private final NodeSession mSession;
     private final PeerClient mPeers;
     private final FleetView mFleet;
+    private final KnowledgeGuard mKnowledge;
+    private final ReadProbe mProbe;
     private final DutyHolder mUsageDuty;
     private final DutyHolder mWeightDuty;
     private final UsageReporter mUsage;
@@ -106,9 +127,12 @@
     private final BatchReader mReader;
     private final Gateway mGateway;
     private final IntakeState mIntake;
+    private final OverloadGate mGate = new OverloadGate();
     private final PlatformServer mServer;
+    private ReadProbe mClientProbe;
     private final AdminServer mAdmin;
     private final DrainLatch mDrained = new DrainLatch();
+    private long mNextControlMs = Long.MIN_VALUE;
     private volatile boolean mIsReady;
     private volatile boolean mIsLeaving;
     private volatile boolean mIsStopping;
@@ -130,9 +154,9 @@
         mHttp = HttpClient.create();
         NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
-        mPeers = new PeerClient(self, mThread, GatewayProcess::nowMs);
+        mPeers = new PeerClient(self, mControl, GatewayProcess::nowMs);
         KeyStore store = newStore(self);
-        mSession = new NodeSession(store, self, mThread, backoff(), GatewayProcess::nowMs);
+        mSession = new NodeSession(store, self, mControl, backoff(), GatewayProcess::nowMs);
         mUsageDuty = duty(store, "usage");
         mWeightDuty = duty(store, "weights");
         mUsage = newUsage(store, self);
@@ -142,13 +166,15 @@
                         new PlatformTargets(mHttp, mThread),
                         mFleet.targets(),
                         GatewayProcess::nowMs);
+        mKnowledge = new KnowledgeGuard(mFleet, settings, telemetry, GatewayProcess::nowMs);
+        mProbe = mHttp.newProbe(mControl, GatewayProcess::nowMs, mKnowledge::recordReadThrough);
         mPermits =
                 new PermitExchange(
                         mFleet.targets(),
                         mNodes,
                         self.owner(),
                         mPeers,
-                        mThread,
+                        mControl,
                         telemetry,
                         GatewayProcess::nowMs);
         mWeights = newWeights(port);
@@ -157,7 +183,7 @@
         mFleet.targets().setPlaceListener(mLines::wake);
         telemetry.gauge("waiting_work", mLines::size);
         mCrashGuard = new CrashGuard(self.owner());
-        mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
+        mCrashes = new CrashExchange(mCrashGuard, store, mControl, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
         TargetChooser chooser =
                 new TargetChooser(
@@ -166,7 +192,7 @@
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
         mBatches = newBatches(batches, self, port, chooser);
-        mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mThread);
+        mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mControl);
         mGateway = newGateway();
         mIntake = IntakeState.create(settings, telemetry);
         mServer = newServer();
@@ -211,7 +237,7 @@
                 mPeers,
                 mRegions,
                 self.owner(),
-                mThread,
+                mControl,
                 mRandom.split(),
                 GatewayProcess::nowMs);
     }
@@ -224,7 +250,7 @@
                 self,
                 new PlatformUsage(mHttp, uri(mSettings.usageAddress())),
                 mSettings.usageWindowS() * MS_PER_S,
-                mThread,
+                mControl,
                 GatewayProcess::nowMs,
                 mWallClock);
     }
@@ -234,7 +260,7 @@
                 store,
                 mNodes,
                 mRegions,
-                mThread,
+                mControl,
                 this::backoff,
                 new FollowTimes(
                         mSettings.reconnectMs(), mSettings.drainMs(), mSettings.evacuateMs()),
@@ -248,7 +274,7 @@
                 mFleet::desiredState,
                 store,
                 mFleet::isStoreAvailable,
-                mThread,
+                mControl,
                 GatewayProcess::nowMs);
     }
 
@@ -258,14 +284,14 @@
                 mFleet.targets(),
                 port,
                 mSettings.vm(),
-                mThread,
+                mControl,
                 GatewayProcess::nowMs);
     }
 
     private RequestForwarder newForwarder(TargetPort port, TargetChooser chooser) {
         return new RequestForwarder(
                 mFleet.targets(),
-                port,
+                guarded(port, mKnowledge::isDesiredStateCurrent, "desired_state"),
                 chooser,
                 new WaitingRequests(mLines, mRanks),
                 mFleet::desiredState,
@@ -277,6 +303,10 @@
                 GatewayProcess::nowMs);
     }
 
+    private TargetPort guarded(TargetPort port, BooleanSupplier isCurrent, String knowledge) {
+        return new GuardedTargets(port, isCurrent, knowledge, mTelemetry, mThread);
+    }
+
     private BatchManager newBatches(
             BatchStore batches, NodeRecord self, TargetPort port, TargetChooser chooser) {
         return BatchManagerFactory.create(
@@ -284,13 +314,13 @@
                         batches,
                         mNodes,
                         self.owner(),
-                        mThread,
+                        mControl,
                         mFleet.targets(),
-                        port,
+                        guarded(port, mKnowledge::areBatchEndsCurrent, "batch_ends"),
                         chooser,
                         mLines,
                         mRanks,
-                        mFleet::desiredState,
+                        mKnowledge::desiredState,
                         mTelemetry,
                         backoff(),
                         GatewayProcess::nowMs,
@@ -299,13 +329,14 @@
 
     private Gateway newGateway() {
         return new Gateway(
-                mFleet::desiredState,
+                mKnowledge::desiredState,
                 mForwarder,
                 new StreamResumer(mForwarder, mOrigins, mTelemetry),
                 mBatches,
                 mReader,
                 new PlatformBatches(),
                 () -> mIsStopping,
+                mFleet::isStoreAvailable,
                 mTelemetry,
                 GatewayProcess::nowMs,
                 mWallClock);
@@ -318,7 +349,9 @@
                 mGateway,
                 mThread,
                 () -> mIsReady && !mIsLeaving,
-                DoorCheck.all(List.of()),
+                new OverloadCheck(mGate),
+                mGate::delayMs,
+                GatewayProcess::nowMs,
                 mIntake::limits,
                 mIntake.budget(),
                 mIntake.report());
@@ -332,7 +365,7 @@
                 name,
                 mSettings.turnMs(),
                 mSettings.isFencingChecked() ? 0 : mSettings.turnMs(),
-                mThread,
+                mControl,
                 GatewayProcess::nowMs);
     }
 
@@ -361,6 +394,7 @@
         mPeers.start(this::respond);
         mAdmin.start();
         mServer.start();
+        mClientProbe = mServer.newProbe(mThread, atMs -> mGate.record(nowMs() - atMs));
         mThread.start(this::tick);
         Decision.of("started")
                 .with("node", mSession.self().owner())
@@ -381,33 +415,47 @@
     }
 
     private void tick() {
+        mProbe.tick();
+        mClientProbe.tick();
+        mGate.recordPending(mClientProbe.pendingMs());
+        mGate.recordQueue(mThread.queueMs());
+        int openBatches = mBatches.openBatches();
         String self = mSession.self().owner();
         boolean isSweeper = mFleet.isSweeper(self);
         boolean takesOver = isSweeper || mFleet.isRegionSweeper(self, mSettings.zone());
         mFleet.tick(
                 mWeightDuty.fencing().isPresent(),
                 takesOver,
-                mBatches.openBatches(),
-                mBatches.waitingItems());
-        mSession.tick();
+                openBatches,
+                openBatches == 0 ? 0 : mBatches.waitingItems());
         mPeers.tick();
-        mUsageDuty.tick();
-        mWeightDuty.tick();
-        mUsage.tick();
-        mWeights.tick();
+        mKnowledge.tick(mBatches, openBatches);
         mBatches.tick(mFleet.recoveredMs(), takesOver);
         mGateway.tick();
         mLines.tick();
         mPermits.tick();
-        mCrashes.tick();
         mOrigins.tick(isSweeper);
+        if (nowMs() >= mNextControlMs) {
+            mNextControlMs = nowMs() + CONTROL_TICK_MS;
+            tickControl();
+        }
         mIsReady = mFleet.isLoaded();
         mFleet.desiredState().ifPresent(d -> mIntake.setLimits(d.limits()));
+        mThread.setTickMs(openBatches == 0 && mGateway.isIdle() ? IDLE_TICK_MS : TICK_MS);
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
         }
     }
 
+    private void tickControl() {
+        mSession.tick();
+        mUsageDuty.tick();
+        mWeightDuty.tick();
+        mUsage.tick();
+        mWeights.tick();
+        mCrashes.tick();
+    }
+
     /**
      * Stops gracefully: leaves the load balancer's rotation while it still serves, then refuses new
      * requests, waits for those in progress, and passes its remaining batches to other processes.
@@ -457,6 +505,8 @@
         mAdmin.close();
         mPeers.close();
         mThread.close();
+        mProbe.close();
+        mClientProbe.close();
         mHttp.close();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
@@ -17,7 +17,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
@@ -140,6 +143,20 @@
         return server.getLocalAddress(InetSocketAddress.class).getPort();
     }
 
+    /**
+     * Creates a probe that tells how far behind the thread is on which requests are acted on.
+     *
+     * @param thread that thread
+     * @param nowMs monotonic clock in milliseconds
+     * @param onReadThrough receives times; all that had arrived by then has been acted on
+     * @return the probe
+     * @throws IOException if it cannot be opened
+     */
+    public ReadProbe newProbe(Executor thread, LongSupplier nowMs, LongConsumer onReadThrough)
+            throws IOException {
+        return ReadProbe.of(mWorker.getIoThread(), thread, nowMs, onReadThrough);
+    }
+
     private static OptionMap options(CallerLimits limits) {
         return OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -19,6 +19,8 @@
  *     request was not executed
  * @param id id that the server repeats in its response, the same for all sends of one request;
  *     empty if it repeats none
+ * @param maxSendDelayMs time after which the request is not sent any more, because what it says
+ *     would no longer hold, in milliseconds; 0 for no limit
  */
 public record HttpRequest(
         String method,
@@ -29,20 +31,8 @@
         long timeoutMs,
         long maxBytes,
         boolean newConnection,
-        String id) {
-
-    /** Creates a request with a body that is an array. */
-    public HttpRequest(
-            String method,
-            URI server,
-            String path,
-            Map<String, String> headers,
-            byte[] body,
-            long timeoutMs,
-            long maxBytes,
-            boolean newConnection) {
-        this(method, server, path, headers, Body.of(body), timeoutMs, maxBytes, newConnection);
-    }
+        String id,
+        long maxSendDelayMs) {
 
     /** Maximum size of a response body where the caller sets none, in bytes. */
     public static final long DEFAULT_MAX_BYTES = 32L << 20;
@@ -68,7 +58,17 @@
             long timeoutMs,
             long maxBytes,
             boolean newConnection) {
-        this(method, server, path, headers, body, timeoutMs, maxBytes, newConnection, "");
+        this(
+                method,
+                server,
+                path,
+                headers,
+                Body.of(body),
+                timeoutMs,
+                maxBytes,
+                newConnection,
+                "",
+                0);
     }
 
     /**
@@ -80,7 +80,16 @@
      */
     public HttpRequest withId(String id) {
         return new HttpRequest(
-                method, server, path, headers, body, timeoutMs, maxBytes, newConnection, id);
+                method,
+                server,
+                path,
+                headers,
+                body,
+                timeoutMs,
+                maxBytes,
+                newConnection,
+                id,
+                maxSendDelayMs);
     }
 
     /**
@@ -91,7 +100,16 @@
      */
     public HttpRequest withMaxBytes(long maxBytes) {
         return new HttpRequest(
-                method, server, path, headers, body, timeoutMs, maxBytes, newConnection, id);
+                method,
+                server,
+                path,
+                headers,
+                body,
+                timeoutMs,
+                maxBytes,
+                newConnection,
+                id,
+                maxSendDelayMs);
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/intake/DoorCheck.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/DoorCheck.java
@@ -6,14 +6,22 @@
 /** Decides whether a request is refused before its body is read. */
 public interface DoorCheck {
 
+    /**
+     * What is known of a request before its body is read.
+     *
+     * @param isNewWork true unless it concerns work that was accepted before
+     * @param bodyBytes length of its body, negative if unknown
+     */
+    record Arrival(boolean isNewWork, long bodyBytes) {}
+
     /**
      * Checks whether the next request is refused. Called on an I/O thread, so it neither waits nor
      * takes long.
      *
-     * @param nowMs the steady clock in milliseconds
+     * @param arrival the request
      * @return why it is refused, of a kind that proves that it has not run; empty to let it in
      */
-    Optional<Failure> refuse(long nowMs);
+    Optional<Failure> refuse(Arrival arrival);
 
     /**
      * Asks several checks in order until one refuses.
@@ -22,9 +30,9 @@
      * @return a check that refuses what any of them refuses
      */
     static DoorCheck all(Iterable<DoorCheck> checks) {
-        return nowMs -> {
+        return arrival -> {
             for (DoorCheck check : checks) {
-                Optional<Failure> failure = check.refuse(nowMs);
+                Optional<Failure> failure = check.refuse(arrival);
                 if (failure.isPresent()) {
                     return failure;
                 }
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
@@ -20,8 +20,14 @@
     /** Subject of the choice of the process that takes over what others abandoned. */
     public static final String SWEEPER = "sweep";
 
+    /** Maximum number of remembered choices; there is one for each duty and limited target. */
+    private static final int MAX_CHOSEN = 4_096;
+
     private final Map<String, NodeRecord> mNodes = new HashMap<>();
 
+    /** Choices since the last change; duties ask for theirs at each tick. */
+    private final Map<String, Optional<String>> mChosen = new HashMap<>();
+
     /**
      * Applies a change of a process's key.
      *
@@ -35,6 +41,7 @@
                                 JsonText.read(i.value(), NodeRecord.class)
                                         .fold(f -> Optional.empty(), Optional::of));
         node.ifPresentOrElse(n -> mNodes.put(key, n), () -> mNodes.remove(key));
+        mChosen.clear();
         Decision.of(node.isPresent() ? "node_seen" : "node_gone")
                 .with("node", node.map(NodeRecord::owner).orElse(key))
                 .with("nodes", mNodes.size())
@@ -59,7 +66,10 @@
      * @return the owner name, empty if no process is available
      */
     public Optional<String> choose(String subject) {
-        return choose(subject, node -> true);
+        if (mChosen.size() >= MAX_CHOSEN) {
+            mChosen.clear();
+        }
+        return mChosen.computeIfAbsent(subject, s -> choose(s, node -> true));
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.gateway.Gateway;
 import dev.cactusspan.http.GuardedConnection;
 import dev.cactusspan.http.GuardedServer;
+import dev.cactusspan.http.ReadProbe;
 import dev.cactusspan.http.RequestReader;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
@@ -13,6 +14,7 @@
 import dev.cactusspan.intake.DoorCheck;
 import dev.cactusspan.intake.IntakeReport;
 import dev.cactusspan.intake.MemoryBudget;
+import dev.cactusspan.observe.Decision;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
@@ -30,6 +32,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /** Serves client requests and the readiness check over HTTP. */
@@ -51,6 +55,8 @@
     private final Executor mThread;
     private final BooleanSupplier mIsReady;
     private final DoorCheck mCheck;
+    private final LongSupplier mDelayMs;
+    private final LongSupplier mNowMs;
     private final InetSocketAddress mClientAddress;
     private final InetSocketAddress mReadyAddress;
     private final Supplier<CallerLimits> mLimits;
@@ -65,6 +71,8 @@
      * @param thread the thread on which the gateway is called
      * @param isReady returns whether this process accepts new connections
      * @param check decides on each request before its body is read
+     * @param delayMs time between the arrival of a request and its reading, in milliseconds
+     * @param nowMs monotonic clock in milliseconds
      * @param limits limits on clients
      * @param budget memory that all clients share
      * @param report receives refusals
@@ -76,10 +84,14 @@
             Executor thread,
             BooleanSupplier isReady,
             DoorCheck check,
+            LongSupplier delayMs,
+            LongSupplier nowMs,
             Supplier<CallerLimits> limits,
             MemoryBudget budget,
             IntakeReport report) {
         mCheck = check;
+        mDelayMs = delayMs;
+        mNowMs = nowMs;
         mGateway = gateway;
         mThread = thread;
         mIsReady = isReady;
@@ -99,6 +111,18 @@
         mServer.listen(mClientAddress, mLimits, this::handle);
     }
 
+    /**
+     * Creates a probe that tells how far behind this process is with what clients send.
+     *
+     * @param thread the thread on which the gateway is called
+     * @param onReadThrough receives times; all that had arrived by then has been acted on
+     * @return the probe
+     * @throws IOException if it cannot be opened
+     */
+    public ReadProbe newProbe(Executor thread, LongConsumer onReadThrough) throws IOException {
+        return mServer.newProbe(thread, mNowMs, onReadThrough);
+    }
+
     private CallerLimits readyLimits() {
         return mLimits.get().withMaxConnections(MAX_READY_CONNECTIONS);
     }
@@ -111,8 +135,12 @@
 
     private void handle(HttpServerExchange exchange, GuardedConnection connection) {
         PlatformSink sink = PlatformSink.of(exchange, connection);
-        Optional<Failure> refusal = mCheck.refuse(System.nanoTime() / 1_000_000);
+        Optional<Failure> refusal = mCheck.refuse(arrival(exchange));
         if (refusal.isPresent()) {
+            Decision.of("refused_at_door")
+                    .with("request", header(exchange, PlatformHeaders.REQUEST_ID).orElse(""))
+                    .with("failure", refusal.get().toString())
+                    .info();
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE, () -> sink.fail(refusal.get(), RETRY_AFTER_MS));
             return;
@@ -124,7 +152,8 @@
                 new RequestReader.Listener() {
                     @Override
                     public void onRead(Body body) {
-                        mThread.execute(() -> received(exchange, sink, body));
+                        long readMs = mNowMs.getAsLong();
+                        mThread.execute(() -> received(exchange, sink, body, readMs));
                     }
 
                     @Override
@@ -134,18 +163,25 @@
                 });
     }
 
-    private void received(HttpServerExchange exchange, PlatformSink sink, Body body) {
+    private static DoorCheck.Arrival arrival(HttpServerExchange exchange) {
+        String path = exchange.getRequestURI();
+        boolean isNewWork = !path.startsWith(RESULTS_PREFIX) && !path.startsWith(ITEM_PREFIX);
+        return new DoorCheck.Arrival(isNewWork, exchange.getRequestContentLength());
+    }
+
+    private void received(HttpServerExchange exchange, PlatformSink sink, Body body, long readMs) {
         String path = exchange.getRequestURI();
         if (path.startsWith(RESULTS_PREFIX)) {
             handleBatch(exchange, sink, path.substring(RESULTS_PREFIX.length()));
         } else if (path.startsWith(ITEM_PREFIX)) {
             handleItem(exchange, sink, path.substring(ITEM_PREFIX.length()));
         } else {
-            forward(exchange, sink, body);
+            long waitedMs = mNowMs.getAsLong() - readMs;
+            forward(exchange, sink, body, Math.max(waitedMs, mDelayMs.getAsLong()));
         }
     }
 
-    private void forward(HttpServerExchange exchange, PlatformSink sink, Body body) {
+    private void forward(HttpServerExchange exchange, PlatformSink sink, Body body, long waitedMs) {
         Optional<String> id = header(exchange, PlatformHeaders.REQUEST_ID);
         if (id.isEmpty()) {
             sink.fail(Failure.of(ErrorKind.BAD_REQUEST, "no " + PlatformHeaders.REQUEST_ID), 0);
@@ -165,7 +201,8 @@
                         header(exchange, PlatformHeaders.API_KEY),
                         number(exchange, PlatformHeaders.TIME_LEFT),
                         number(exchange, PlatformHeaders.LAST_EVENT_ID),
-                        header(exchange, PlatformHeaders.RESUMES).map(RequestId::of));
+                        header(exchange, PlatformHeaders.RESUMES).map(RequestId::of),
+                        waitedMs);
         sink.onClientDisconnect(mThread, mGateway.handle(request, sink));
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -31,6 +31,8 @@
  * @param evacuateMs time within which no request reaches a zone that is evacuated, in milliseconds;
  *     zero where zones are never evacuated
  * @param coldOverage how many times the rate that a cold target bears it may get in any second
+ * @param desiredStateMs time within which a new desired state must be in force, in milliseconds
+ * @param batchEndMs time within which the end of a batch must be in force, in milliseconds
  * @param stopS time between the request to stop and the kill, in seconds
  * @param memoryMb memory that the process may take, in MB, zero if not known
  * @param maxFds descriptors that the process may open, zero if not known
@@ -53,6 +55,8 @@
         long drainMs,
         long evacuateMs,
         double coldOverage,
+        long desiredStateMs,
+        long batchEndMs,
         int stopS,
         int memoryMb,
         int maxFds) {
@@ -63,6 +67,12 @@
     /** Drain time where the settings name none, in milliseconds. */
     private static final long DEFAULT_DRAIN_MS = 2_500;
 
+    /** Time until a desired state is in force where the settings name none, in milliseconds. */
+    private static final long DEFAULT_DESIRED_STATE_MS = 2_500;
+
+    /** Time until the end of a batch is in force where the settings name none, in milliseconds. */
+    private static final long DEFAULT_BATCH_END_MS = 3_000;
+
     private static final List<String> TEXT_FIELDS =
             List.of("vm", "zone", "ip", "store_address", "usage_address");
     private static final List<String> NUMBER_FIELDS =
@@ -76,6 +86,8 @@
     public GatewaySettings {
         reconnectMs = reconnectMs <= 0 ? DEFAULT_RECONNECT_MS : reconnectMs;
         drainMs = drainMs <= 0 ? DEFAULT_DRAIN_MS : drainMs;
+        desiredStateMs = desiredStateMs <= 0 ? DEFAULT_DESIRED_STATE_MS : desiredStateMs;
+        batchEndMs = batchEndMs <= 0 ? DEFAULT_BATCH_END_MS : batchEndMs;
         clientAddress = clientAddress == null ? "" : clientAddress;
         readyAddress = readyAddress == null ? "" : readyAddress;
         zones = zones == null ? Map.of() : Map.copyOf(zones);
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -38,6 +38,7 @@
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
                         "dev.cactusspan.intake",
+                        "dev.cactusspan.overload",
                         "dev.cactusspan.chart",
                         "dev.cactusspan.id",
                         "dev.cactusspan.result")
--- a/cactusspan/src/test/java/dev/cactusspan/http/LateAnswerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/LateAnswerTest.java
@@ -31,15 +31,15 @@
     private int send(KeepAliveServer server, String id) throws Exception {
         HttpRequest request =
                 new HttpRequest(
-                        "GET",
-                        server.uri(),
-                        "/",
-                        Map.of(ID, id),
-                        new byte[0],
-                        TIMEOUT_MS,
-                        MAX_BYTES,
-                        false,
-                        id);
+                                "GET",
+                                server.uri(),
+                                "/",
+                                Map.of(ID, id),
+                                new byte[0],
+                                TIMEOUT_MS,
+                                MAX_BYTES,
+                                false)
+                        .withId(id);
         Result<HttpResponse> response =
                 mHttp.collect(request, MAX_BYTES).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
         return response.get().status();
--- a/cactusspan/src/test/java/dev/cactusspan/intake/DoorCheckTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/intake/DoorCheckTest.java
@@ -18,10 +18,10 @@
         DoorCheck check =
                 DoorCheck.all(
                         List.of(
-                                nowMs -> answer(asked, "first", Optional.empty()),
-                                nowMs -> answer(asked, "second", Optional.of(failure)),
-                                nowMs -> answer(asked, "third", Optional.empty())));
-        assertThat(check.refuse(0), is(Optional.of(failure)));
+                                arrival -> answer(asked, "first", Optional.empty()),
+                                arrival -> answer(asked, "second", Optional.of(failure)),
+                                arrival -> answer(asked, "third", Optional.empty())));
+        assertThat(check.refuse(new DoorCheck.Arrival(true, 0)), is(Optional.of(failure)));
         assertThat(asked, is(List.of("first", "second")));
     }
 
