Check each field that goes into the head of a request

Cause: PlatformBatches took the path of an item as it was, and HttpExchange wrote it into the request line. The same held for ids, header names and values of items, and for the host and path of scorers. Characters above one byte were written as their low byte, so U+010A ended a line too.

Ruled out: escaping, as a path must arrive unchanged; listing the one wrong item as dead, as a batch that cannot be run as submitted is to be refused before its 202.

Change: RequestTarget and HttpField hold only what the grammar allows. They are asked for clients (400), for items and scorers before the batch is stored (400 with the field's name), for hosts, prefixes and account names of operators' documents (not taken, logged), and in HttpExchange for whoever composes a request (not sent).

Open: a request target in absolute form is refused with 400, before it was 404. "/path?" still reaches the target as "/path": Undertow's parser gives the same empty query for both.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.http;
 
+import dev.cactusspan.result.Result;
 import dev.cactusspan.result.SendFailure;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientExchange;
@@ -70,11 +71,16 @@
             return;
         }
         mConnection = connection;
+        Result<RequestTarget> target = checkedTarget();
+        if (!target.isOk()) {
+            fail(SendFailure.NOT_SENT, target.fold(f -> f.detail(), t -> ""));
+            return;
+        }
         mConnection.limit().startResponse();
         mConnection.sent().add(mRequest.id());
         mSent = true;
         ClientRequest request = new ClientRequest();
-        request.setMethod(new HttpString(mRequest.method())).setPath(mRequest.path());
+        request.setMethod(new HttpString(mRequest.method())).setPath(target.get().value());
         HeaderMap headers = request.getRequestHeaders();
         mRequest.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
         if (!headers.contains(Headers.HOST)) {
@@ -84,6 +90,13 @@
         connection.connection().sendRequest(request, callback(this::onStarted));
     }
 
+    /** Checks all that is written before the body, whoever has composed the request. */
+    private Result<RequestTarget> checkedTarget() {
+        return HttpField.token("method", mRequest.method())
+                .flatMap(method -> HttpField.check("headers", mRequest.headers()))
+                .flatMap(headers -> RequestTarget.parse("path", mRequest.path()));
+    }
+
     private void onStarted(ClientExchange exchange) {
         exchange.setResponseListener(callback(this::onResponse));
         if (mRequest.body().length > 0) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformBatches.java
@@ -8,6 +8,8 @@
 import dev.cactusspan.batch.ResultsView;
 import dev.cactusspan.fleet.FleetRoute;
 import dev.cactusspan.forward.ClientRequest;
+import dev.cactusspan.http.HttpField;
+import dev.cactusspan.http.RequestTarget;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
@@ -111,10 +113,14 @@
                                         scorer.path("path").asText(),
                                         scorerBody.get()))
                         : Optional.empty();
+        Result<RequestTarget> path = checkedPath(at, node, headers, score);
+        if (!path.isOk()) {
+            return path.map(p -> null);
+        }
         return Result.of(
                 new BatchItem(
                         ItemId.of(node.path("id").asText()),
-                        node.path("path").asText(),
+                        path.get().value(),
                         PlatformHeaders.forwarded(headers),
                         body.get(),
                         expectedTokens(headers),
@@ -122,6 +128,27 @@
                         score));
     }
 
+    /** Checks all that an item and its scorer put into the heads of requests. */
+    private static Result<RequestTarget> checkedPath(
+            String at,
+            JsonNode node,
+            Map<String, String> headers,
+            Optional<BatchItem.Scorer> scorer) {
+        Result<RequestTarget> path =
+                HttpField.parse(at, "id", node.path("id").asText())
+                        .flatMap(id -> HttpField.check(at + ".headers", headers))
+                        .flatMap(
+                                h -> RequestTarget.parse(at + ".path", node.path("path").asText()));
+        if (scorer.isEmpty()) {
+            return path;
+        }
+        String scorerAt = at + ".scorer";
+        return HttpField.parse(scorerAt, "id", scorer.get().id())
+                .flatMap(id -> HttpField.host(scorerAt + ".host", scorer.get().host()))
+                .flatMap(host -> RequestTarget.parse(scorerAt + ".path", scorer.get().path()))
+                .flatMap(scorerPath -> path);
+    }
+
     /** Returns the client's estimate if there is one, else the maximum number of output tokens. */
     private static long expectedTokens(Map<String, String> headers) {
         String bound = headers.getOrDefault(PlatformHeaders.TOKEN_USAGE, "");
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -8,6 +8,8 @@
 import dev.cactusspan.fleet.FleetService;
 import dev.cactusspan.fleet.RouteKind;
 import dev.cactusspan.fleet.TargetRecord;
+import dev.cactusspan.http.HttpField;
+import dev.cactusspan.http.RequestTarget;
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
@@ -60,7 +62,36 @@
      * @return the desired state, or {@code bad_request}
      */
     public static Result<DesiredState> desiredState(byte[] bytes) {
-        return JsonText.read(bytes, JsonNode.class).flatMap(PlatformReader::desiredState);
+        return JsonText.read(bytes, JsonNode.class)
+                .flatMap(PlatformReader::checkedFields)
+                .flatMap(PlatformReader::desiredState);
+    }
+
+    /** Checks what the heads of requests are compared with or composed of. */
+    private static Result<JsonNode> checkedFields(JsonNode document) {
+        for (JsonNode route : document.path("routes")) {
+            String host = route.path("host").asText();
+            String prefix = route.path("prefix").asText();
+            String at = "routes." + route.path("name").asText();
+            Result<RequestTarget> checked =
+                    (host.isEmpty() ? Result.of("") : HttpField.host(at + ".host", host))
+                            .flatMap(
+                                    h ->
+                                            RequestTarget.parse(
+                                                    at + ".prefix",
+                                                    prefix.isEmpty() ? "/" : prefix));
+            if (!checked.isOk()) {
+                return checked.map(target -> document);
+            }
+        }
+        for (JsonNode account : document.path("tenants")) {
+            Result<HttpField> checked =
+                    HttpField.parse("tenants", "name", account.path("name").asText());
+            if (!checked.isOk()) {
+                return checked.map(name -> document);
+            }
+        }
+        return Result.of(document);
     }
 
     private static Result<DesiredState> desiredState(JsonNode node) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -2,6 +2,8 @@
 
 import dev.cactusspan.forward.ClientRequest;
 import dev.cactusspan.gateway.Gateway;
+import dev.cactusspan.http.HttpField;
+import dev.cactusspan.http.RequestTarget;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.RequestId;
@@ -132,15 +134,26 @@
             return;
         }
         String query = exchange.getQueryString();
+        String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+        String method = exchange.getRequestMethod().toString();
+        String host = header(exchange, "Host").orElse("");
+        Map<String, String> headers = headers(exchange);
+        Result<RequestTarget> target =
+                HttpField.token("method", method)
+                        .flatMap(m -> HttpField.host("host", host))
+                        .flatMap(h -> HttpField.check("headers", headers))
+                        .flatMap(h -> RequestTarget.parse("path", path));
+        if (!target.isOk()) {
+            target.fold(f -> refuse(sink, f), t -> null);
+            return;
+        }
         ClientRequest request =
                 new ClientRequest(
                         RequestId.of(id.get()),
-                        exchange.getRequestMethod().toString(),
-                        query.isEmpty()
-                                ? exchange.getRequestURI()
-                                : exchange.getRequestURI() + "?" + query,
-                        header(exchange, "Host").orElse(""),
-                        PlatformHeaders.forwarded(headers(exchange)),
+                        method,
+                        target.get().value(),
+                        host,
+                        PlatformHeaders.forwarded(headers),
                         body,
                         header(exchange, PlatformHeaders.API_KEY),
                         number(exchange, PlatformHeaders.TIME_LEFT),
@@ -149,6 +162,11 @@
         sink.onClientDisconnect(mThread, mGateway.handle(request, sink));
     }
 
+    private static Void refuse(PlatformSink sink, Failure failure) {
+        sink.fail(failure, 0);
+        return null;
+    }
+
     private void handleBatch(HttpServerExchange exchange, PlatformSink sink, String id) {
         Optional<String> key = header(exchange, PlatformHeaders.API_KEY);
         if (exchange.getRequestMethod().equals(Methods.DELETE)) {
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformBatchesTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformBatchesTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import dev.cactusspan.batch.Batch;
 import dev.cactusspan.batch.ItemResult;
@@ -16,6 +17,7 @@
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -25,6 +27,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests parsing of batches and serialization of results. */
 final class PlatformBatchesTest {
@@ -88,6 +92,26 @@
         assertThat(reason(BATCH.replace(item, item + "," + item)), containsString("twice"));
     }
 
+    /** Line ends in a field would end the request to the target and begin another one. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "/p/1|items[0].path",
+                "i1|items[0].id",
+                "\"Model\":\"m|items[0].headers.Model",
+                "Model|items[0].headers",
+                "s1|items[0].scorer.id",
+                "\"host\":\"h|items[0].scorer.host",
+                "/s/1|items[0].scorer.path"
+            })
+    void shouldRefuseFieldsThatHoldAnotherRequest(String text, String field) {
+        String smuggled = text + " HTTP/1.1\\r\\nHost: h\\r\\n\\r\\nPOST /-/order";
+        Result<Batch> batch = read(BATCH.replace(text, smuggled));
+        assertThat(batch.fold(f -> f.kind(), b -> ErrorKind.INTERNAL), is(ErrorKind.BAD_REQUEST));
+        assertThat(batch.fold(f -> f.detail(), b -> ""), startsWith(field));
+    }
+
     @Test
     void shouldWriteResults() {
         ItemResult completed =
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -14,6 +14,7 @@
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.result.Result;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -80,6 +81,20 @@
         assertThat(state.account("k3"), is(Optional.empty()));
     }
 
+    @Test
+    void shouldRefuseADesiredStateWithLineEnds() {
+        String text =
+                "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/a/\"}],"
+                        + "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}";
+        assertThat(PlatformReader.desiredState(bytes(text)).isOk(), is(true));
+        for (String field : List.of(":\"h", "/a/", "acme")) {
+            Result<DesiredState> state =
+                    PlatformReader.desiredState(
+                            bytes(text.replace(field, field + "\\r\\nTenant: b")));
+            assertThat(field, state.isOk(), is(false));
+        }
+    }
+
     @Property(seed = "81", tries = 500)
     void shouldNotThrowOnMalformedText(@ForAll String text, @ForAll int cut) {
         target(text);
