--- a/cactusspan/src/main/java/dev/cactusspan/platform/BatchParser.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/BatchParser.java
@@ -7,6 +7,8 @@
 import com.fasterxml.jackson.core.JsonToken;
 import dev.cactusspan.batch.BatchItem;
 import dev.cactusspan.batch.BatchWeight;
+import dev.cactusspan.http.HttpField;
+import dev.cactusspan.http.RequestTarget;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.intake.Body;
 import dev.cactusspan.result.ErrorKind;
@@ -176,9 +178,13 @@
         if (id.isEmpty() || path.isEmpty()) {
             throw malformed(at + ": no id or no path");
         }
+        Result<RequestTarget> checked = checkedPath(at, id.get(), path.get(), headers, scorer);
+        if (!checked.isOk()) {
+            throw malformed(checked.fold(Failure::detail, p -> ""));
+        }
         return new BatchItem(
                 ItemId.of(id.get()),
-                path.get(),
+                checked.get().value(),
                 PlatformHeaders.forwarded(headers),
                 body,
                 expectedTokens(headers),
@@ -186,6 +192,27 @@
                 scorer);
     }
 
+    /** Checks all that an item and its scorer put into the heads of requests. */
+    private static Result<RequestTarget> checkedPath(
+            String at,
+            String id,
+            String path,
+            Map<String, String> headers,
+            Optional<BatchItem.Scorer> scorer) {
+        Result<RequestTarget> target =
+                HttpField.parse(at, "id", id)
+                        .flatMap(checkedId -> HttpField.check(at + ".headers", headers))
+                        .flatMap(checkedHeaders -> RequestTarget.parse(at + ".path", path));
+        if (scorer.isEmpty()) {
+            return target;
+        }
+        String scorerAt = at + ".scorer";
+        return HttpField.parse(scorerAt, "id", scorer.get().id())
+                .flatMap(scorerId -> HttpField.host(scorerAt + ".host", scorer.get().host()))
+                .flatMap(host -> RequestTarget.parse(scorerAt + ".path", scorer.get().path()))
+                .flatMap(scorerPath -> target);
+    }
+
     private Map<String, String> readHeaders() throws IOException {
         Map<String, String> headers = new LinkedHashMap<>();
         if (mParser.currentToken() != JsonToken.START_OBJECT) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -6,6 +6,8 @@
 import dev.cactusspan.http.GuardedServer;
 import dev.cactusspan.http.ReadProbe;
 import dev.cactusspan.http.RequestReader;
+import dev.cactusspan.http.HttpField;
+import dev.cactusspan.http.RequestTarget;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.id.RequestId;
@@ -188,15 +190,26 @@
             return;
         }
         String query = exchange.getQueryString();
+        String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+        String method = exchange.getRequestMethod().toString();
+        String host = header(exchange, "Host").orElse("");
+        Map<String, String> headers = headers(exchange);
+        Result<RequestTarget> target =
+                HttpField.token("method", method)
+                        .flatMap(m -> HttpField.host("host", host))
+                        .flatMap(h -> HttpField.check("headers", headers))
+                        .flatMap(h -> RequestTarget.parse("path", path));
+        if (!target.isOk()) {
+            target.fold(f -> refuse(sink, f), t -> null);
+            return;
+        }
         ClientRequest request =
                 new ClientRequest(
                         RequestId.of(id.get()),
-                        exchange.getRequestMethod().toString(),
-                        query.isEmpty()
-                                ? exchange.getRequestURI()
-                                : exchange.getRequestURI() + "?" + query,
-                        header(exchange, "Host").orElse(""),
-                        PlatformHeaders.forwarded(headers(exchange)),
+                        method,
+                        target.get().value(),
+                        host,
+                        PlatformHeaders.forwarded(headers),
                         body,
                         header(exchange, PlatformHeaders.API_KEY),
                         number(exchange, PlatformHeaders.TIME_LEFT),
@@ -206,6 +219,11 @@
         sink.onClientDisconnect(mThread, mGateway.handle(request, sink));
     }
 
+    private static Void refuse(PlatformSink sink, Failure failure) {
+        sink.fail(failure, 0);
+        return null;
+    }
+
     private void handleBatch(HttpServerExchange exchange, PlatformSink sink, String id) {
         Optional<String> key = header(exchange, PlatformHeaders.API_KEY);
         if (exchange.getRequestMethod().equals(Methods.DELETE)) {
