Look up regions only for requests that are bound

Items that wait ask for targets every few milliseconds. Where no route or account is bound, the answer needs no lookup.

--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -19,6 +19,7 @@
     private final Map<String, AccountId> mAccountByKey = new HashMap<>();
     private final Map<RouteId, Residency> mRouteResidency = new HashMap<>();
     private final Map<AccountId, Residency> mAccountResidency = new HashMap<>();
+    private final boolean mHasBoundRequests;
     private final ClientLimits mLimits;
     private final boolean mHasAccounts;
 
@@ -34,6 +35,9 @@
         accounts.forEach(a -> a.keys().forEach(key -> mAccountByKey.put(key, a.name())));
         routes.forEach(r -> mRouteResidency.merge(r.name(), r.residency(), Residency::and));
         accounts.forEach(a -> mAccountResidency.put(a.name(), a.residency()));
+        mHasBoundRequests =
+                mRouteResidency.values().stream().anyMatch(Residency::isBound)
+                        || mAccountResidency.values().stream().anyMatch(Residency::isBound);
         mLimits = limits;
         mHasAccounts = !accounts.isEmpty();
     }
@@ -151,8 +155,7 @@
      * @return true if one is
      */
     public boolean hasBoundRequests() {
-        return mRouteResidency.values().stream().anyMatch(Residency::isBound)
-                || mAccountResidency.values().stream().anyMatch(Residency::isBound);
+        return mHasBoundRequests;
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/ResidencyRule.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/ResidencyRule.java
@@ -53,6 +53,9 @@
 
     private static Residency of(
             DesiredState desired, RouteId route, Optional<AccountId> account, Residency former) {
+        if (!desired.hasBoundRequests() && !former.isBound()) {
+            return Residency.ANYWHERE;
+        }
         Residency ofRoute = desired.residency(route).orElse(former);
         return account.map(desired::residency).orElse(Residency.ANYWHERE).and(ofRoute);
     }
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -215,7 +215,8 @@
      * @return false if it leaves, or if its zone is evacuated
      */
     public boolean acceptsWork(TargetState target) {
-        return !target.isLeaving() && !mEvacuatedZones.contains(target.record().zone());
+        return !target.isLeaving()
+                && (mEvacuatedZones.isEmpty() || !mEvacuatedZones.contains(target.record().zone()));
     }
 
     // Accessors
--- a/cactusspan/src/main/java/dev/cactusspan/region/RegionMap.java
+++ b/cactusspan/src/main/java/dev/cactusspan/region/RegionMap.java
@@ -34,7 +34,7 @@
      * @return true if it is allowed
      */
     public boolean allows(Residency residency, AvailabilityZoneId zone) {
-        return residency.allows(region(zone));
+        return !residency.isBound() || residency.allows(region(zone));
     }
 
     /**
