--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -57,7 +57,9 @@
         Map<String, Object> settings = new LinkedHashMap<>();
         settings.put("vm", name);
         settings.put("zone", "zone-a");
-        settings.put("zones", Map.of("zone-a", "region-a"));
+        settings.put("zones", Map.of("zone-a", "region-a", "zone-b", "region-b"));
+        settings.put("evacuate_ms", 5_000);
+        settings.put("cold_overage", ColdTargetCheck.OVERAGE);
         settings.put("ip", "127.0.0.1");
         settings.put("client_address", "127.0.0.1:" + node.mClientPort);
         settings.put("ready_address", "127.0.0.1:" + node.mReadyPort);
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -103,6 +103,16 @@
         }
     }
 
+    /**
+     * Sends a quote request once.
+     *
+     * @return the HTTP status, zero if there was no response
+     */
+    int sendQuoteOnce() {
+        String id = UUID.randomUUID().toString().replace("-", "");
+        return send(nextNode(), "/quotes/" + id, id, "q".getBytes(StandardCharsets.UTF_8));
+    }
+
     /**
      * Sends the request that crashes the targets that run it, once, and always the same.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** Runs real processes of the product against an emulated platform, all on loopback. */
 public final class HostedDeployment implements AutoCloseable {
@@ -18,6 +19,7 @@
     private static final int SERVICES = 2;
     private static final long READY_TIMEOUT_MS = 20_000;
     private static final long MS_PER_S = 1_000;
+    private static final long FIRST_VERSION = 3;
 
     private final ObservationLog mObservations = new ObservationLog();
     private final StoreEmulator mStore = StoreEmulator.start();
@@ -28,7 +30,7 @@
     private final long mStartMs = System.currentTimeMillis();
 
     private HostedDeployment(Path folder, int nodes, StoreProxy proxy) throws IOException {
-        mStore.put("op/config", desiredState());
+        mStore.put("op/config", desiredState(FIRST_VERSION, List.of(), 0));
         for (int i = 0; i < ENGINES; i++) {
             addTarget("engine-" + i, "advice-lm", "v1", MODEL);
         }
@@ -96,19 +98,41 @@
                 EndlessTarget.start(mStore, name + "-engine", "advice-lm", MODEL, shape));
     }
 
-    private static Map<String, Object> desiredState() {
+    /**
+     * Publishes the next desired state.
+     *
+     * @param version its version, above {@code 3} and above the one before
+     * @param regions regions to which all routes are bound, empty for none
+     * @param coldPerS requests per second that a cold plain service bears, zero if it bears all
+     */
+    void publishDesiredState(long version, List<String> regions, double coldPerS) {
+        mStore.put("op/config", desiredState(version, regions, coldPerS));
+    }
+
+    private static Map<String, Object> desiredState(
+            long version, List<String> regions, double coldPerS) {
         return Map.of(
                 "version",
-                3,
+                version,
                 "routes",
-                List.of(
-                        route("r-quote", "/quotes/", "idempotent", "slotdesk-app", false),
-                        route("r-score", "/score/", "idempotent", "slotdesk-app", true),
-                        route("r-train", "/train/", "rollout", "advice-lm", false),
-                        streamRoute()),
+                Stream.of(
+                                route("r-quote", "/quotes/", "idempotent", "slotdesk-app", false),
+                                route("r-score", "/score/", "idempotent", "slotdesk-app", true),
+                                route("r-train", "/train/", "rollout", "advice-lm", false),
+                                streamRoute())
+                        .map(route -> bound(route, regions))
+                        .toList(),
                 "services",
                 List.of(
-                        Map.of("name", "slotdesk-app", "max_connections", 100),
+                        Map.of(
+                                "name",
+                                "slotdesk-app",
+                                "max_connections",
+                                100,
+                                "cold_start_s",
+                                3,
+                                "cold_per_s",
+                                coldPerS),
                         Map.of(
                                 "name",
                                 "advice-lm",
@@ -152,6 +176,12 @@
                 isPublic);
     }
 
+    private static Map<String, Object> bound(Map<String, Object> route, List<String> regions) {
+        Map<String, Object> bound = new HashMap<>(route);
+        bound.put("allowed_regions", regions);
+        return bound;
+    }
+
     private static Map<String, Object> streamRoute() {
         Map<String, Object> route =
                 new HashMap<>(
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -76,6 +76,11 @@
     private volatile Optional<String> mLimit = Optional.empty();
     private volatile Optional<RequestLimitCheck> mLimitCheck = Optional.empty();
     private volatile int mRegisteredPort;
+    private volatile String mZone = "zone-a";
+    private volatile long mBorn = 1;
+    private volatile long mColdMs;
+    private volatile Optional<ColdTargetCheck> mColdCheck = Optional.empty();
+    private final AtomicInteger mRequests = new AtomicInteger();
 
     private TargetEmulator(
             StoreEmulator store,
@@ -207,17 +212,46 @@
         register();
     }
 
+    /**
+     * Moves the target to another availability zone.
+     *
+     * @param zone the zone
+     */
+    void placeIn(String zone) {
+        mZone = zone;
+        register();
+    }
+
+    /** Removes the target's entry, as its silence does. */
+    void leaveList() {
+        mStore.delete("servers/" + mId);
+    }
+
+    /**
+     * Registers the target again as one that has just started, and checks that it gets no more
+     * requests than it bears while it is cold.
+     *
+     * @param coldMs how long it is cold, in milliseconds
+     * @param coldPerS requests per second that it bears
+     */
+    void returnCold(long coldMs, double coldPerS) {
+        mBorn++;
+        mColdMs = coldMs;
+        mColdCheck = Optional.of(new ColdTargetCheck(mId, coldPerS, coldMs, mObservations));
+        register();
+    }
+
     private void register() {
         Map<String, Object> entry = new LinkedHashMap<>();
         entry.put("service", mService);
         entry.put("address", "127.0.0.1:" + mRegisteredPort);
-        entry.put("zone", "zone-a");
+        entry.put("zone", mZone);
         entry.put("version", mSoftware);
         entry.put("slots", 8);
         entry.put("state", mIsDraining ? "draining" : "ready");
-        entry.put("cold_remaining_ms", 0);
+        entry.put("cold_remaining_ms", mColdMs);
         entry.put("sequence", mSequence.get());
-        entry.put("born", 1);
+        entry.put("born", mBorn);
         if (!mModel.isEmpty()) {
             entry.put("models", List.of(Map.of("name", mModel, "version", mVersion.get())));
         }
@@ -287,7 +321,9 @@
             exchange.getResponseHeaders().put(LEAVING, "1");
         }
         mLimit.ifPresent(limit -> exchange.getResponseHeaders().put(REQUEST_LIMIT, limit));
+        mRequests.incrementAndGet();
         mLimitCheck.ifPresent(check -> check.recordRequest(System.nanoTime() / NS_PER_MS));
+        mColdCheck.ifPresent(check -> check.recordRequest(System.nanoTime() / NS_PER_MS));
         if (!StandInServer.header(exchange, "Expect-Instance").equals(mId)) {
             refuse(exchange, 421);
             return;
@@ -399,6 +435,15 @@
         }
     }
 
+    /** Returns how many requests arrived. */
+    int requestCount() {
+        return mRequests.get();
+    }
+
+    String zone() {
+        return mZone;
+    }
+
     /** Returns how many requests arrived after the target began to say that it leaves. */
     int requestsWhileLeaving() {
         return mRequestsWhileLeaving.get();
