--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -22,6 +22,7 @@
     private final Map<RouteId, Residency> mRouteResidency = new HashMap<>();
     private final Map<AccountId, Residency> mAccountResidency = new HashMap<>();
     private final Map<AccountId, Integer> mPriorityByAccount = new HashMap<>();
+    private final boolean mHasBoundRequests;
     private final ClientLimits mLimits;
     private final boolean mHasAccounts;
 
@@ -38,6 +39,9 @@
         routes.forEach(r -> mRouteResidency.merge(r.name(), r.residency(), Residency::and));
         accounts.forEach(a -> mAccountResidency.put(a.name(), a.residency()));
         accounts.forEach(a -> mPriorityByAccount.put(a.name(), a.priority()));
+        mHasBoundRequests =
+                mRouteResidency.values().stream().anyMatch(Residency::isBound)
+                        || mAccountResidency.values().stream().anyMatch(Residency::isBound);
         mLimits = limits;
         mHasAccounts = !accounts.isEmpty();
     }
@@ -185,8 +189,7 @@
      * @return true if one is
      */
     public boolean hasBoundRequests() {
-        return mRouteResidency.values().stream().anyMatch(Residency::isBound)
-                || mAccountResidency.values().stream().anyMatch(Residency::isBound);
+        return mHasBoundRequests;
     }
 
     /**
