Let slow runs wait for faster targets in the same line

Cause: with waking lines, a place at a fast target went to the next waiting item at once, while a run at a slow target was looked at only by the next tick, so that the longest texts, which come first, stayed where they are slow. Change: RunMover puts a run whose measured event interval shows a much faster target into the line of its service, with its own position. Test: ItemsWaitInLineTest.shouldGiveAPlaceAtAFastTargetToASlowRun... .

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRun.java
@@ -42,6 +42,7 @@
     private long mEventIntervalMs;
     private long mNextAttemptMs;
     private boolean mIsInLine;
+    private boolean mIsMoveInLine;
     private long mWaitingSinceMs = -1;
     private long mLastProgressMs;
     private Optional<TargetState> mTarget = Optional.empty();
@@ -92,6 +93,7 @@
         target.recordSent(nowMs);
         mSendCount++;
         mIsInLine = false;
+        mIsMoveInLine = false;
         mWaitingSinceMs = -1;
         mLastProgressMs = nowMs;
         mEventIntervalMs = 0;
@@ -183,6 +185,11 @@
         mIsInLine = true;
     }
 
+    /** Records that the run waits for a faster target. */
+    void enterMoveLine() {
+        mIsMoveInLine = true;
+    }
+
     void retryAt(long atMs) {
         mNextAttemptMs = atMs;
     }
@@ -240,6 +247,10 @@
         return mTarget.isEmpty() && (state() == ItemState.WAITING || state() == ItemState.SCORING);
     }
 
+    boolean isMoveInLine() {
+        return mIsMoveInLine;
+    }
+
     boolean isInLine() {
         return mIsInLine;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -62,6 +62,7 @@
     private final TargetChooser mChooser;
     private final ItemScorer mScorer;
     private final ServiceLines mLines;
+    private final RunMover mMover;
     private final Ranks mRanks;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
@@ -81,6 +82,7 @@
         mChooser = chooser;
         mScorer = scorer;
         mLines = lines;
+        mMover = new RunMover(targets, chooser, lines, nowMs);
         mRanks = ranks;
         mTelemetry = telemetry;
         mNowMs = nowMs;
@@ -97,7 +99,7 @@
         }
         for (ItemRun run : owned.runs()) {
             if (run.target().isPresent()) {
-                checkProgress(owned, run, nowMs);
+                checkProgress(run, nowMs);
             } else if (!run.isInLine() && nowMs >= run.nextAttemptMs()) {
                 enterLine(owned, run);
             }
@@ -119,15 +121,18 @@
         if (service.isEmpty()) {
             return;
         }
-        WorkOrder order =
-                new WorkOrder(
-                        rank(batch, run),
-                        run.need(),
-                        new Flow(batch.account(), batch.route()),
-                        owned.dueMs(),
-                        run.position());
         run.enterLine();
-        mLines.add(service.get(), new ItemWork(owned, run), order);
+        mLines.add(service.get(), new ItemWork(owned, run), order(owned, run));
+    }
+
+    private WorkOrder order(OwnedBatch owned, ItemRun run) {
+        Batch batch = owned.batch();
+        return new WorkOrder(
+                rank(batch, run),
+                run.need(),
+                new Flow(batch.account(), batch.route()),
+                owned.dueMs(),
+                run.position());
     }
 
     private Rank rank(Batch batch, ItemRun run) {
@@ -163,7 +168,7 @@
         }
     }
 
-    private void checkProgress(OwnedBatch owned, ItemRun run, long nowMs) {
+    private void checkProgress(ItemRun run, long nowMs) {
         long idleMs = nowMs - run.lastProgressMs();
         boolean isScoring = run.state() == ItemState.SCORING;
         long timeoutMs =
@@ -171,9 +176,6 @@
                         ? ItemScorer.TIMEOUT_MS
                         : run.eventCount() == 0 ? FIRST_EVENT_TIMEOUT_MS : STALL_TIMEOUT_MS;
         if (idleMs < timeoutMs) {
-            if (!isScoring) {
-                moveIfSlow(owned, run, nowMs);
-            }
             return;
         }
         run.target().ifPresent(t -> t.recordFailure(nowMs));
@@ -196,27 +198,22 @@
 
     // Generation
 
-    private void moveIfSlow(OwnedBatch owned, ItemRun run, long nowMs) {
-        long intervalMs = run.eventIntervalMs();
-        if (intervalMs <= 0) {
-            return;
-        }
-        List<TargetState> faster =
-                MoveRule.fasterTargets(
-                        intervalMs,
-                        run.moveCount(),
-                        mTargets.serving(
-                                owned.batch().service(),
-                                filter(owned.batch(), run, nowMs).and(run::mayContinueAt)));
-        mChooser.choose(faster, nowMs)
-                .ifPresent(
-                        target -> {
-                            run.target().ifPresent(t -> t.recordSlow(intervalMs));
-                            run.cancelAttempt();
-                            interrupt(run, "the target is slow", nowMs);
-                            run.recordMove();
-                            send(owned, run, target, nowMs);
-                        });
+    private void moveIfSlow(OwnedBatch owned, ItemRun run) {
+        mMover.consider(
+                owned,
+                run,
+                () -> order(owned, run),
+                () -> filter(owned.batch(), run, mNowMs.getAsLong()).and(run::mayContinueAt),
+                target -> move(owned, run, target));
+    }
+
+    private void move(OwnedBatch owned, ItemRun run, TargetState target) {
+        long nowMs = mNowMs.getAsLong();
+        run.target().ifPresent(t -> t.recordSlow(run.eventIntervalMs()));
+        run.cancelAttempt();
+        interrupt(run, "the target is slow", nowMs);
+        run.recordMove();
+        send(owned, run, target, nowMs);
     }
 
     private static Predicate<TargetState> filter(Batch batch, ItemRun run, long nowMs) {
@@ -321,6 +318,7 @@
                 long eventIntervalMs = (nowMs - mIntervalStartMs) / INTERVAL_EVENTS;
                 mRun.setEventIntervalMs(eventIntervalMs);
                 mRun.target().ifPresent(t -> t.recordDuration(eventIntervalMs));
+                moveIfSlow(mOwned, mRun);
                 mIntervalStartMs = nowMs;
                 mIntervalEvents = 1;
             }
--- a/cactusspan/src/test/java/dev/cactusspan/batch/ItemsWaitInLineTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/ItemsWaitInLineTest.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.is;
 
 import dev.cactusspan.fleet.FakeTargets;
+import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 /** Fills all places of the targets, and checks when and in which order waiting items get one. */
@@ -57,6 +59,40 @@
         assertThat(node.port().last().target().id().equals(first.target().id()), is(false));
     }
 
+    /** The slow run is earlier in the dispatch order than those that have no place yet. */
+    @Test
+    void shouldGiveAPlaceAtAFastTargetToASlowRunBeforeTheItemsBehindIt() {
+        BatchNode node = startFull();
+        sendEvents(node, "lm-1", 20);
+        sendEvents(node, "lm-2", 100);
+        FakeTargets.Sent fast = runsAt(node, "lm-1").get(0);
+        int sent = node.port().sent().size();
+        fast.end();
+        mThread.runAll();
+        FakeTargets.Sent moved =
+                node.port().sent().stream().skip(sent).filter(s -> !isScore(s)).findFirst().get();
+        assertThat(moved.target().id().value(), is("lm-1"));
+        assertThat(moved.request().resumeAfter(), is(OptionalLong.of(5)));
+    }
+
+    private static List<FakeTargets.Sent> runsAt(BatchNode node, String target) {
+        return node.port().sent().stream()
+                .filter(s -> s.target().id().value().equals(target))
+                .toList();
+    }
+
+    private void sendEvents(BatchNode node, String target, long intervalMs) {
+        List<FakeTargets.Sent> runs = runsAt(node, target);
+        runs.forEach(run -> run.startStream(BatchNode.MIN_VERSION));
+        for (int id = 1; id <= 5; id++) {
+            mThread.advance(intervalMs);
+            for (FakeTargets.Sent run : runs) {
+                run.event(id, "t" + id);
+            }
+        }
+        mThread.runAll();
+    }
+
     @Test
     void shouldSendNothingOfABatchThatEnded() {
         BatchNode node = startFull();
