Offer less work to a target that refuses again and again

Change: the avoidance doubles from 40 to 160 ms with each refusal of a row; a success ends it at once, and refusals of sends made before it count once.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -30,8 +30,8 @@
  */
 final class ItemRunner {
 
-    /** Time that a target is avoided after it refused an item, in milliseconds. */
-    private static final long REFUSAL_AVOIDANCE_MS = 40;
+    /** Time that a target is avoided after an unsuitable response, in milliseconds. */
+    private static final long FAILURE_AVOIDANCE_MS = 40;
 
     /** Pause of an item after a failed attempt, in milliseconds. */
     private static final long FAILURE_DELAY_MS = 20;
@@ -415,7 +415,7 @@
         long nowMs = mNowMs.getAsLong();
         if (isText(head)) {
             if (!isFresh(owned.batch(), head.version())) {
-                run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS));
+                run.target().ifPresent(t -> t.avoidUntil(nowMs + FAILURE_AVOIDANCE_MS));
                 run.cancelAttempt();
                 interrupt(run, "weights are at version " + head.version(), nowMs);
                 return;
@@ -423,7 +423,7 @@
             run.setVersion(head.version());
             return;
         }
-        run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS));
+        run.target().ifPresent(t -> avoid(t, head, nowMs));
         boolean isFailedAttempt = head.status() == SERVER_ERROR && !head.isNotRun();
         boolean isExhausted = false;
         if (head.isSuccess()) {
@@ -451,6 +451,14 @@
         }
     }
 
+    private static void avoid(TargetState target, ResponseHead head, long nowMs) {
+        if (head.isNotRun()) {
+            target.recordRefusal(nowMs);
+        } else {
+            target.avoidUntil(nowMs + FAILURE_AVOIDANCE_MS);
+        }
+    }
+
     private void onTextComplete(OwnedBatch owned, ItemRun run) {
         long nowMs = mNowMs.getAsLong();
         Decision.of("text_whole")
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -12,6 +12,18 @@
 
     private static final int MAX_DOUBLINGS = 4;
 
+    /**
+     * Time that a target is avoided after it refused work, in milliseconds; doubles with each
+     * further refusal. A place becomes free within some ten milliseconds, and a target that loads
+     * weights refuses all work for about a second.
+     */
+    private static final long BASE_REFUSAL_MS = 40;
+
+    private static final int MAX_REFUSAL_DOUBLINGS = 2;
+
+    /** Time after which an earlier refusal says nothing of the next, in milliseconds. */
+    private static final long REFUSAL_MEMORY_MS = 1_000;
+
     /** Time after a failure without a success since in which a target is failing. */
     private static final long FAILING_MS = 5_000;
 
@@ -34,6 +46,8 @@
     private int mConsecutiveFailures;
     private long mLastFailureMs;
     private long mAvoidUntilMs;
+    private int mRefusals;
+    private long mRefusedMs;
     private double mMeanDurationMs;
     private long mMissingSinceMs = -1;
 
@@ -134,6 +148,7 @@
      */
     public void recordSuccess(long nowMs) {
         mConsecutiveFailures = 0;
+        mRefusals = 0;
         mAvoidUntilMs = 0;
         updateErrorRate(0, nowMs);
         notifyPlace();
@@ -180,6 +195,22 @@
         updateErrorRate(1, nowMs);
     }
 
+    /**
+     * Records that the target refused work, which it has not run.
+     *
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void recordRefusal(long nowMs) {
+        if (isAvoided(nowMs)) {
+            // The request was sent before the target was avoided, so that it says nothing new.
+            return;
+        }
+        mRefusals = nowMs - mRefusedMs > REFUSAL_MEMORY_MS ? 0 : mRefusals;
+        avoidUntil(nowMs + (BASE_REFUSAL_MS << Math.min(MAX_REFUSAL_DOUBLINGS, mRefusals)));
+        mRefusals++;
+        mRefusedMs = nowMs;
+    }
+
     /**
      * Avoids the target because it has no free slot or is swapping weights.
      *
