--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformHeaders.java
@@ -42,6 +42,10 @@
     static final String TOKEN_USAGE = "Token-Usage";
 
     static final String LENGTH_ESTIMATE = "Length-Hint";
+
+    /** From 0 to 9, where 0 is the most urgent; targets assume 5 if there is none. */
+    static final String URGENCY = "Request-Priority";
+
     static final String DUTY_HOLDER = "Duty-Holder";
     static final String FENCING_NUMBER = "Fencing-Token";
     static final String WAIT_MS = "Wait-Ms";
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -68,7 +68,7 @@
         return mHttp.send(httpRequest, new ResponseRelay(request.id(), listener));
     }
 
-    private static Map<String, String> headers(TargetRecord target, TargetRequest request) {
+    static Map<String, String> headers(TargetRecord target, TargetRequest request) {
         Map<String, String> headers = new LinkedHashMap<>(request.headers());
         headers.put("Host", request.host());
         headers.put(PlatformHeaders.REQUEST_ID, request.id());
@@ -77,6 +77,8 @@
         request.account().ifPresent(a -> headers.put(PlatformHeaders.ACCOUNT, a.value()));
         request.resumeAfter()
                 .ifPresent(n -> headers.put(PlatformHeaders.LAST_EVENT_ID, Long.toString(n)));
+        request.priority()
+                .ifPresent(n -> headers.put(PlatformHeaders.URGENCY, Integer.toString(n)));
         return headers;
     }
 
