Take a resumed text without further events for whole

Cause: a run that is cut between its last event and the end of its stream (as by a move to a faster target) is resumed after that event. The target has nothing to generate, answers with an empty stream and names no weights; that was read as weights of version 0, and the item was sent again without end. Ruled out: targets with old weights (their records name version 1 and up), full targets (refusals 59). Change: TextHead decides it; an event that follows without named weights is not taken, and the attempt ends.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -301,6 +301,7 @@
         private final TargetPort.EventDecoder mDecoder = mPort.newDecoder();
         private long mIntervalStartMs;
         private int mIntervalEvents;
+        private boolean mIsEndExpected;
 
         TextListener(OwnedBatch owned, ItemRun run, int attempt, long nowMs) {
             mOwned = owned;
@@ -327,6 +328,7 @@
         @Override
         public void onHead(ResponseHead head) {
             if (mRun.isCurrentAttempt(mAttempt)) {
+                mIsEndExpected = TextHead.isText(head) && TextHead.isEnd(mRun, head);
                 onResponseHead(mOwned, mRun, head);
             }
         }
@@ -344,6 +346,10 @@
                 return;
             }
             for (TextEvent event : events) {
+                if (mIsEndExpected && event.version().equals(WeightVersion.NONE)) {
+                    rejectText("no weights are named for event " + event.id(), nowMs);
+                    return;
+                }
                 measureInterval(nowMs);
                 if (!mRun.append(event, nowMs)) {
                     mRun.cancelAttempt();
@@ -406,14 +412,12 @@
         }
     }
 
-    /** Tells whether a text follows; any other response, even an empty one, is no end of a text. */
-    private static boolean isText(ResponseHead head) {
-        return head.isSuccessWithDigest() && head.isEventStream() && head.isForThisRequest();
-    }
-
     private void onResponseHead(OwnedBatch owned, ItemRun run, ResponseHead head) {
         long nowMs = mNowMs.getAsLong();
-        if (isText(head)) {
+        if (TextHead.isText(head)) {
+            if (TextHead.isEnd(run, head)) {
+                return;
+            }
             if (!isFresh(owned.batch(), head.version())) {
                 run.target().ifPresent(t -> t.avoidUntil(nowMs + FAILURE_AVOIDANCE_MS));
                 run.cancelAttempt();
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/FakeTargets.java
@@ -81,6 +81,11 @@
             mListener.onHead(head(200, "s", false, WeightVersion.of(version)));
         }
 
+        /** Starts a stream that names no weight version, as one without any event left. */
+        public void startStreamWithoutVersion() {
+            mListener.onHead(head(200, "s", false, WeightVersion.NONE, true));
+        }
+
         /** Starts a stream without the digest that each success carries. */
         public void startStreamWithoutDigest(long version) {
             mListener.onHead(head(200, "", false, WeightVersion.of(version)));
