--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -32,8 +32,8 @@
  */
 final class ItemRunner {
 
-    /** Time that a target is avoided after it refused an item, in milliseconds. */
-    private static final long REFUSAL_AVOIDANCE_MS = 40;
+    /** Time that a target is avoided after an unsuitable response, in milliseconds. */
+    private static final long FAILURE_AVOIDANCE_MS = 40;
 
     /** Pause of an item after a failed attempt, in milliseconds. */
     private static final long FAILURE_DELAY_MS = 20;
@@ -65,6 +65,7 @@
     private final ItemScorer mScorer;
     private final ResidencyRule mResidency;
     private final ServiceLines mLines;
+    private final RunMover mMover;
     private final Ranks mRanks;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
@@ -86,6 +87,7 @@
         mScorer = scorer;
         mResidency = residency;
         mLines = lines;
+        mMover = new RunMover(targets, chooser, residency, lines, nowMs);
         mRanks = ranks;
         mTelemetry = telemetry;
         mNowMs = nowMs;
@@ -102,7 +104,7 @@
         }
         for (ItemRun run : owned.runs()) {
             if (run.target().isPresent()) {
-                checkProgress(owned, run, nowMs);
+                checkProgress(run, nowMs);
             } else if (!run.isInLine() && nowMs >= run.nextAttemptMs()) {
                 enterLine(owned, run);
             }
@@ -124,15 +126,18 @@
         if (service.isEmpty()) {
             return;
         }
-        WorkOrder order =
-                new WorkOrder(
-                        rank(batch, run),
-                        run.need(),
-                        new Flow(batch.account(), batch.route()),
-                        owned.dueMs(),
-                        run.position());
         run.enterLine();
-        mLines.add(service.get(), new ItemWork(owned, run), order);
+        mLines.add(service.get(), new ItemWork(owned, run), order(owned, run));
+    }
+
+    private WorkOrder order(OwnedBatch owned, ItemRun run) {
+        Batch batch = owned.batch();
+        return new WorkOrder(
+                rank(batch, run),
+                run.need(),
+                new Flow(batch.account(), batch.route()),
+                owned.dueMs(),
+                run.position());
     }
 
     private Rank rank(Batch batch, ItemRun run) {
@@ -168,7 +173,7 @@
         }
     }
 
-    private void checkProgress(OwnedBatch owned, ItemRun run, long nowMs) {
+    private void checkProgress(ItemRun run, long nowMs) {
         long idleMs = nowMs - run.lastProgressMs();
         boolean isScoring = run.state() == ItemState.SCORING;
         long timeoutMs =
@@ -176,9 +181,6 @@
                         ? ItemScorer.TIMEOUT_MS
                         : run.eventCount() == 0 ? FIRST_EVENT_TIMEOUT_MS : STALL_TIMEOUT_MS;
         if (idleMs < timeoutMs) {
-            if (!isScoring) {
-                moveIfSlow(owned, run, nowMs);
-            }
             return;
         }
         run.target().ifPresent(t -> t.recordFailure(nowMs));
@@ -201,29 +203,22 @@
 
     // Generation
 
-    private void moveIfSlow(OwnedBatch owned, ItemRun run, long nowMs) {
-        long intervalMs = run.eventIntervalMs();
-        if (intervalMs <= 0) {
-            return;
-        }
-        List<TargetState> faster =
-                MoveRule.fasterTargets(
-                        intervalMs,
-                        run.moveCount(),
-                        mTargets.serving(
-                                owned.batch().service(),
-                                residency(owned.batch()),
-                                nowMs,
-                                filter(owned.batch(), run, nowMs).and(run::mayContinueAt)));
-        mChooser.choose(faster, nowMs)
-                .ifPresent(
-                        target -> {
-                            run.target().ifPresent(t -> t.recordSlow(intervalMs));
-                            run.cancelAttempt();
-                            interrupt(run, "the target is slow", nowMs);
-                            run.recordMove();
-                            send(owned, run, target, nowMs);
-                        });
+    private void moveIfSlow(OwnedBatch owned, ItemRun run) {
+        mMover.consider(
+                owned,
+                run,
+                () -> order(owned, run),
+                () -> filter(owned.batch(), run, mNowMs.getAsLong()).and(run::mayContinueAt),
+                target -> move(owned, run, target));
+    }
+
+    private void move(OwnedBatch owned, ItemRun run, TargetState target) {
+        long nowMs = mNowMs.getAsLong();
+        run.target().ifPresent(t -> t.recordSlow(run.eventIntervalMs()));
+        run.cancelAttempt();
+        interrupt(run, "the target is slow", nowMs);
+        run.recordMove();
+        send(owned, run, target, nowMs);
     }
 
     private static Predicate<TargetState> filter(Batch batch, ItemRun run, long nowMs) {
@@ -319,6 +314,7 @@
         private final TargetPort.EventDecoder mDecoder = mPort.newDecoder();
         private long mIntervalStartMs;
         private int mIntervalEvents;
+        private boolean mIsEndExpected;
 
         TextListener(OwnedBatch owned, ItemRun run, int attempt, long nowMs) {
             mOwned = owned;
@@ -336,6 +332,7 @@
                 long eventIntervalMs = (nowMs - mIntervalStartMs) / INTERVAL_EVENTS;
                 mRun.setEventIntervalMs(eventIntervalMs);
                 mRun.target().ifPresent(t -> t.recordDuration(eventIntervalMs));
+                moveIfSlow(mOwned, mRun);
                 mIntervalStartMs = nowMs;
                 mIntervalEvents = 1;
             }
@@ -344,6 +341,7 @@
         @Override
         public void onHead(ResponseHead head) {
             if (mRun.isCurrentAttempt(mAttempt)) {
+                mIsEndExpected = TextHead.isText(head) && TextHead.isEnd(mRun, head);
                 onResponseHead(mOwned, mRun, head);
             }
         }
@@ -361,6 +359,10 @@
                 return;
             }
             for (TextEvent event : events) {
+                if (mIsEndExpected && event.version().equals(WeightVersion.NONE)) {
+                    rejectText("no weights are named for event " + event.id(), nowMs);
+                    return;
+                }
                 measureInterval(nowMs);
                 if (!mRun.append(event, nowMs)) {
                     mRun.cancelAttempt();
@@ -423,16 +425,14 @@
         }
     }
 
-    /** Tells whether a text follows; any other response, even an empty one, is no end of a text. */
-    private static boolean isText(ResponseHead head) {
-        return head.isSuccessWithDigest() && head.isEventStream() && head.isForThisRequest();
-    }
-
     private void onResponseHead(OwnedBatch owned, ItemRun run, ResponseHead head) {
         long nowMs = mNowMs.getAsLong();
-        if (isText(head)) {
+        if (TextHead.isText(head)) {
+            if (TextHead.isEnd(run, head)) {
+                return;
+            }
             if (!isFresh(owned.batch(), head.version())) {
-                run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS));
+                run.target().ifPresent(t -> t.avoidUntil(nowMs + FAILURE_AVOIDANCE_MS));
                 run.cancelAttempt();
                 interrupt(run, "weights are at version " + head.version(), nowMs);
                 return;
@@ -440,7 +440,7 @@
             run.setVersion(head.version());
             return;
         }
-        run.target().ifPresent(t -> t.avoidUntil(nowMs + REFUSAL_AVOIDANCE_MS));
+        run.target().ifPresent(t -> avoid(t, head, nowMs));
         boolean isFailedAttempt =
                 head.status() == SERVER_ERROR && !head.isNotRun() && head.isForThisRequest();
         boolean isExhausted = false;
@@ -469,6 +469,14 @@
         }
     }
 
+    private static void avoid(TargetState target, ResponseHead head, long nowMs) {
+        if (head.isNotRun()) {
+            target.recordRefusal(nowMs);
+        } else {
+            target.avoidUntil(nowMs + FAILURE_AVOIDANCE_MS);
+        }
+    }
+
     private void onTextComplete(OwnedBatch owned, ItemRun run) {
         long nowMs = mNowMs.getAsLong();
         Decision.of("text_whole")
