Take an answer that ends with its connection as whole

Cause: since each answer with neither a length nor chunks was thrown away, as its end looks like that of one cut short. The users' pages allow such answers: one whose connection ends in order is whole, one that is reset on the way is not.

Change: the client takes the orderly end of the connection as the end of such a body and does not use the connection again; a reset is a failure as before. A stream of events still needs a length or chunks: a server that is stopped between two events ends its connection in order too, and its text would be listed as whole. Two lengths that differ, cut heads, lengths and chunks stay refused.

Two rows of .shouldNotTakeACutResponseForAWholeOne ("no framing", with and without a body) said the opposite of the pages; they are replaced by two rows of event streams that end with their connection, and by the same bodies behind a reset.

--- a/cactusspan/src/test/java/dev/cactusspan/http/RawServer.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/RawServer.java
@@ -18,6 +18,7 @@
 final class RawServer implements AutoCloseable {
     private static final String HEAD_END = "\r\n\r\n";
 
+    private final boolean mIsResetting;
     private final ServerSocket mSocket;
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final AtomicLong mWritten = new AtomicLong();
@@ -29,10 +30,20 @@
     }
 
     RawServer(Script script) throws IOException {
+        this(script, false);
+    }
+
+    private RawServer(Script script, boolean isResetting) throws IOException {
+        mIsResetting = isResetting;
         mSocket = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         mThreads.execute(() -> accept(script));
     }
 
+    /** Resets each connection at the end of the script. */
+    static RawServer resetting(Script script) throws IOException {
+        return new RawServer(script, true);
+    }
+
     /** Writes a prefix once and then a part without end. */
     static Script endless(String prefix, String part) {
         byte[] block = part.repeat(1 + 8_192 / part.length()).getBytes(StandardCharsets.US_ASCII);
@@ -59,6 +70,7 @@
         try (socket) {
             readHead(socket.getInputStream());
             script.play(new CountingStream(socket.getOutputStream()));
+            socket.setSoLinger(mIsResetting, 0);
             // Without an end of its own, the response ends when the connection closes.
         } catch (IOException e) {
             mClosedByPeer.complete(true);
