Let batches leave memory, and split what is appended

ResultAppender wrote all finished results as one value, which the store refuses beyond 1 MB, and each retry was as large or larger.

Change: OwnedBatch.mayLeave decides that a batch leaves 5 s after its end, or, if it is never ended, once all is listed and retention and 120 s have passed; from then on it is read from the store. An append has at most 512 KB of texts, unless one text alone is larger; the rest is due at once.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -10,7 +10,6 @@
 import dev.cactusspan.result.Result;
 import dev.cactusspan.store.OpenWrite;
 import dev.cactusspan.store.StoredItem;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,7 +41,7 @@
     private final BatchEnder mEnder;
     private final LongSupplier mNowMs;
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
-    private final Map<BatchId, KnownOwnership> mKnown = new HashMap<>();
+    private final KnownBatches mKnown = new KnownBatches();
     private final Set<BatchId> mAcquiring = new HashSet<>();
     private final DelayedTasks mDelayed;
     private boolean mIsStopping;
@@ -100,7 +99,7 @@
      * @param done receives the outcome
      */
     public void submit(Batch batch, Consumer<Result<Boolean>> done) {
-        if (mOwned.containsKey(batch.id()) || mKnown.containsKey(batch.id())) {
+        if (mOwned.containsKey(batch.id()) || mKnown.find(batch.id()).isPresent()) {
             done.accept(Result.of(true));
             return;
         }
@@ -182,8 +181,7 @@
     }
 
     private boolean isMine(BatchId id) {
-        KnownOwnership known = mKnown.get(id);
-        return known != null && known.ownership().isOpenAt(mOwner);
+        return mKnown.find(id).map(k -> k.ownership().isOpenAt(mOwner)).orElse(false);
     }
 
     private void addOwned(StoredBatch stored, long revision, long acceptedMs) {
@@ -205,8 +203,8 @@
             Optional.ofNullable(mOwned.remove(id)).ifPresent(OwnedBatch::onOwnershipLost);
             return;
         }
-        KnownOwnership known = mKnown.get(id);
-        if (known != null && known.revision() >= item.get().revision()) {
+        long knownRevision = mKnown.find(id).map(KnownOwnership::revision).orElse(0L);
+        if (knownRevision >= item.get().revision()) {
             return;
         }
         Result<BatchOwnership> ownership = BatchStore.parseOwnership(item.get());
@@ -233,7 +231,7 @@
                     .with("listed", owned.listedCount())
                     .with("open", owned.runs().size())
                     .info();
-            owned.onEnded(revision);
+            owned.onEnded(revision, mNowMs.getAsLong());
         }
     }
 
@@ -248,18 +246,18 @@
      * loads batches that this process owns but has not loaded.
      */
     private void takeOverBatches(boolean isSweeper) {
-        for (Map.Entry<BatchId, KnownOwnership> entry : mKnown.entrySet()) {
-            BatchOwnership ownership = entry.getValue().ownership();
-            BatchId id = entry.getKey();
-            if (ownership.isEnded() || mOwned.containsKey(id) || mAcquiring.contains(id)) {
+        for (KnownOwnership known : mKnown.open()) {
+            BatchOwnership ownership = known.ownership();
+            BatchId id = ownership.id();
+            if (mOwned.containsKey(id) || mAcquiring.contains(id)) {
                 continue;
             }
             boolean isOrphan = mNodes.find(ownership.owner()).isEmpty();
             if (ownership.owner().equals(mOwner)) {
                 mAcquiring.add(id);
-                loadBatch(id, entry.getValue().revision());
+                loadBatch(id, known.revision());
             } else if (isSweeper && isOrphan) {
-                tryTakeOver(entry.getValue(), new OpenWrite());
+                tryTakeOver(known, new OpenWrite());
             }
         }
     }
@@ -403,7 +401,7 @@
      * @return the ownership, empty if this process does not know the batch
      */
     public Optional<KnownOwnership> findOwnership(BatchId id) {
-        return Optional.ofNullable(mKnown.get(id));
+        return mKnown.find(id);
     }
 
     // Time
@@ -430,9 +428,26 @@
             }
             mAppender.tick(owned);
             owned.completePendingReads(nowMs);
+            if (owned.mayLeave(nowMs)) {
+                letGo(owned);
+            }
         }
     }
 
+    /** Lets a batch go from memory; from then on it is read from the store. */
+    private void letGo(OwnedBatch owned) {
+        BatchId id = owned.batch().id();
+        mOwned.remove(id);
+        if (!owned.isEnded()) {
+            mKnown.remove(id);
+        }
+        Decision.of("batch_let_go")
+                .with("batch", id.value())
+                .with("listed", owned.listedCount())
+                .with("owned", mOwned.size())
+                .info();
+    }
+
     /** Stops accepting batches; owned batches continue. */
     public void stopAccepting() {
         mIsStopping = true;
@@ -456,6 +471,11 @@
         return (int) mOwned.values().stream().filter(o -> !o.isDone()).count();
     }
 
+    /** Returns how many batches are kept in memory, and owners of batches. */
+    int keptCount() {
+        return mOwned.size() + mKnown.size();
+    }
+
     /**
      * Returns how many items of owned batches wait for a target.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.ItemId;
 import dev.cactusspan.observe.Decision;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,6 +13,16 @@
 
 /** A batch that this process owns and runs. */
 final class OwnedBatch {
+
+    /**
+     * Time for which an ended batch is kept, in milliseconds: ends and last reads are repeated
+     * within a few seconds.
+     */
+    private static final long ENDED_KEPT_MS = 5_000;
+
+    /** Time after its acceptance for which a batch is read often, in milliseconds. */
+    private static final long STATUS_MS = 120_000;
+
     private final Batch mBatch;
     private final long mAcceptedMs;
     private long mRevision;
@@ -27,6 +38,7 @@
     private long mNextAppendMs;
     private int mAppendFailures;
     private boolean mIsEnded;
+    private long mEndedMs;
     private boolean mIsSaving;
     private long mLastSaveMs;
     private int mLastSaveEventCount;
@@ -97,10 +109,19 @@
         return mIsGroupComplete || mRuns.isEmpty() || nowMs - mReadySinceMs >= maxGatherMs;
     }
 
-    List<ItemResult> startAppend() {
+    /** Starts to append as many results as fit, in the order in which they became ready. */
+    List<ItemResult> startAppend(int maxBytes) {
         mIsAppending = true;
-        mIsGroupComplete = false;
-        return List.copyOf(mReady);
+        int count = 0;
+        for (long bytes = 0; count < mReady.size(); count++) {
+            bytes += mReady.get(count).text().getBytes(StandardCharsets.UTF_8).length;
+            if (count > 0 && bytes > maxBytes) {
+                break;
+            }
+        }
+        // The rest is due at once.
+        mIsGroupComplete = count < mReady.size();
+        return List.copyOf(mReady.subList(0, count));
     }
 
     void onAppended(List<ItemResult> results) {
@@ -207,8 +228,9 @@
 
     // State
 
-    void onEnded(long revision) {
+    void onEnded(long revision, long nowMs) {
         mIsEnded = true;
+        mEndedMs = nowMs;
         mRevision = revision;
         for (ItemRun run : mRuns) {
             run.apply(ItemEvent.END);
@@ -218,6 +240,19 @@
         completePendingReads();
     }
 
+    /**
+     * Tells whether the batch may leave memory: it was ended a while ago, or all of it is listed
+     * and it is neither run nor read often any more.
+     */
+    boolean mayLeave(long nowMs) {
+        boolean isBusy = mIsAppending || mIsSaving || !mPendingReads.isEmpty();
+        if (mIsEnded) {
+            return !isBusy && nowMs - mEndedMs >= ENDED_KEPT_MS;
+        }
+        boolean isOld = remainingMs(nowMs) < 0 && nowMs - mAcceptedMs >= STATUS_MS;
+        return !isBusy && !mIsAppendUnknown && isDone() && isOld;
+    }
+
     /** Cancels all runs without ending them, because another process owns the batch. */
     void onOwnershipLost() {
         mRuns.forEach(ItemRun::cancelAttempt);
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -21,6 +21,12 @@
     /** Maximum time that results of incomplete groups wait for further results, in milliseconds. */
     private static final long MAX_GATHER_MS = 600;
 
+    /**
+     * Maximum size of the texts in one append, unless one text alone is larger, in bytes: the store
+     * takes values of 1 MB, counted in base64.
+     */
+    private static final int MAX_APPEND_BYTES = 512 << 10;
+
     private final BatchStore mStore;
     private final Executor mThread;
     private final Backoff mBackoff;
@@ -42,7 +48,7 @@
 
     void tick(OwnedBatch owned) {
         if (owned.isAppendDue(mNowMs.getAsLong(), MAX_GATHER_MS)) {
-            List<ItemResult> results = owned.startAppend();
+            List<ItemResult> results = owned.startAppend(MAX_APPEND_BYTES);
             FutureResults.deliver(
                     mStore.append(
                             owned.batch().id(), owned.revision(), owned.listedCount(), results),
