--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -9,7 +9,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,9 +29,22 @@
     private final String mName;
     private final int mClientPort;
     private final int mReadyPort;
+    private final int mLinkPort;
+    private final int mMetricsPort;
+    private final NodeCommand mCommand;
     private Process mProcess;
 
-    private GatewayNode(Path folder, String name, int clientPort, int readyPort) {
+    private GatewayNode(
+            Path folder,
+            String name,
+            NodeCommand command,
+            int clientPort,
+            int readyPort,
+            int linkPort,
+            int metricsPort) {
+        mCommand = command;
+        mLinkPort = linkPort;
+        mMetricsPort = metricsPort;
         mFolder = folder;
         mName = name;
         mClientPort = clientPort;
@@ -44,6 +56,7 @@
      *
      * @param folder where settings and logs are written
      * @param name name of its VM
+     * @param command how it is launched
      * @param storePort port of the store, or of a proxy to it
      * @param usagePort port of the usage interface
      * @param windowS length of a usage window, in seconds
@@ -51,9 +64,16 @@
      * @throws IOException if it cannot be started
      */
     public static GatewayNode start(
-            Path folder, String name, int storePort, int usagePort, int windowS)
+            Path folder,
+            String name,
+            NodeCommand command,
+            int storePort,
+            int usagePort,
+            int windowS)
             throws IOException {
-        GatewayNode node = new GatewayNode(folder, name, freePort(), freePort());
+        GatewayNode node =
+                new GatewayNode(
+                        folder, name, command, freePort(), freePort(), freePort(), freePort());
         Map<String, Object> settings = new LinkedHashMap<>();
         settings.put("vm", name);
         settings.put("zone", "zone-a");
@@ -61,8 +81,8 @@
         settings.put("ip", "127.0.0.1");
         settings.put("client_address", "127.0.0.1:" + node.mClientPort);
         settings.put("ready_address", "127.0.0.1:" + node.mReadyPort);
-        settings.put("link_port", freePort());
-        settings.put("metrics_port", freePort());
+        settings.put("link_port", node.mLinkPort);
+        settings.put("metrics_port", node.mMetricsPort);
         settings.put("store_address", "127.0.0.1:" + storePort);
         settings.put("usage_address", "127.0.0.1:" + usagePort);
         settings.put("usage_window_s", windowS);
@@ -99,12 +119,8 @@
      * @throws IOException if it cannot be started
      */
     public void launch() throws IOException {
-        List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m"));
-        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
-        command.addAll(List.of(ClockOffsetEntry.class.getName(), clockOffsetFile().toString()));
-        ProcessBuilder builder = new ProcessBuilder(command);
+        ProcessBuilder builder = new ProcessBuilder(mCommand.words(clockOffsetFile()));
+        builder.directory(NodeCommand.root().toFile());
         builder.environment().put("CACTUSSPAN_CONFIG", mFolder.resolve(mName + ".json").toString());
         File log = mFolder.resolve(mName + ".log").toFile();
         mProcess =
@@ -203,6 +219,24 @@
         return mReadyPort;
     }
 
+    /**
+     * Returns the port for links from other processes.
+     *
+     * @return the port
+     */
+    public int linkPort() {
+        return mLinkPort;
+    }
+
+    /**
+     * Returns the port of the metrics.
+     *
+     * @return the port
+     */
+    public int metricsPort() {
+        return mMetricsPort;
+    }
+
     /**
      * Returns the name.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -103,6 +103,32 @@
         }
     }
 
+    /**
+     * Sends a quote request with a large body once.
+     *
+     * @param bytes length of the body
+     * @return the HTTP status, zero if there was no response
+     */
+    int sendLargeQuote(int bytes) {
+        String id = UUID.randomUUID().toString().replace("-", "");
+        try {
+            return mHttp.send(
+                            request(nextNode(), "/quotes/" + id, id)
+                                    .timeout(Duration.ofMillis(QUOTE_TIMEOUT_MS))
+                                    .header("Deadline-Ms", "5000")
+                                    .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[bytes]))
+                                    .build(),
+                            HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
+        } catch (IOException e) {
+            // No response in time.
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
     /**
      * Sends the request that crashes the targets that run it, once, and always the same.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -17,6 +17,7 @@
     private static final int ENGINES = 3;
     private static final int SERVICES = 2;
     private static final long READY_TIMEOUT_MS = 20_000;
+    private static final int PROBE_TIMEOUT_MS = 1_000;
     private static final long MS_PER_S = 1_000;
 
     private final ObservationLog mObservations = new ObservationLog();
@@ -27,7 +28,8 @@
     private final List<GatewayNode> mNodes = new ArrayList<>();
     private final long mStartMs = System.currentTimeMillis();
 
-    private HostedDeployment(Path folder, int nodes, StoreProxy proxy) throws IOException {
+    private HostedDeployment(Path folder, int nodes, NodeCommand command, StoreProxy proxy)
+            throws IOException {
         mStore.put("op/config", desiredState());
         for (int i = 0; i < ENGINES; i++) {
             addTarget("engine-" + i, "advice-lm", "v1", MODEL);
@@ -37,7 +39,9 @@
         }
         for (int i = 1; i <= nodes; i++) {
             int storePort = proxy.port(mStore.port());
-            mNodes.add(GatewayNode.start(folder, "entry-" + i, storePort, mUsage.port(), WINDOW_S));
+            mNodes.add(
+                    GatewayNode.start(
+                            folder, "entry-" + i, command, storePort, mUsage.port(), WINDOW_S));
         }
     }
 
@@ -67,7 +71,12 @@
      */
     public static HostedDeployment start(Path folder, int nodes, StoreProxy proxy)
             throws IOException {
-        HostedDeployment deployment = new HostedDeployment(folder, nodes, proxy);
+        return start(folder, nodes, NodeCommand.EMULATED, proxy);
+    }
+
+    static HostedDeployment start(Path folder, int nodes, NodeCommand command, StoreProxy proxy)
+            throws IOException {
+        HostedDeployment deployment = new HostedDeployment(folder, nodes, command, proxy);
         for (GatewayNode node : deployment.mNodes) {
             if (!awaitReady(node, READY_TIMEOUT_MS)) {
                 deployment.close();
@@ -187,13 +196,16 @@
         return false;
     }
 
-    private static boolean isReady(GatewayNode node) {
+    /** Probes a process once, with a second for the response, as the platform does. */
+    static boolean isReady(GatewayNode node) {
         try {
             HttpURLConnection connection =
                     (HttpURLConnection)
                             URI.create("http://127.0.0.1:" + node.readyPort() + "/-/readyz")
                                     .toURL()
                                     .openConnection();
+            connection.setConnectTimeout(PROBE_TIMEOUT_MS);
+            connection.setReadTimeout(PROBE_TIMEOUT_MS);
             return connection.getResponseCode() == 200;
         } catch (IOException e) {
             // The process is not listening yet.
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -53,6 +53,9 @@
     private static final long LOAD_MS = 300;
     private static final int MAX_EVENTS = 14;
 
+    /** Size of a request of which a plain service returns the length instead of the body. */
+    private static final int MAX_ECHO_BYTES = 1 << 20;
+
     private final StoreEmulator mStore;
     private final ObservationLog mObservations;
     private final String mId;
@@ -338,7 +341,13 @@
         }
         exchange.getResponseHeaders().put(RESPONSE_DIGEST, responseDigest(id));
         exchange.getResponseSender()
-                .send("echo " + new String(body, StandardCharsets.UTF_8) + " of " + id);
+                .send("echo " + echoed(body) + " of " + id);
+    }
+
+    private static String echoed(byte[] body) {
+        return body.length > MAX_ECHO_BYTES
+                ? body.length + " bytes"
+                : new String(body, StandardCharsets.UTF_8);
     }
 
     private void generate(HttpServerExchange exchange, String id) {
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/GatewayNodeTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/GatewayNodeTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import dev.cactusspan.standin.hosted.GatewayNode;
+import dev.cactusspan.standin.hosted.NodeCommand;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -34,7 +35,7 @@
 
     @Test
     void shouldStartWhenToldToReloadItsSettingsDuringStartup() throws Exception {
-        try (GatewayNode node = GatewayNode.start(mFolder, "entry", UNUSED_PORT, UNUSED_PORT, 1)) {
+        try (GatewayNode node = GatewayNode.start(mFolder, "entry", NodeCommand.EMULATED, UNUSED_PORT, UNUSED_PORT, 1)) {
             await("\"starting\"");
             node.signal("HUP");
             await("\"started\"");
@@ -43,7 +44,7 @@
 
     @Test
     void shouldLogUntilItHasStopped() throws Exception {
-        try (GatewayNode node = GatewayNode.start(mFolder, "entry", UNUSED_PORT, UNUSED_PORT, 1)) {
+        try (GatewayNode node = GatewayNode.start(mFolder, "entry", NodeCommand.EMULATED, UNUSED_PORT, UNUSED_PORT, 1)) {
             await("\"started\"");
             node.signal("TERM");
             assertThat(node.awaitExit(EXIT_TIMEOUT_MS), is(true));
--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
@@ -19,13 +19,13 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
@@ -45,6 +45,9 @@
     /** Parameters of a query: several times what the platform's calls have. */
     private static final int MAX_PARAMETERS = 64;
 
+    /** Bodies are limited by their readers. */
+    private static final long NO_LIMIT = -1;
+
     /** New connections that wait to be accepted. */
     private static final int BACKLOG = 1_000;
 
@@ -143,6 +146,7 @@
     private static OptionMap options(CallerLimits limits) {
         return OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                .set(UndertowOptions.MAX_ENTITY_SIZE, NO_LIMIT)
                 .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .set(UndertowOptions.MAX_PARAMETERS, MAX_PARAMETERS)
                 .set(UndertowOptions.DECODE_URL, false)
@@ -168,27 +172,22 @@
                         new MeteredSink(
                                 channel.getSinkChannel().getConduit(), connection::onWrite));
         listener.handleEvent(channel);
-        ChannelListener<? super StreamConnection> onClose = channel.getCloseListener();
-        channel.setCloseListener(
-                c -> {
-                    ChannelListeners.invokeChannelListener(c, onClose);
-                    closed(c);
-                });
+        // Added to the listener that Undertow has set.
+        channel.setCloseListener(this::closed);
         if (!channel.isOpen()) {
             closed(channel);
         }
     }
 
     private void closed(StreamConnection channel) {
-        // The listener may be called by another thread, which closed the connection.
-        mWorker.getIoThread()
-                .execute(
-                        () -> {
-                            GuardedConnection connection = mConnections.remove(channel);
-                            if (connection != null) {
-                                connection.onClosed();
-                            }
-                        });
+        if (XnioIoThread.currentThread() != channel.getIoThread()) {
+            channel.getIoThread().execute(() -> closed(channel));
+            return;
+        }
+        GuardedConnection connection = mConnections.remove(channel);
+        if (connection != null) {
+            connection.onClosed();
+        }
     }
 
     private void handle(HttpServerExchange exchange, Handler handler) {
