Hold metrics addresses, links and owned batches to limits, too

Cause: the metrics address served any number of connections and bodies, a link took frames of up to 20 MB from any caller, at any pace, and batches were in no budget. Change: the metrics address (also of storage) uses GuardedServer with a small budget; an accepted link's first frame is 4 KB at most, incomplete frames have a sum and a pace, the number of accepted links is bounded, and a hello counts only from an address at which a process of the system was registered; what batches take is counted from what is owned, so that nothing has to be returned.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/StandInServer.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/StandInServer.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.text.JsonText;
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -11,6 +12,9 @@
 
 /** Utility methods for the stand-ins' HTTP servers. */
 public final class StandInServer {
+    /** Bodies as large as the product accepts are accepted. */
+    private static final long NO_LIMIT = -1;
+
     private static final int IO_THREADS = 2;
     private static final int WORKER_THREADS = 8;
 
@@ -30,6 +34,7 @@
                         .addHttpListener(port, ip)
                         .setIoThreads(IO_THREADS)
                         .setWorkerThreads(WORKER_THREADS)
+                        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, NO_LIMIT)
                         .setHandler(handler)
                         .build();
         server.start();
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -10,7 +10,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -467,4 +467,13 @@
     public int waitingItems() {
         return mOwned.values().stream().mapToInt(OwnedBatch::waitingCount).sum();
     }
+
+    /**
+     * Returns the memory that the owned batches take.
+     *
+     * @return the bytes
+     */
+    public long heldBytes() {
+        return mOwned.values().stream().mapToLong(OwnedBatch::heldBytes).sum();
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchWeight.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchWeight.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.batch;
 
+import java.util.List;
 import java.util.Map;
 
 /** Estimates the memory that batches take. */
@@ -13,6 +14,9 @@
     /** Entry of a map, in bytes. */
     private static final long ENTRY_BYTES = 48;
 
+    /** Objects of a result, in bytes. */
+    private static final long RESULT_BYTES = 120;
+
     private BatchWeight() {}
 
     /**
@@ -44,6 +48,20 @@
         return bytes;
     }
 
+    /**
+     * Estimates the memory of results.
+     *
+     * @param results the results
+     * @return the bytes
+     */
+    static long of(List<ItemResult> results) {
+        long bytes = 0;
+        for (ItemResult result : results) {
+            bytes += RESULT_BYTES + text(result.text()) + text(result.score());
+        }
+        return bytes;
+    }
+
     private static long text(String text) {
         return TEXT_BYTES + text.length();
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -14,6 +14,7 @@
 final class OwnedBatch {
     private final Batch mBatch;
     private final long mAcceptedMs;
+    private final long mWeightBytes;
     private long mRevision;
     private final List<ItemRun> mRuns = new ArrayList<>();
     private final Map<String, Integer> mUnfinishedByGroup = new HashMap<>();
@@ -41,6 +42,7 @@
     OwnedBatch(StoredBatch stored, long revision, long acceptedMs) {
         mBatch = stored.batch();
         mAcceptedMs = acceptedMs;
+        mWeightBytes = BatchWeight.of(mBatch);
         mRevision = revision;
         mListed.addAll(stored.results());
         Set<ItemId> listed = new HashSet<>();
@@ -65,6 +67,11 @@
         void accept(ResultsView view);
     }
 
+    /** Returns the memory that the batch and its results take, in bytes. */
+    long heldBytes() {
+        return mWeightBytes + BatchWeight.of(mListed) + BatchWeight.of(mReady);
+    }
+
     // Results
 
     void finish(ItemRun run, ItemResult result, long nowMs) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -121,7 +121,7 @@
         mHttp = HttpClient.create();
         NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
-        mPeers = new PeerClient(self, mThread, GatewayProcess::nowMs);
+        mPeers = new PeerClient(self, mNodes::isKnownAddress, mThread, GatewayProcess::nowMs);
         KeyStore store = newStore(self);
         mSession = new NodeSession(store, self, mThread, backoff(), GatewayProcess::nowMs);
         mUsageDuty = duty(store, "usage");
@@ -374,6 +374,7 @@
         mCrashes.tick();
         mOrigins.tick(isSweeper);
         mIsReady = mFleet.isLoaded();
+        mIntake.countBatches(nowMs(), mBatches::heldBytes);
         mFleet.desiredState().ifPresent(d -> mIntake.setLimits(d.limits()));
         if (mIsStopping && mForwarder.size() == 0 && mBatches.openBatches() == 0) {
             mDrained.drained();
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/IntakeState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/IntakeState.java
@@ -10,6 +10,8 @@
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.settings.GatewaySettings;
 import java.util.Map;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 
 /**
  * What callers may make a process hold: its budget from its heap, the limits in force from the
@@ -20,14 +22,20 @@
     private static final ClientLimits DEFAULT_LIMITS =
             new ClientLimits(16 << 10, 32 << 20, 3_000, 15_000);
 
+    /** Interval at which owned batches are counted, in milliseconds. */
+    private static final long COUNT_INTERVAL_MS = 250;
+
     private final MemoryBudget mBudget;
     private final IntakeReport mReport;
     private final int mMaxConnections;
+    private final LongConsumer mBatchBytes;
+    private long mNextCountMs = Long.MIN_VALUE;
     private volatile CallerLimits mLimits;
 
     private IntakeState(MemoryBudget budget, IntakeReport report, int maxConnections) {
         mBudget = budget;
         mReport = report;
+        mBatchBytes = budget.standing();
         mMaxConnections = maxConnections;
         setLimits(DEFAULT_LIMITS);
     }
@@ -66,6 +74,14 @@
                         limits.idleTimeoutMs());
     }
 
+    /** Counts the memory of owned batches, at intervals. Called on one thread. */
+    void countBatches(long nowMs, LongSupplier bytes) {
+        if (nowMs >= mNextCountMs) {
+            mNextCountMs = nowMs + COUNT_INTERVAL_MS;
+            mBatchBytes.accept(bytes.getAsLong());
+        }
+    }
+
     CallerLimits limits() {
         return mLimits;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/LingeringClose.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/LingeringClose.java
@@ -12,7 +12,7 @@
 /**
  * Closes a connection on which a response went out before its request was read. A plain close would
  * reset it, and the client might lose the response. Instead, the response is ended first, and some
- * more bytes of the client are discarded. All methods run on the connection's I/O thread.
+ * more bytes of the client are discarded.
  */
 final class LingeringClose {
     /** Time for the client to read the response, in milliseconds: some round trips. */
@@ -34,7 +34,7 @@
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
-        new LingeringClose(connection).start();
+        connection.getIoThread().execute(new LingeringClose(connection)::start);
     }
 
     private void start() {
--- a/cactusspan/src/main/java/dev/cactusspan/intake/MemoryBudget.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/MemoryBudget.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 
 /**
  * Limits the memory that callers make a process hold. Load pattern: many callers send bodies of
@@ -62,21 +63,25 @@
     }
 
     /**
-     * Holds bytes that are in memory already, even beyond the budget; nothing else fits until the
-     * sum is below it again.
+     * Returns a hold of bytes that are in memory in any case, even beyond the budget; larger
+     * requests find no room until the sum is below it again.
      *
-     * @param bytes how many
-     * @return the hold
+     * @return sets the number of bytes
      */
-    public Hold take(long bytes) {
+    public LongConsumer standing() {
         BudgetHold hold = new BudgetHold();
-        synchronized (this) {
-            hold.set(bytes);
-        }
-        return hold;
+        return bytes -> {
+            synchronized (this) {
+                hold.set(bytes);
+                mPeakBytes = Math.max(mPeakBytes, heldBytes());
+            }
+        };
     }
 
-    private boolean fits() {
+    private boolean fits(SizeClass changed) {
+        if (changed != SizeClass.LARGE && held(changed) <= mShareBytes) {
+            return true;
+        }
         long excessSmall = Math.max(0, held(SizeClass.SMALL) - mShareBytes);
         long excessMedium = Math.max(0, held(SizeClass.MEDIUM) - mShareBytes);
         long sharedBytes = mTotalBytes - 2 * mShareBytes;
@@ -129,7 +134,7 @@
                     return false;
                 }
                 set(bytes);
-                if (bytes > before && !fits()) {
+                if (bytes > before && !fits(SizeClass.of(bytes))) {
                     set(before);
                     return false;
                 }
--- a/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/LinkReactor.java
@@ -11,11 +11,15 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Comparator;
 import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /** Reads and writes all links of a process on one thread. */
 public final class LinkReactor implements Dialer, AutoCloseable {
@@ -92,7 +96,7 @@
 
     @Override
     public Link connect(InetSocketAddress address) {
-        ReactorLink link = new ReactorLink(this, address);
+        ReactorLink link = new ReactorLink(this, address, false);
         execute(() -> open(link, address));
         return link;
     }
@@ -170,13 +174,40 @@
         if (channel == null) {
             return;
         }
+        if (!makeRoomForLink()) {
+            channel.close();
+            return;
+        }
         channel.configureBlocking(false);
-        ReactorLink link = new ReactorLink(this, (InetSocketAddress) channel.getRemoteAddress());
+        ReactorLink link =
+                new ReactorLink(this, (InetSocketAddress) channel.getRemoteAddress(), true);
         link.attach(channel, channel.register(mSelector, SelectionKey.OP_READ, link));
         link.connected(nowMs());
         mListener.onUp(link);
     }
 
+    /** At the limit, closes the oldest accepted link that has not said what it is. */
+    private boolean makeRoomForLink() {
+        List<ReactorLink> accepted = links().filter(ReactorLink::isAccepted).toList();
+        if (accepted.size() < mSettings.maxAccepted()) {
+            return true;
+        }
+        Optional<ReactorLink> oldest =
+                accepted.stream()
+                        .filter(ReactorLink::isUnidentified)
+                        .min(Comparator.comparingLong(ReactorLink::upSinceMs));
+        oldest.ifPresent(link -> drop(link, "too many links"));
+        return oldest.isPresent();
+    }
+
+    private Stream<ReactorLink> links() {
+        return mSelector.keys().stream()
+                .filter(SelectionKey::isValid)
+                .map(SelectionKey::attachment)
+                .filter(ReactorLink.class::isInstance)
+                .map(ReactorLink.class::cast);
+    }
+
     private void handle(SelectionKey key, ReactorLink link) throws IOException {
         if (key.isConnectable() && link.finishConnect(nowMs())) {
             mListener.onUp(link);
@@ -198,8 +229,8 @@
         }
         mReceivedBytes.addAndGet(count);
         mReadBuffer.flip();
-        link.decoder()
-                .feed(mReadBuffer)
+        int pendingBefore = link.pendingBytes();
+        link.decode(mReadBuffer, nowMs())
                 .fold(
                         failure -> {
                             sLog.atWarning().log("link %s closed: %s", link.remote(), failure);
@@ -210,6 +241,14 @@
                             frames.forEach(frame -> mListener.onFrame(link, frame));
                             return null;
                         });
+        boolean isGrowing = link.pendingBytes() > pendingBefore;
+        if (isGrowing && pendingBytes() > mSettings.maxPendingBytes()) {
+            drop(link, "incomplete frames take over " + mSettings.maxPendingBytes() + " bytes");
+        }
+    }
+
+    private long pendingBytes() {
+        return links().mapToLong(ReactorLink::pendingBytes).sum();
     }
 
     private void tick() {
@@ -222,6 +261,10 @@
                 drop(link, "silent for " + link.silentMs(nowMs) + " ms");
                 continue;
             }
+            if (link.isFrameLate(nowMs)) {
+                drop(link, "a frame arrives too slowly");
+                continue;
+            }
             if (link.isUp() && link.idleMs(nowMs) >= mSettings.heartbeatMs()) {
                 link.send(mHeartbeat.get());
             }
--- a/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/link/ReactorLink.java
@@ -1,5 +1,7 @@
 package dev.cactusspan.link;
 
+import dev.cactusspan.result.Result;
+import dev.cactusspan.wire.Frame;
 import dev.cactusspan.wire.FrameCodec;
 import dev.cactusspan.wire.FrameDecoder;
 import dev.cactusspan.wire.Message;
@@ -9,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -19,9 +22,15 @@
  * thread.
  */
 final class ReactorLink implements Link {
+    /** Pace of a frame below which a link is closed: 64 KB a second. */
+    private static final long MIN_BYTES_PER_MS = 64;
+
     private final LinkReactor mReactor;
     private final String mRemote;
-    private final FrameDecoder mDecoder = new FrameDecoder(FrameCodec.MAX_FRAME_BYTES);
+    private final FrameDecoder mDecoder;
+    private final boolean mIsAccepted;
+    private boolean mHasFrame;
+    private long mFrameSinceMs;
     private final Queue<ByteBuffer> mSendQueue = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mSendQueueBytes = new AtomicInteger();
     private final AtomicBoolean mFlushScheduled = new AtomicBoolean();
@@ -29,11 +38,19 @@
     private SocketChannel mChannel;
     private SelectionKey mKey;
     private boolean mUp;
+    private long mUpSinceMs;
     private long mLastReceivedMs = LinkReactor.nowMs();
     private long mLastSentMs = LinkReactor.nowMs();
 
-    ReactorLink(LinkReactor reactor, InetSocketAddress remote) {
+    ReactorLink(LinkReactor reactor, InetSocketAddress remote, boolean isAccepted) {
         mReactor = reactor;
+        mIsAccepted = isAccepted;
+        mDecoder =
+                new FrameDecoder(
+                        isAccepted
+                                ? reactor.settings().firstFrameBytes()
+                                : FrameCodec.MAX_FRAME_BYTES,
+                        FrameCodec.MAX_FRAME_BYTES);
         mRemote = remote.getAddress().getHostAddress() + ":" + remote.getPort();
     }
 
@@ -77,6 +94,7 @@
     }
 
     void connected(long nowMs) {
+        mUpSinceMs = nowMs;
         mUp = true;
         mLastReceivedMs = nowMs;
         mLastSentMs = nowMs;
@@ -149,8 +167,41 @@
         return true;
     }
 
-    FrameDecoder decoder() {
-        return mDecoder;
+    /** Decodes received bytes. */
+    Result<List<Frame>> decode(ByteBuffer bytes, long nowMs) {
+        boolean wasBetweenFrames = mDecoder.pendingBytes() == 0;
+        Result<List<Frame>> frames = mDecoder.feed(bytes);
+        boolean hasNew = frames.fold(f -> false, list -> !list.isEmpty());
+        mHasFrame |= hasNew;
+        if (hasNew || wasBetweenFrames) {
+            mFrameSinceMs = nowMs;
+        }
+        return frames;
+    }
+
+    int pendingBytes() {
+        return mReleased ? 0 : mDecoder.pendingBytes();
+    }
+
+    /** Returns whether an incomplete frame arrives more slowly than any link of the platform. */
+    boolean isFrameLate(long nowMs) {
+        long ageMs = nowMs - mFrameSinceMs;
+        return mDecoder.pendingBytes() > 0
+                && ageMs > mReactor.settings().silenceMs()
+                && mDecoder.pendingBytes() < ageMs * MIN_BYTES_PER_MS;
+    }
+
+    /** Returns whether the other end has connected and not yet said what it is. */
+    boolean isUnidentified() {
+        return mIsAccepted && !mHasFrame;
+    }
+
+    boolean isAccepted() {
+        return mIsAccepted;
+    }
+
+    long upSinceMs() {
+        return mUpSinceMs;
     }
 
     boolean isUp() {
--- a/cactusspan/src/main/java/dev/cactusspan/observe/AdminServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/AdminServer.java
@@ -1,23 +1,37 @@
 package dev.cactusspan.observe;
 
+import dev.cactusspan.http.GuardedConnection;
+import dev.cactusspan.http.GuardedServer;
+import dev.cactusspan.intake.CallerLimits;
+import dev.cactusspan.intake.IntakeReport;
+import dev.cactusspan.intake.MemoryBudget;
 import dev.cactusspan.text.JsonText;
-import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.PathHandler;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /** Serves health, readiness, metrics and status of a process over HTTP. */
 public final class AdminServer implements AutoCloseable {
-    private static final int IO_THREADS = 1;
     private static final int WORKER_THREADS = 2;
 
-    private final Undertow mServer;
+    /** Part of the heap for callers, who send nothing but short requests. */
+    private static final int HEAP_DIVISOR = 8;
+
+    /** Limits on callers: a few monitors, which send short requests without a body. */
+    private static final CallerLimits LIMITS = new CallerLimits(32, 8 << 10, 0, 3_000, 60_000);
+
+    private final InetSocketAddress mAddress;
+    private final HttpHandler mPaths;
+    private final GuardedServer mServer;
+    private int mPort;
 
     /**
      * Creates a server. It runs after {@link #start}.
@@ -41,19 +55,38 @@
                         .addExactPath(
                                 "/metrics", e -> sendText(e, StatusCodes.OK, telemetry.text()))
                         .addExactPath("/status", e -> sendJson(e, status.get()));
-        HttpHandler root = e -> e.dispatch(paths);
+        mAddress = new InetSocketAddress(ip, port);
+        mPaths = paths;
         mServer =
-                Undertow.builder()
-                        .addHttpListener(port, ip)
-                        .setIoThreads(IO_THREADS)
-                        .setWorkerThreads(WORKER_THREADS)
-                        .setHandler(root)
-                        .build();
+                GuardedServer.create(
+                        "admin",
+                        WORKER_THREADS,
+                        MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR),
+                        new IntakeReport(
+                                refusal ->
+                                        telemetry.count(
+                                                "admin_callers_refused_total",
+                                                "reason",
+                                                refusal.label()),
+                                (counts, nowMs) -> {}));
     }
 
     /** Starts the server. */
     public void start() {
-        mServer.start();
+        try {
+            mPort = mServer.listen(mAddress, () -> LIMITS, this::handle);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot listen at " + mAddress, e);
+        }
+    }
+
+    private void handle(HttpServerExchange exchange, GuardedConnection connection) {
+        if (connection.admit(0, 0, () -> {}).isEmpty()) {
+            sendText(exchange, StatusCodes.SERVICE_UNAVAILABLE, "no memory\n");
+            return;
+        }
+        connection.onRequestRead();
+        exchange.dispatch(mPaths);
     }
 
     /**
@@ -62,7 +95,7 @@
      * @return the port
      */
     public int port() {
-        return ((InetSocketAddress) mServer.getListenerInfo().get(0).getAddress()).getPort();
+        return mPort;
     }
 
     private static void sendReadiness(HttpServerExchange exchange, boolean isReady) {
@@ -76,16 +109,16 @@
     private static void sendText(HttpServerExchange exchange, int status, String text) {
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
-        exchange.getResponseSender().send(text);
+        GuardedConnection.send(exchange, text.getBytes(StandardCharsets.UTF_8));
     }
 
     private static void sendJson(HttpServerExchange exchange, Object value) {
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender().send(ByteBuffer.wrap(JsonText.write(value)));
+        GuardedConnection.send(exchange, JsonText.write(value));
     }
 
     @Override
     public void close() {
-        mServer.stop();
+        mServer.close();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeDirectory.java
@@ -7,8 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Lists the processes of the system that hold a lease, including this one. */
 public final class NodeDirectory {
@@ -18,6 +20,9 @@
 
     private final Map<String, NodeRecord> mNodes = new HashMap<>();
 
+    /** Addresses of all processes seen, as one whose lease has ended may still ask. */
+    private final Set<String> mAddresses = new HashSet<>();
+
     /**
      * Applies a change of a process's key.
      *
@@ -30,6 +35,7 @@
                         i ->
                                 JsonText.read(i.value(), NodeRecord.class)
                                         .fold(f -> Optional.empty(), Optional::of));
+        node.ifPresent(n -> mAddresses.add(n.ip()));
         node.ifPresentOrElse(n -> mNodes.put(key, n), () -> mNodes.remove(key));
         Decision.of(node.isPresent() ? "node_seen" : "node_gone")
                 .with("node", node.map(NodeRecord::owner).orElse(key))
@@ -47,6 +53,17 @@
         return mNodes.values().stream().filter(n -> n.owner().equals(owner)).findFirst();
     }
 
+    /**
+     * Returns whether an address belongs to a process of the system. While no process is known,
+     * each address may.
+     *
+     * @param ip the address
+     * @return true if a process is or was registered there
+     */
+    public boolean isKnownAddress(String ip) {
+        return mAddresses.isEmpty() || mAddresses.contains(ip);
+    }
+
     /**
      * Chooses a process for a subject by rendezvous hashing, leaving out processes that are about
      * to stop. Callers that see the same processes choose the same one.
--- a/cactusspan/src/main/java/dev/cactusspan/peer/PeerClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/PeerClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Sends requests to other processes over links that are opened on demand, and serves theirs. An
@@ -35,6 +36,7 @@
     private static final long HELLO_TIMEOUT_MS = 400;
 
     private final NodeRecord mSelf;
+    private final Predicate<String> mIsKnownAddress;
     private final Executor mThread;
     private final LongSupplier mNowMs;
     private final LinkReactor mReactor;
@@ -48,17 +50,22 @@
      * Creates a client; {@link #start} opens the port.
      *
      * @param self this process
+     * @param isKnownAddress tells whether an IP is that of a process of the system; links from
+     *     others are closed
      * @param thread runs the callbacks; {@link #request} and {@link #tick} are called on its thread
      * @param nowMs monotonic clock in milliseconds
      * @throws IOException if no selector can be opened
      */
-    public PeerClient(NodeRecord self, Executor thread, LongSupplier nowMs) throws IOException {
+    public PeerClient(
+            NodeRecord self, Predicate<String> isKnownAddress, Executor thread, LongSupplier nowMs)
+            throws IOException {
         mSelf = self;
+        mIsKnownAddress = isKnownAddress;
         mThread = thread;
         mNowMs = nowMs;
         mReactor =
                 new LinkReactor(
-                        LinkSettings.STANDARD,
+                        LinkSettings.SMALL_HEAP,
                         () -> Revision.NONE,
                         () -> new Message.Heartbeat(0, false));
     }
@@ -185,10 +192,16 @@
     }
 
     private void received(Link link, Message message) {
-        if (message instanceof Message.PeerHello hello && hello.system().equals(PROTOCOL)) {
+        boolean isHello =
+                message instanceof Message.PeerHello hello && hello.system().equals(PROTOCOL);
+        if (isHello && mIsKnownAddress.test(address(link))) {
             mUnidentifiedLinks.remove(link);
             return;
         }
+        if (isHello) {
+            link.close("the hello comes from no process of the system");
+            return;
+        }
         if (mUnidentifiedLinks.containsKey(link)) {
             mUnidentifiedLinks.remove(link);
             link.close("the first frame is no hello");
@@ -206,6 +219,10 @@
         }
     }
 
+    private static String address(Link link) {
+        return link.remote().substring(0, link.remote().lastIndexOf(':'));
+    }
+
     private static boolean isRequest(Message message) {
         return message instanceof Message.ResultsRequest
                 || message instanceof Message.StoreRequest
--- a/cactusspan/src/main/java/dev/cactusspan/wire/FrameDecoder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/wire/FrameDecoder.java
@@ -12,6 +12,7 @@
     private static final int INITIAL_BYTES = 4096;
 
     private final int mMaxFrameBytes;
+    private int mNextFrameBytes;
     private byte[] mPending = new byte[INITIAL_BYTES];
     private int mPendingBytes;
 
@@ -21,6 +22,17 @@
      * @param maxFrameBytes maximum size of a payload
      */
     public FrameDecoder(int maxFrameBytes) {
+        this(maxFrameBytes, maxFrameBytes);
+    }
+
+    /**
+     * Creates a decoder with another limit for the first frame.
+     *
+     * @param firstFrameBytes maximum size of the first payload
+     * @param maxFrameBytes maximum size of each further payload
+     */
+    public FrameDecoder(int firstFrameBytes, int maxFrameBytes) {
+        mNextFrameBytes = firstFrameBytes;
         mMaxFrameBytes = maxFrameBytes;
     }
 
@@ -36,10 +48,10 @@
         int offset = 0;
         while (mPendingBytes - offset >= FrameCodec.LENGTH_BYTES) {
             int length = ByteBuffer.wrap(mPending, offset, FrameCodec.LENGTH_BYTES).getInt();
-            if (length <= 0 || length > mMaxFrameBytes) {
+            if (length <= 0 || length > mNextFrameBytes) {
                 return Result.fail(
                         ErrorKind.PAYLOAD_TOO_LARGE,
-                        "frame length " + length + " is not in 1.." + mMaxFrameBytes);
+                        "frame length " + length + " is not in 1.." + mNextFrameBytes);
             }
             int end = offset + FrameCodec.LENGTH_BYTES + length;
             if (end > mPendingBytes) {
@@ -51,6 +63,7 @@
                 return frame.map(f -> List.of());
             }
             frames.add(frame.get());
+            mNextFrameBytes = mMaxFrameBytes;
             offset = end;
         }
         discard(offset);
@@ -74,4 +87,13 @@
             mPending = new byte[INITIAL_BYTES];
         }
     }
+
+    /**
+     * Returns the number of bytes of an incomplete frame.
+     *
+     * @return the bytes, zero between frames
+     */
+    public int pendingBytes() {
+        return mPendingBytes;
+    }
 }
