Keep the process alive by its own servers' threads

Cause: the threads of the new server were daemons, so an entry ended as soon as it had started; Undertow's own were not.

--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
@@ -95,7 +95,8 @@
                         .set(Options.WORKER_IO_THREADS, 1)
                         .set(Options.WORKER_TASK_CORE_THREADS, workerThreads)
                         .set(Options.WORKER_TASK_MAX_THREADS, workerThreads)
-                        .set(Options.THREAD_DAEMON, true)
+                        // The process runs for as long as it serves.
+                        .set(Options.THREAD_DAEMON, false)
                         .getMap();
         try {
             return new GuardedServer(Xnio.getInstance().createWorker(options), budget, report);
