Answer a refused request once

Cause: a request refused for its size or for memory could be picked again as the slowest before its connection was closed, and was answered twice (one log line UT005071 in a run of GuardedServerTest). The second answer is left out; the connection closes by itself.

--- a/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -175,6 +175,10 @@
     }
 
     private void refuse(Failure failure) {
+        if (mIsDone) {
+            // It was answered, and its connection is being closed.
+            return;
+        }
         mIsDone = true;
         mListener.onRefused(failure);
     }
