--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -325,8 +325,13 @@
     }
 
     private void loadBatch(BatchId id, long revision) {
+        Optional<KnownOwnership> known = mKnown.find(id);
+        if (known.isEmpty()) {
+            mAcquiring.remove(id);
+            return;
+        }
         FutureResults.deliver(
-                mStore.load(id, mHomes.residency(mKnown.get(id).ownership())),
+                mStore.load(id, mHomes.residency(known.get().ownership())),
                 mThread,
                 (Result<StoredBatch> r) ->
                         r.fold(
@@ -509,4 +514,13 @@
     public int waitingItems() {
         return mOwned.values().stream().mapToInt(OwnedBatch::waitingCount).sum();
     }
+
+    /**
+     * Returns the memory that the owned batches take.
+     *
+     * @return the bytes
+     */
+    public long heldBytes() {
+        return mOwned.values().stream().mapToLong(OwnedBatch::heldBytes).sum();
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -154,7 +154,7 @@
         mHttp = HttpClient.create();
         NodeRecord self = newRecord();
         mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
-        mPeers = new PeerClient(self, mControl, GatewayProcess::nowMs);
+        mPeers = new PeerClient(self, mNodes::isKnownAddress, mControl, GatewayProcess::nowMs);
         KeyStore store = newStore(self);
         mSession = new NodeSession(store, self, mControl, backoff(), GatewayProcess::nowMs);
         mUsageDuty = duty(store, "usage");
@@ -454,6 +454,7 @@
         mUsage.tick();
         mWeights.tick();
         mCrashes.tick();
+        mIntake.countBatches(nowMs(), mBatches::heldBytes);
     }
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
@@ -22,13 +22,13 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
@@ -48,6 +48,9 @@
     /** Parameters of a query: several times what the platform's calls have. */
     private static final int MAX_PARAMETERS = 64;
 
+    /** Bodies are limited by their readers. */
+    private static final long NO_LIMIT = -1;
+
     /** New connections that wait to be accepted. */
     private static final int BACKLOG = 1_000;
 
@@ -95,7 +98,8 @@
                         .set(Options.WORKER_IO_THREADS, 1)
                         .set(Options.WORKER_TASK_CORE_THREADS, workerThreads)
                         .set(Options.WORKER_TASK_MAX_THREADS, workerThreads)
-                        .set(Options.THREAD_DAEMON, true)
+                        // The process runs for as long as it serves.
+                        .set(Options.THREAD_DAEMON, false)
                         .getMap();
         try {
             return new GuardedServer(Xnio.getInstance().createWorker(options), budget, report);
@@ -160,6 +164,7 @@
     private static OptionMap options(CallerLimits limits) {
         return OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                .set(UndertowOptions.MAX_ENTITY_SIZE, NO_LIMIT)
                 .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .set(UndertowOptions.MAX_PARAMETERS, MAX_PARAMETERS)
                 .set(UndertowOptions.DECODE_URL, false)
@@ -185,27 +190,22 @@
                         new MeteredSink(
                                 channel.getSinkChannel().getConduit(), connection::onWrite));
         listener.handleEvent(channel);
-        ChannelListener<? super StreamConnection> onClose = channel.getCloseListener();
-        channel.setCloseListener(
-                c -> {
-                    ChannelListeners.invokeChannelListener(c, onClose);
-                    closed(c);
-                });
+        // Added to the listener that Undertow has set.
+        channel.setCloseListener(this::closed);
         if (!channel.isOpen()) {
             closed(channel);
         }
     }
 
     private void closed(StreamConnection channel) {
-        // The listener may be called by another thread, which closed the connection.
-        mWorker.getIoThread()
-                .execute(
-                        () -> {
-                            GuardedConnection connection = mConnections.remove(channel);
-                            if (connection != null) {
-                                connection.onClosed();
-                            }
-                        });
+        if (XnioIoThread.currentThread() != channel.getIoThread()) {
+            channel.getIoThread().execute(() -> closed(channel));
+            return;
+        }
+        GuardedConnection connection = mConnections.remove(channel);
+        if (connection != null) {
+            connection.onClosed();
+        }
     }
 
     private void handle(HttpServerExchange exchange, Handler handler) {
