Forget a batch whose owner's key is removed while it is loaded

Cause: since batches are loaded within their regions, a repeated load looked up the owner's key, which may be gone by then, and ended the task thread with a NullPointerException.

Red before: BatchesBoundToRegionsTest.shouldForgetABatchWhoseOwnerKeyIsRemovedWhileItIsLoaded.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -329,8 +329,13 @@
     }
 
     private void loadBatch(BatchId id, long revision) {
+        KnownOwnership known = mKnown.get(id);
+        if (known == null) {
+            mAcquiring.remove(id);
+            return;
+        }
         FutureResults.deliver(
-                mStore.load(id, mHomes.residency(mKnown.get(id).ownership())),
+                mStore.load(id, mHomes.residency(known.ownership())),
                 mThread,
                 (Result<StoredBatch> r) ->
                         r.fold(
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchesBoundToRegionsTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchesBoundToRegionsTest.java
@@ -10,6 +10,7 @@
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
+import dev.cactusspan.text.JsonText;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -108,4 +109,17 @@
         runWithResponses(1_000);
         assertThat(stored(), hasSize(1));
     }
+
+    @Test
+    void shouldForgetABatchWhoseOwnerKeyIsRemovedWhileItIsLoaded() {
+        BatchNode node = node("n1");
+        run(100);
+        Batch unwritten = BatchNode.batch("unwritten", 1, 1, mThread.nowMs());
+        String key = BatchStore.OWNER_PREFIX + "unwritten";
+        mStore.put(key, JsonText.write(BatchOwnership.of(unwritten, node.owner())));
+        run(500);
+        mStore.delete(key);
+        run(2_000);
+        assertThat(node.manager().findOwnership(unwritten.id()).isPresent(), is(false));
+    }
 }
