Take a target for cold only if it runs no other request of this process

Cause: a refused connection is no proof of a restart; an entry that is short of connections would ask for permits of targets that serve it.

Change: a target at which other requests of this process still run has not started again, as they would have lost their connections.

Green: ColdTargetTest, with shouldNotTakeATargetForColdThatStillRunsOtherRequests.

--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -157,14 +157,17 @@
     }
 
     /**
-     * Records that a target refused a connection, so that it may have started again.
+     * Records that a target refused a connection, so that it may have started again. It has not if
+     * it still runs other requests of this process, which would have lost their connections.
      *
      * @param target registration entry that the target had when the request was sent
      * @param nowMs monotonic clock in milliseconds
      */
     void recordUnreachable(TargetRecord target, long nowMs) {
         long forMs = mColdRates.coldStartMs(target.service()) + RESTART_MS;
-        find(target.id()).ifPresent(state -> state.suspectCold(forMs, nowMs));
+        find(target.id())
+                .filter(state -> state.inFlight() <= 1)
+                .ifPresent(state -> state.suspectCold(forMs, nowMs));
     }
 
     // Evacuations
--- a/cactusspan/src/test/java/dev/cactusspan/fleet/ColdTargetTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/fleet/ColdTargetTest.java
@@ -245,6 +245,15 @@
         assertThat(admits(table, 100 + COLD_START_MS + 2_000 + ColdPeriod.RAMP_MS), is(true));
     }
 
+    @Test
+    void shouldNotTakeATargetForColdThatStillRunsOtherRequests() {
+        TargetTable table = table(12, 0);
+        table.find(TARGET).orElseThrow().recordSent(0);
+        table.find(TARGET).orElseThrow().recordSent(50);
+        table.recordUnreachable(record(0), 100);
+        assertThat(admits(table, 200), is(true));
+    }
+
     @Test
     void shouldTakeAZoneBackAsIfItWereCold() {
         TargetTable table = table(12, 0);
