Evacuate the zone that gets the requests

Cause: ZoneRulesTest.shouldSendNothingToAnEvacuatedZone was green without the guard: it evacuated a zone in another region, which got hardly any request.

Change: it evacuates the zone of the processes. Red with TargetTable.acceptsWork blind to evacuations: 823 requests in 2.5 s. Green with it.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ZoneTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ZoneTrial.java
@@ -102,10 +102,10 @@
     }
 
     /**
-     * Evacuates zone b and takes it back.
+     * Evacuates zone a, which gets nearly all requests, and takes it back.
      *
      * @param folder where settings and logs are written
-     * @return its result; forbidden are requests at targets of zone b while it is evacuated
+     * @return its result; forbidden are requests at targets of zone a while it is evacuated
      * @throws IOException if a process cannot be started
      */
     public static Outcome evacuate(Path folder) throws IOException {
@@ -116,17 +116,17 @@
                     ExecutorService callers = startCallers(clients, isOver);
                     try {
                         TimeUnit.MILLISECONDS.sleep(OBSERVED_MS);
-                        deployment.store().put("op/evacuate/zone-b", Map.of());
+                        deployment.store().put("op/evacuate/zone-a", Map.of());
                         TimeUnit.MILLISECONDS.sleep(FOLLOW_MS);
-                        int forbidden = requests(deployment, "zone-b");
-                        int elsewhere = requests(deployment, "zone-a");
+                        int forbidden = requests(deployment, "zone-a");
+                        int elsewhere = requests(deployment, "zone-b");
                         TimeUnit.MILLISECONDS.sleep(OBSERVED_MS);
-                        forbidden = requests(deployment, "zone-b") - forbidden;
-                        elsewhere = requests(deployment, "zone-a") - elsewhere;
-                        deployment.store().delete("op/evacuate/zone-b");
-                        int afterwards = requests(deployment, "zone-b");
+                        forbidden = requests(deployment, "zone-a") - forbidden;
+                        elsewhere = requests(deployment, "zone-b") - elsewhere;
+                        deployment.store().delete("op/evacuate/zone-a");
+                        int afterwards = requests(deployment, "zone-a");
                         TimeUnit.MILLISECONDS.sleep(FOLLOW_MS);
-                        afterwards = requests(deployment, "zone-b") - afterwards;
+                        afterwards = requests(deployment, "zone-a") - afterwards;
                         stop(callers, isOver);
                         return new Outcome(
                                 clients.counts(),
