--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -10,12 +10,10 @@
 import dev.cactusspan.result.Result;
 import dev.cactusspan.store.OpenWrite;
 import dev.cactusspan.store.StoredItem;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -40,10 +38,10 @@
     private final BatchAge mAge;
     private final BatchHomes mHomes;
     private final BatchEnder mEnder;
+    private final BatchAcquirer mAcquirer;
     private final LongSupplier mNowMs;
     private final Map<BatchId, OwnedBatch> mOwned = new LinkedHashMap<>();
     private final KnownBatches mKnown = new KnownBatches();
-    private final Set<BatchId> mAcquiring = new HashSet<>();
     private final DelayedTasks mDelayed;
     private boolean mIsStopping;
     private boolean mIsDraining;
@@ -92,6 +90,7 @@
                         this::onEndedHere);
         mNowMs = nowMs;
         mDelayed = new DelayedTasks(nowMs);
+        mAcquirer = new BatchAcquirer(store, mKnown, nodes, owner, homes, thread, mDelayed, this);
     }
 
     // Accepting
@@ -120,11 +119,11 @@
                             "no target of " + batch.service() + " in " + batch.residency()));
             return;
         }
-        mAcquiring.add(batch.id());
+        mAcquirer.begin(batch.id());
         create(
                 batch,
                 result -> {
-                    mAcquiring.remove(batch.id());
+                    mAcquirer.end(batch.id());
                     done.accept(result);
                 },
                 new OpenWrite());
@@ -181,7 +180,7 @@
                                 },
                                 item -> {
                                     item.ifPresent(i -> onOwnerKeyChanged(i.key(), item));
-                                    boolean isMine = isMine(batch.id());
+                                    boolean isMine = mAcquirer.isMine(batch.id());
                                     if (isMine && !mOwned.containsKey(batch.id())) {
                                         addOwned(
                                                 StoredBatch.ofNew(batch),
@@ -193,8 +192,14 @@
                                 }));
     }
 
-    private boolean isMine(BatchId id) {
-        return mKnown.find(id).map(k -> k.ownership().isOpenAt(mOwner)).orElse(false);
+    /** Tells whether this process has a batch in memory. */
+    boolean hasLoaded(BatchId id) {
+        return mOwned.containsKey(id);
+    }
+
+    /** Takes a batch of this process that was read from the store. */
+    void onLoaded(StoredBatch stored, long revision) {
+        addOwned(stored, revision, mAge.acceptedMs(stored.batch()));
     }
 
     private void addOwned(StoredBatch stored, long revision, long acceptedMs) {
@@ -254,100 +259,6 @@
         owned.onOwnershipLost();
     }
 
-    /**
-     * Takes over batches whose owner no longer holds a lease, if this process is the sweeper, and
-     * loads batches that this process owns but has not loaded.
-     */
-    private void takeOverBatches(boolean isSweeper) {
-        for (KnownOwnership known : mKnown.open()) {
-            BatchOwnership ownership = known.ownership();
-            BatchId id = ownership.id();
-            if (mOwned.containsKey(id) || mAcquiring.contains(id)) {
-                continue;
-            }
-            boolean isOrphan = mNodes.find(ownership.owner()).isEmpty();
-            if (ownership.owner().equals(mOwner)) {
-                mAcquiring.add(id);
-                loadBatch(id, known.revision());
-            } else if (isSweeper && isOrphan && mHomes.isNextOwner(mOwner, ownership)) {
-                tryTakeOver(known, new OpenWrite());
-            }
-        }
-    }
-
-    private void tryTakeOver(KnownOwnership known, OpenWrite write) {
-        BatchId id = known.ownership().id();
-        mAcquiring.add(id);
-        BatchOwnership mine = known.ownership().withOwner(mOwner);
-        FutureResults.deliver(
-                mStore.putOwnership(mine, known.revision()),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> {
-                                    switch (write.onWriteFailed(f)) {
-                                        case READ -> refreshOwnership(id);
-                                        case WRITE -> mDelayed.add(() -> tryTakeOver(known, write));
-                                        default -> mDelayed.add(() -> mAcquiring.remove(id));
-                                    }
-                                    return null;
-                                },
-                                revision -> {
-                                    Decision.of("batch_taken_over")
-                                            .with("batch", id.value())
-                                            .with("from", known.ownership().owner())
-                                            .info();
-                                    mKnown.put(id, new KnownOwnership(mine, revision));
-                                    loadBatch(id, revision);
-                                    return null;
-                                }));
-    }
-
-    private void refreshOwnership(BatchId id) {
-        FutureResults.deliver(
-                mStore.readOwnerKey(id),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> {
-                                    mDelayed.add(() -> refreshOwnership(id));
-                                    return null;
-                                },
-                                item -> {
-                                    item.ifPresent(i -> onOwnerKeyChanged(i.key(), item));
-                                    mAcquiring.remove(id);
-                                    if (isMine(id) && !mOwned.containsKey(id)) {
-                                        mAcquiring.add(id);
-                                        loadBatch(id, item.orElseThrow().revision());
-                                    }
-                                    return null;
-                                }));
-    }
-
-    private void loadBatch(BatchId id, long revision) {
-        Optional<KnownOwnership> known = mKnown.find(id);
-        if (known.isEmpty()) {
-            mAcquiring.remove(id);
-            return;
-        }
-        FutureResults.deliver(
-                mStore.load(id, mHomes.residency(known.get().ownership())),
-                mThread,
-                (Result<StoredBatch> r) ->
-                        r.fold(
-                                f -> {
-                                    mDelayed.add(() -> loadBatch(id, revision));
-                                    return null;
-                                },
-                                stored -> {
-                                    mAcquiring.remove(id);
-                                    if (isMine(id) && !mOwned.containsKey(id)) {
-                                        addOwned(stored, revision, mAge.acceptedMs(stored.batch()));
-                                    }
-                                    return null;
-                                }));
-    }
-
     // Ending
 
     /**
@@ -437,7 +348,7 @@
         mDelayed.runDue();
         boolean isSettled = nowMs - storeRecoveredMs > REGISTRATION_GRACE_MS;
         if (!mIsStopping) {
-            takeOverBatches(isSweeper && isSettled);
+            mAcquirer.takeOverBatches(isSweeper && isSettled);
         }
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
             if (!mIsDraining && !mIsHeld) {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -18,7 +18,6 @@
 import dev.cactusspan.forward.WaitingRequests;
 import dev.cactusspan.http.HttpClient;
 import dev.cactusspan.http.ReadProbe;
-import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.TaskThread;
 import dev.cactusspan.observe.AdminServer;
@@ -38,7 +37,6 @@
 import dev.cactusspan.platform.PlatformUsage;
 import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.routing.Backoff;
-import dev.cactusspan.routing.ZoneDistance;
 import dev.cactusspan.settings.GatewaySettings;
 import dev.cactusspan.store.KeyStore;
 import dev.cactusspan.store.StoredItem;
@@ -47,7 +45,6 @@
 import dev.cactusspan.waiting.ServiceLines;
 import dev.cactusspan.wire.Message;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
 import java.util.Optional;
@@ -187,7 +184,10 @@
         mOrigins = newOrigins(store);
         TargetChooser chooser =
                 new TargetChooser(
-                        new EvacuationSpread(this::distance, mFleet.targets(), settings.zone()),
+                        new EvacuationSpread(
+                                mRegions.distancesFrom(settings.zone()),
+                                mFleet.targets(),
+                                settings.zone()),
                         mRandom.split());
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
@@ -344,8 +344,8 @@
 
     private PlatformServer newServer() {
         return new PlatformServer(
-                address(mSettings.clientAddress()),
-                address(mSettings.readyAddress()),
+                mSettings.clientSocket(),
+                mSettings.readySocket(),
                 mGateway,
                 mThread,
                 () -> mIsReady && !mIsLeaving,
@@ -377,12 +377,6 @@
         return URI.create("http://" + address);
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(
-                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
-
     // Operations
 
     /**
@@ -486,15 +480,6 @@
         }
     }
 
-    private ZoneDistance distance(AvailabilityZoneId zone) {
-        if (zone.equals(mSettings.zone())) {
-            return ZoneDistance.SAME_ZONE;
-        }
-        return mRegions.isSameRegion(zone, mSettings.zone())
-                ? ZoneDistance.SAME_REGION
-                : ZoneDistance.OTHER_REGION;
-    }
-
     private static long nowMs() {
         return System.nanoTime() / 1_000_000;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/region/RegionMap.java
+++ b/cactusspan/src/main/java/dev/cactusspan/region/RegionMap.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.RegionId;
+import dev.cactusspan.routing.ZoneDistance;
 import java.util.Map;
 import java.util.Optional;
 
@@ -48,6 +49,23 @@
         return region(zone).isPresent() && region(zone).equals(region(other));
     }
 
+    /**
+     * Returns how far zones are from one zone.
+     *
+     * @param origin that zone
+     * @return the distances from it
+     */
+    public ZoneDistance.Map distancesFrom(AvailabilityZoneId origin) {
+        return zone -> {
+            if (zone.equals(origin)) {
+                return ZoneDistance.SAME_ZONE;
+            }
+            return isSameRegion(zone, origin)
+                    ? ZoneDistance.SAME_REGION
+                    : ZoneDistance.OTHER_REGION;
+        };
+    }
+
     /**
      * Returns the region of a zone.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.VmId;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -128,4 +129,28 @@
         }
         return problems;
     }
+
+    /**
+     * Returns the address at which clients are served.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress clientSocket() {
+        return socket(clientAddress);
+    }
+
+    /**
+     * Returns the address at which readiness is checked.
+     *
+     * @return IP and port
+     */
+    public InetSocketAddress readySocket() {
+        return socket(readyAddress);
+    }
+
+    private static InetSocketAddress socket(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
 }
