--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -29,7 +29,6 @@
     private static final long REGISTRATION_GRACE_MS = 2_000;
 
     private final BatchStore mStore;
-    private final NodeDirectory mNodes;
     private final String mOwner;
     private final Executor mThread;
     private final ItemRunner mRunner;
@@ -73,7 +72,6 @@
             BatchHomes homes,
             LongSupplier nowMs) {
         mStore = store;
-        mNodes = nodes;
         mOwner = owner;
         mThread = thread;
         mRunner = runner;
