Count calls to the store by purpose, and append in fewer writes

Groups that became complete every 50 ms were appended one by one (10 appends in 0.5 s of one batch).

After an append the next one waits 250 ms, unless it is the batch's last.

Red before, green after: BatchManagerTest .shouldAppendGroupsThatBecomeCompleteInQuickSuccessionTogether.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -91,7 +91,11 @@
 
     /** Tells whether an append is due: a group is complete, or results have waited long enough. */
     boolean isAppendDue(long nowMs, long maxGatherMs) {
-        if (mIsAppending || mReady.isEmpty() || mIsEnded || nowMs < mNextAppendMs) {
+        if (mIsAppending || mReady.isEmpty() || mIsEnded) {
+            return false;
+        }
+        boolean isLast = mRuns.isEmpty() && mAppendFailures == 0;
+        if (nowMs < mNextAppendMs && !isLast) {
             return false;
         }
         return mIsGroupComplete || mRuns.isEmpty() || nowMs - mReadySinceMs >= maxGatherMs;
@@ -103,8 +107,15 @@
         return List.copyOf(mReady);
     }
 
-    void onAppended(List<ItemResult> results) {
+    /**
+     * Handles a successful append.
+     *
+     * @param results what was appended
+     * @param nextMs before when only the last results are appended, in milliseconds
+     */
+    void onAppended(List<ItemResult> results, long nextMs) {
         mIsAppending = false;
+        mNextAppendMs = nextMs;
         mIsAppendUnknown = false;
         mAppendFailures = 0;
         mListed.addAll(results);
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -21,6 +21,12 @@
     /** Maximum time that results of incomplete groups wait for further results, in milliseconds. */
     private static final long MAX_GATHER_MS = 600;
 
+    /**
+     * Time after an append in which only the last results of a batch are appended, in milliseconds.
+     * Each append has a price, and trainers read about twice a second.
+     */
+    private static final long MIN_INTERVAL_MS = 250;
+
     private final BatchStore mStore;
     private final Executor mThread;
     private final Backoff mBackoff;
@@ -55,7 +61,7 @@
     }
 
     private Void onAppended(OwnedBatch owned, List<ItemResult> results) {
-        owned.onAppended(results);
+        owned.onAppended(results, mNowMs.getAsLong() + MIN_INTERVAL_MS);
         Decision.of("results_listed")
                 .with("batch", owned.batch().id().value())
                 .with("results", results.size())
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -200,7 +200,6 @@
             fail(pending, 0);
             return;
         }
-        long waitedMs = nowMs - pending.arrivedMs();
         boolean isExhausted =
                 pending.sendCount() >= MAX_SENDS
                         || pending.possibleRunCount() >= pending.route().maxAttempts();
@@ -208,7 +207,7 @@
                 isExhausted
                         ? OptionalLong.of(WaitRule.RETRY_AFTER_MS)
                         : WaitRule.rejectionMs(
-                                waitedMs,
+                                nowMs - pending.arrivedMs(),
                                 pending.deadlineMs() - pending.arrivedMs(),
                                 pending.route().sloMs(),
                                 mTargets.permitWaitMs(pending.service(), nowMs));
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformStore.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformStore.java
@@ -45,7 +45,7 @@
 
     private final HttpClient mHttp;
     private final URI mServer;
-    private final Telemetry mTelemetry;
+    private final StoreCalls mCalls;
 
     /**
      * Creates a client.
@@ -57,12 +57,12 @@
     public PlatformStore(HttpClient http, URI server, Telemetry telemetry) {
         mHttp = http;
         mServer = server;
-        mTelemetry = telemetry;
+        mCalls = new StoreCalls(telemetry);
     }
 
     @Override
     public CompletableFuture<Result<Optional<StoredItem>>> get(String key) {
-        return read("get", "/-/kv-key?key=" + encode(key), TIMEOUT_MS)
+        return read("get", key, "/-/kv-key?key=" + encode(key), TIMEOUT_MS)
                 .thenApply(
                         r ->
                                 r.flatMap(
@@ -78,7 +78,7 @@
     public CompletableFuture<Result<Page>> range(String prefix, String after) {
         String path = "/-/kv-range?prefix=" + encode(prefix);
         String page = after.isEmpty() ? path : path + "&after=" + encode(after);
-        return read("range", page, TIMEOUT_MS)
+        return read("range", prefix, page, TIMEOUT_MS)
                 .thenApply(r -> r.flatMap(a -> readBody(a, PlatformStore::page)));
     }
 
@@ -92,7 +92,7 @@
                         + afterRevision
                         + "&wait_ms="
                         + waitMs;
-        return read("watch", path, waitMs + WATCH_SLACK_MS)
+        return read("watch", prefix, path, waitMs + WATCH_SLACK_MS)
                 .thenApply(
                         r ->
                                 r.flatMap(
@@ -114,7 +114,7 @@
         transaction.writes().forEach(w -> writes.add(write(w)));
         Map<String, Object> body =
                 Map.of("expected", expected, "writes", writes, "deletes", transaction.deletes());
-        return update("commit", "POST", "/-/kv-txn", body)
+        return update("commit", subject(transaction), "POST", "/-/kv-txn", body)
                 .thenApply(r -> r.flatMap(a -> readBody(a, n -> n.path("revision").asLong())));
     }
 
@@ -127,30 +127,39 @@
 
     @Override
     public CompletableFuture<Result<Long>> grantLease(long ttlMs) {
-        return update("lease_grant", "POST", "/-/kv-lease", Map.of("ttl_ms", ttlMs))
+        return update("lease_grant", "", "POST", "/-/kv-lease", Map.of("ttl_ms", ttlMs))
                 .thenApply(r -> r.flatMap(a -> readBody(a, n -> n.path("lease").asLong())));
     }
 
     @Override
     public CompletableFuture<Result<Long>> renewLease(long lease) {
-        return update("lease_renew", "POST", "/-/kv-keep/" + lease, Map.of())
+        return update("lease_renew", "", "POST", "/-/kv-keep/" + lease, Map.of())
                 .thenApply(r -> r.flatMap(a -> readBody(a, n -> n.path("ttl_ms").asLong())));
     }
 
     @Override
     public CompletableFuture<Result<Boolean>> endLease(long lease) {
-        return update("lease_end", "DELETE", "/-/kv-lease-end/" + lease, Map.of())
+        return update("lease_end", "", "DELETE", "/-/kv-lease-end/" + lease, Map.of())
                 .thenApply(r -> r.map(HttpResponse::isSuccess));
     }
 
-    private CompletableFuture<Result<HttpResponse>> read(String purpose, String path, long waitMs) {
-        mTelemetry.count("store_calls_total", "purpose", purpose);
+    /** Returns the key that names what a transaction is for. */
+    private static String subject(Transaction transaction) {
+        if (!transaction.writes().isEmpty()) {
+            return transaction.writes().get(0).key();
+        }
+        return transaction.deletes().isEmpty() ? "" : transaction.deletes().get(0);
+    }
+
+    private CompletableFuture<Result<HttpResponse>> read(
+            String call, String key, String path, long waitMs) {
+        mCalls.count(call, key);
         return mHttp.collect(HttpRequest.get(mServer, path, waitMs), MAX_RESPONSE_BYTES);
     }
 
     private CompletableFuture<Result<HttpResponse>> update(
-            String purpose, String method, String path, Object body) {
-        mTelemetry.count("store_calls_total", "purpose", purpose);
+            String call, String key, String method, String path, Object body) {
+        mCalls.count(call, key);
         HttpRequest request =
                 HttpRequest.json(method, mServer, path, JsonText.write(body), TIMEOUT_MS);
         return mHttp.collectWrite(request, MAX_RESPONSE_BYTES);
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -44,6 +44,27 @@
         assertThat(results.stream().map(ItemResult::score).toList(), everyItem(not(is(""))));
     }
 
+    /**
+     * Groups that became complete every 20 ms were appended one by one, each at the price of a
+     * write.
+     */
+    @Test
+    void shouldAppendGroupsThatBecomeCompleteInQuickSuccessionTogether() {
+        BatchNode node = node("n1");
+        run(100);
+        submit(node, 16, 1);
+        int responded = 0;
+        for (int i = 0; i < 100; i++) {
+            run(TICK_MS);
+            if (responded < node.port().sent().size()) {
+                BatchNode.succeed(node.port().sent().get(responded++));
+            }
+        }
+        assertThat(stored(), hasSize(16));
+        long appends = mStore.items().keySet().stream().filter(k -> k.contains("/result/")).count();
+        assertThat(appends <= 4, is(true));
+    }
+
     @Test
     void shouldRejectBatchWhileStoreIsUnavailable() {
         BatchNode node = node("n1");
