Prepare formats at the start, compress fast, and ask a lost store once

While the store was away each mirror of each entry listed on its own.

Change: the types that batches keep are encoded and decoded once at the start; compression at the lowest level; while the store is away only the mirror of shared keys asks, and the others follow once it is answered.

Left: reads of ended batches load the items too (BatchReader.load), which only the results need.

Green: StoredFormatsTest, BatchManagerTest, RequestForwarderTest, ArchitectureTest. No test of its own for the mirrors.

--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -136,18 +136,29 @@
      */
     void tick(boolean isOrdering, boolean isSweeper, int openBatches, int waitingItems) {
         mTargetMirror.setGatherMs(mRefreshInterval.ms(isOrdering, openBatches, waitingItems));
-        mDesiredStateMirror.tick();
-        mTargetMirror.tick();
+        tick(mDesiredStateMirror);
         mControlMirror.tick();
+        tick(mTargetMirror);
         if (isOrdering) {
-            mVersionMirror.tick();
+            tick(mVersionMirror);
         }
         if (openBatches > 0 || isSweeper || isOrdering) {
-            mOwnerMirror.tick();
+            tick(mOwnerMirror);
         }
         mTargets.tick(mNowMs.getAsLong());
     }
 
+    /**
+     * Drives a mirror. While the store is away only the mirror of shared state goes on asking, as
+     * each call has a price; the others follow at once when it is answered.
+     */
+    private void tick(PrefixMirror mirror) {
+        boolean isAway = mControlMirror.isLoaded() && !mControlMirror.isHealthy();
+        if (mirror.isHealthy() || !mirror.isLoaded() || !isAway) {
+            mirror.tick();
+        }
+    }
+
     /** Returns whether this process takes over batches that other processes have abandoned. */
     boolean isSweeper(String self) {
         return mControlMirror.isHealthy()
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -4,6 +4,7 @@
 import dev.cactusspan.batch.BatchManagerFactory;
 import dev.cactusspan.batch.BatchStore;
 import dev.cactusspan.batch.KnownOwnership;
+import dev.cactusspan.batch.StoredFormats;
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
@@ -359,6 +360,7 @@
      * @throws IOException if an address cannot be bound
      */
     public void start() throws IOException {
+        StoredFormats.prepare();
         mPeers.start(this::respond);
         mAdmin.start();
         mServer.start();
--- a/cactusspan/src/main/java/dev/cactusspan/text/Gzip.java
+++ b/cactusspan/src/main/java/dev/cactusspan/text/Gzip.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.zip.Deflater;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
 
@@ -13,6 +14,14 @@
 public final class Gzip {
     private Gzip() {}
 
+    /** Compresses at the lowest cost; bodies of items hardly shrink more at a higher one. */
+    private static final class FastGzip extends GZIPOutputStream {
+        FastGzip(ByteArrayOutputStream out) throws IOException {
+            super(out);
+            def.setLevel(Deflater.BEST_SPEED);
+        }
+    }
+
     /**
      * Compresses bytes.
      *
@@ -21,7 +30,7 @@
      */
     public static byte[] compress(byte[] bytes) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try (GZIPOutputStream gzip = new GZIPOutputStream(out)) {
+        try (GZIPOutputStream gzip = new FastGzip(out)) {
             gzip.write(bytes);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
