Hold a real entry back while the key of its clients is withdrawn

A process is stopped by a signal, its clients' key is withdrawn, 40 requests with that key arrive 3.2 s later, and the process goes on. None of them may be served.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -28,7 +28,7 @@
     private final long mStartMs = System.currentTimeMillis();
 
     private HostedDeployment(Path folder, int nodes, StoreProxy proxy) throws IOException {
-        mStore.put("op/config", desiredState());
+        mStore.put("op/config", desiredState(3, List.of(HostedClients.KEY)));
         for (int i = 0; i < ENGINES; i++) {
             addTarget("engine-" + i, "advice-lm", "v1", MODEL);
         }
@@ -96,10 +96,15 @@
                 EndlessTarget.start(mStore, name + "-engine", "advice-lm", MODEL, shape));
     }
 
-    private static Map<String, Object> desiredState() {
+    /** Publishes a desired state in which the clients' account has no key. */
+    void withdrawKeys() {
+        mStore.put("op/config", desiredState(4, List.of()));
+    }
+
+    private static Map<String, Object> desiredState(int version, List<String> keys) {
         return Map.of(
                 "version",
-                3,
+                version,
                 "routes",
                 List.of(
                         route("r-quote", "/quotes/", "idempotent", "slotdesk-app", false),
@@ -119,12 +124,7 @@
                 "limits",
                 Map.of(),
                 "tenants",
-                List.of(
-                        Map.of(
-                                "name",
-                                HostedClients.ACCOUNT,
-                                "api_keys",
-                                List.of(HostedClients.KEY))));
+                List.of(Map.of("name", HostedClients.ACCOUNT, "api_keys", keys)));
     }
 
     private static Map<String, Object> route(
