--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -32,7 +32,7 @@
 
     private HostedDeployment(Path folder, int nodes, NodeCommand command, StoreProxy proxy)
             throws IOException {
-        mStore.put("op/config", desiredState(FIRST_VERSION, List.of(), 0));
+        mStore.put("op/config", desiredState(FIRST_VERSION, List.of(HostedClients.KEY), List.of(), 0));
         for (int i = 0; i < ENGINES; i++) {
             addTarget("engine-" + i, "advice-lm", "v1", MODEL);
         }
@@ -115,11 +115,16 @@
      * @param coldPerS requests per second that a cold plain service bears, zero if it bears all
      */
     void publishDesiredState(long version, List<String> regions, double coldPerS) {
-        mStore.put("op/config", desiredState(version, regions, coldPerS));
+        mStore.put("op/config", desiredState(version, List.of(HostedClients.KEY), regions, coldPerS));
+    }
+
+    /** Publishes a desired state in which the clients' account has no key. */
+    void withdrawKeys() {
+        mStore.put("op/config", desiredState(FIRST_VERSION + 1, List.of(), List.of(), 0));
     }
 
     private static Map<String, Object> desiredState(
-            long version, List<String> regions, double coldPerS) {
+            long version, List<String> keys, List<String> regions, double coldPerS) {
         return Map.of(
                 "version",
                 version,
@@ -152,12 +157,7 @@
                 "limits",
                 Map.of(),
                 "tenants",
-                List.of(
-                        Map.of(
-                                "name",
-                                HostedClients.ACCOUNT,
-                                "api_keys",
-                                List.of(HostedClients.KEY))));
+                List.of(Map.of("name", HostedClients.ACCOUNT, "api_keys", keys)));
     }
 
     private static Map<String, Object> route(
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -44,7 +44,6 @@
     private final DelayedTasks mDelayed;
     private boolean mIsStopping;
     private boolean mIsDraining;
-    private boolean mIsHeld;
 
     /**
      * Creates a manager.
@@ -349,10 +348,8 @@
             mAcquirer.takeOverBatches(isSweeper && isSettled);
         }
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
-            if (!mIsDraining && !mIsHeld) {
-                mRunner.tick(owned);
-            }
             if (!mIsDraining) {
+                mRunner.tick(owned);
                 mSaver.tick(owned);
             }
             mAppender.tick(owned);
@@ -369,7 +366,7 @@
      * @param isHeld true if no item may be sent
      */
     public void holdItems(boolean isHeld) {
-        mIsHeld = isHeld;
+        mRunner.hold(isHeld);
     }
 
     /** Lets a batch go from memory; from then on it is read from the store. */
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -69,6 +69,7 @@
     private final Ranks mRanks;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
+    private boolean mIsHeld;
     private boolean mIsStopped;
 
     ItemRunner(
@@ -111,6 +112,11 @@
         }
     }
 
+    /** Sets whether items wait, because it is not known whether their batches have ended. */
+    void hold(boolean isHeld) {
+        mIsHeld = isHeld;
+    }
+
     /** Stops placing items. */
     void stop() {
         mIsStopped = true;
@@ -166,6 +172,9 @@
 
         @Override
         public boolean place() {
+            if (mIsHeld) {
+                return false;
+            }
             long nowMs = mNowMs.getAsLong();
             return mRun.state() == ItemState.SCORING
                     ? mScorer.score(mOwned, mRun, nowMs)
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -27,6 +27,12 @@
      */
     private static final int MAX_APPEND_BYTES = 512 << 10;
 
+    /**
+     * Time after an append in which only the last results of a batch are appended, in milliseconds.
+     * Each append has a price, and trainers read about twice a second.
+     */
+    private static final long MIN_INTERVAL_MS = 250;
+
     private final BatchStore mStore;
     private final Executor mThread;
     private final Backoff mBackoff;
@@ -61,7 +67,7 @@
     }
 
     private Void onAppended(OwnedBatch owned, List<ItemResult> results) {
-        owned.onAppended(results);
+        owned.onAppended(results, mNowMs.getAsLong() + MIN_INTERVAL_MS);
         Decision.of("results_listed")
                 .with("batch", owned.batch().id().value())
                 .with("results", results.size())
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -195,12 +195,11 @@
             fail(pending, 0);
             return;
         }
-        long waitedMs = nowMs - pending.arrivedMs();
         OptionalLong retryAfterMs =
                 pending.isExhausted()
                         ? OptionalLong.of(WaitRule.RETRY_AFTER_MS)
                         : WaitRule.rejectionMs(
-                                waitedMs,
+                                nowMs - pending.arrivedMs(),
                                 pending.deadlineMs() - pending.arrivedMs(),
                                 pending.route().sloMs(),
                                 mSelection.permitWaitMs(pending, nowMs));
