Learn how much work each target takes well

Cause: the slots that a target names were taken as what it bears; some targets slow down long before they are full, others for some seconds. Change: capacity/GradientLimit, one per target and process, from the means of 8 units of work per kind against the shortest one there; items and scores go only to targets with a place by it, and the chooser takes load over these places. Never above the slots.

--- a/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/PolicyExperiments.java
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/PolicyExperiments.java
@@ -24,6 +24,7 @@
         experiments.put("scaling", ScalingExperiment::run);
         experiments.put("freshness", FreshnessExperiment::run);
         experiments.put("claim", ClaimExperiment::run);
+        experiments.put("capacity", CapacityExperiment::run);
         Set<String> selected = args.length == 0 ? experiments.keySet() : Set.of(args);
         for (String name : selected) {
             if (!experiments.containsKey(name)) {
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -218,7 +218,7 @@
 
     private static Predicate<TargetState> filter(Batch batch, ItemRun run, long nowMs) {
         return t ->
-                t.inFlight() < t.record().slots()
+                t.hasPlace()
                         && !t.isAvoided(nowMs)
                         && run.allows(t, nowMs)
                         && isFresh(batch, t.record().version(batch.model()));
@@ -318,7 +318,11 @@
             } else if (mIntervalEvents > INTERVAL_EVENTS) {
                 long eventIntervalMs = (nowMs - mIntervalStartMs) / INTERVAL_EVENTS;
                 mRun.setEventIntervalMs(eventIntervalMs);
-                mRun.target().ifPresent(t -> t.recordDuration(eventIntervalMs));
+                mRun.target()
+                        .ifPresent(
+                                t ->
+                                        t.recordInterval(
+                                                mOwned.batch().route(), eventIntervalMs, nowMs));
                 moveIfSlow(mOwned, mRun);
                 mIntervalStartMs = nowMs;
                 mIntervalEvents = 1;
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemScorer.java
@@ -9,6 +9,7 @@
 import dev.cactusspan.fleet.TargetRequest;
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
+import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.result.SendFailure;
 import java.util.List;
@@ -74,10 +75,7 @@
         List<TargetState> candidates =
                 mTargets.candidates(
                         route.get().chooseService(0),
-                        t ->
-                                t.inFlight() < t.record().slots()
-                                        && !t.isAvoided(nowMs)
-                                        && run.allows(t, nowMs));
+                        t -> t.hasPlace() && !t.isAvoided(nowMs) && run.allows(t, nowMs));
         Optional<TargetState> target = mChooser.choose(candidates, nowMs);
         if (target.isEmpty()) {
             return false;
@@ -100,7 +98,7 @@
                 mPort.send(
                         target.get().record(),
                         request,
-                        new ScoreListener(owned, run, attempt, attempts)));
+                        new ScoreListener(owned, run, attempt, attempts, route.get().name())));
         return true;
     }
 
@@ -110,14 +108,16 @@
         private final ItemRun mRun;
         private final int mAttempt;
         private final int mMaxAttempts;
+        private final RouteId mRoute;
         private final long mStartedMs = mNowMs.getAsLong();
         private Optional<ResponseHead> mHead = Optional.empty();
 
-        ScoreListener(OwnedBatch owned, ItemRun run, int attempt, int maxAttempts) {
+        ScoreListener(OwnedBatch owned, ItemRun run, int attempt, int maxAttempts, RouteId route) {
             mOwned = owned;
             mRun = run;
             mAttempt = attempt;
             mMaxAttempts = maxAttempts;
+            mRoute = route;
         }
 
         @Override
@@ -149,7 +149,7 @@
             mRun.endAttempt();
             if (head.isSuccessWithDigest()) {
                 target.recordSuccess(nowMs);
-                target.recordDuration(nowMs - mStartedMs);
+                target.recordRequest(mRoute, nowMs - mStartedMs, nowMs);
                 mRun.apply(ItemEvent.SCORED);
                 mOwned.finish(mRun, mRun.result(head.digest()), nowMs);
                 return;
--- /dev/null
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** How much work each target takes well, learned from how long work takes there. */
+package dev.cactusspan.capacity;
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetChooser.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetChooser.java
@@ -81,7 +81,7 @@
                 target.meanDurationMs() == 0 || fastestMs == 0
                         ? 1
                         : Math.max(1, target.meanDurationMs() / fastestMs);
-        double load = (target.inFlight() + 1.0) / target.record().slots() * slowness;
+        double load = (target.inFlight() + 1.0) / target.places() * slowness;
         double distance =
                 switch (mDistances.to(target.record().zone())) {
                     case SAME_ZONE -> 0;
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -1,6 +1,10 @@
 package dev.cactusspan.fleet;
 
+import dev.cactusspan.capacity.ConcurrencyLimit;
+import dev.cactusspan.capacity.GradientLimit;
+import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.observe.Decision;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -33,15 +37,21 @@
     /** Weight of the newest outcome in the error rate: about the last ten responses count. */
     private static final double ERROR_WEIGHT = 0.2;
 
+    /** Minimum time between log lines on the learned limit of a target, in milliseconds. */
+    private static final long LIMIT_LOG_MS = 1_000;
+
     /** Half-life of the error rate of a target that receives no work, in milliseconds. */
     private static final double ERROR_HALF_LIFE_MS = 3_000;
 
     private final RequestAllowance mAllowance;
     private final Consumer<ServiceId> mOnPlace;
+    private final ConcurrencyLimit mLimit = new GradientLimit();
     private TargetRecord mRecord;
     private double mErrorRate;
     private long mErrorRateAsOfMs;
     private int mInFlight;
+    private int mLoggedPlaces;
+    private long mLimitLoggedMs;
     private boolean mHasSaidLeaving;
     private int mConsecutiveFailures;
     private long mLastFailureMs;
@@ -54,6 +64,7 @@
     TargetState(TargetRecord record, Consumer<ServiceId> onPlace) {
         mRecord = record;
         mOnPlace = onPlace;
+        mLoggedPlaces = record.slots();
         mAllowance = new RequestAllowance(record.id());
     }
 
@@ -220,6 +231,57 @@
         mAvoidUntilMs = Math.max(mAvoidUntilMs, untilMs);
     }
 
+    /**
+     * Records the interval between two events of a request that is in flight.
+     *
+     * @param kind kind of the request
+     * @param intervalMs the interval in milliseconds
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void recordInterval(RouteId kind, long intervalMs, long nowMs) {
+        recordWork(kind, intervalMs, mInFlight, nowMs);
+    }
+
+    /**
+     * Records the duration of a request that has just ended.
+     *
+     * @param kind kind of the request
+     * @param durationMs the duration in milliseconds
+     * @param nowMs monotonic clock in milliseconds
+     */
+    public void recordRequest(RouteId kind, long durationMs, long nowMs) {
+        recordWork(kind, durationMs, mInFlight + 1, nowMs);
+    }
+
+    private void recordWork(RouteId kind, long durationMs, int inFlight, long nowMs) {
+        recordDuration(durationMs);
+        int before = places();
+        mLimit.record(kind.value(), (double) durationMs, inFlight, nowMs);
+        int places = places();
+        if (places > before) {
+            notifyPlace();
+        }
+        boolean isChanged = (places < mRecord.slots()) != (mLoggedPlaces < mRecord.slots());
+        if (isChanged && nowMs - mLimitLoggedMs >= LIMIT_LOG_MS) {
+            mLimitLoggedMs = nowMs;
+            mLoggedPlaces = places;
+            logLimit(kind, durationMs, inFlight);
+        }
+    }
+
+    private void logLimit(RouteId kind, long durationMs, int inFlight) {
+        boolean hasFallen = mLoggedPlaces < mRecord.slots();
+        Decision.of(hasFallen ? "learned_limit_fell" : "learned_limit_recovered")
+                .with("target", mRecord.id().value())
+                .with("service", mRecord.service().value())
+                .with("kind", kind.value())
+                .with("places", mLoggedPlaces)
+                .with("slots", mRecord.slots())
+                .with("in_flight", inFlight)
+                .with("duration_ms", durationMs)
+                .info();
+    }
+
     /**
      * Records the duration of a unit of work: a request, or the interval between two events.
      *
@@ -288,6 +350,24 @@
         return mInFlight;
     }
 
+    /**
+     * Returns how much work of this process the target takes well at the same time, as learned.
+     *
+     * @return 1 to the number of its slots
+     */
+    public int places() {
+        return mLimit.places(mRecord.slots());
+    }
+
+    /**
+     * Returns whether the target has a place for further work of this process.
+     *
+     * @return false if as much is in flight as it takes well
+     */
+    public boolean hasPlace() {
+        return mInFlight < places();
+    }
+
     /**
      * Returns whether the target should be avoided for now.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -241,6 +241,15 @@
         return earliestMs;
     }
 
+    /**
+     * Returns how many targets take less work well than they have slots, as learned here.
+     *
+     * @return the number of targets
+     */
+    public long reducedCount() {
+        return mTargets.values().stream().filter(t -> t.places() < t.record().slots()).count();
+    }
+
     /**
      * Returns all known targets.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -357,7 +357,8 @@
         }
         if (head.isSuccessWithDigest()) {
             attempt.target().recordSuccess(nowMs);
-            attempt.target().recordDuration(nowMs - attempt.startedMs());
+            attempt.target()
+                    .recordRequest(pending.route().name(), nowMs - attempt.startedMs(), nowMs);
             pending.activeBefore(attempt)
                     .forEach(a -> a.target().recordLate(nowMs - a.startedMs(), nowMs));
             pending.sink().respond(head.status(), head.headers(), attempt.body());
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -158,6 +158,7 @@
         mLines = new ServiceLines(mThread, mFleet.targets()::nextPlaceMs, GatewayProcess::nowMs);
         mFleet.targets().setPlaceListener(mLines::wake);
         telemetry.gauge("waiting_work", mLines::size);
+        telemetry.gauge("reduced_targets", mFleet.targets()::reducedCount);
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -30,6 +30,7 @@
                         "dev.cactusspan.scaling",
                         "dev.cactusspan.placement",
                         "dev.cactusspan.waiting",
+                        "dev.cactusspan.capacity",
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
                         "dev.cactusspan.chart",
