Name urgency to engines only where client accounts differ in priority

Change: Ranks names urgency only where the desired state gives client accounts different priorities. The line of a process goes by both as before.

--- a/cactusspan/src/main/java/dev/cactusspan/waiting/Ranks.java
+++ b/cactusspan/src/main/java/dev/cactusspan/waiting/Ranks.java
@@ -57,20 +57,19 @@
      * @param service the service of the engine
      * @param rank rank of the work
      * @return 0 to 9, where 0 is the most urgent; empty if the service has no engines, or if all
-     *     its work has the same rank
+     *     client accounts have the same priority. Routes alone name none: more urgent runs preempt
+     *     others in the middle of their texts, which are then read and generated again elsewhere
      */
     public OptionalInt urgency(ServiceId service, Rank rank) {
         Optional<DesiredState> desired =
                 mDesired.get()
-                        .filter(d -> d.service(service).map(FleetService::isEngine).orElse(false));
+                        .filter(d -> d.service(service).map(FleetService::isEngine).orElse(false))
+                        .filter(d -> d.accountPriorities().size() > 1);
         if (desired.isEmpty()) {
             return OptionalInt.empty();
         }
         NavigableSet<Rank> ranks = ranks(desired.get(), service);
         int last = ranks.size() - 1;
-        if (last < 1) {
-            return OptionalInt.empty();
-        }
         int position = ranks.headSet(rank).size();
         return OptionalInt.of(position * MAX_URGENCY / Math.max(MAX_URGENCY, last));
     }
