--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -17,6 +17,9 @@
 
 /** State of a client request while it is being forwarded. */
 final class ForwardedRequest {
+    /** Maximum number of sends of one request, including refused ones. */
+    private static final int MAX_SENDS = 8;
+
     private final ClientRequest mRequest;
     private ClientSink mSink;
     private final FleetRoute mRoute;
@@ -207,6 +210,11 @@
         return mSendCount;
     }
 
+    /** Returns whether the request may be sent no more. */
+    boolean isExhausted() {
+        return mSendCount >= MAX_SENDS || mPossibleRunCount >= mRoute.maxAttempts();
+    }
+
     /** Returns the number of attempts that may have run. */
     int possibleRunCount() {
         return mPossibleRunCount;
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -31,9 +31,6 @@
  */
 public final class RequestForwarder {
 
-    /** Maximum number of sends of one request, including refused ones. */
-    private static final int MAX_SENDS = 8;
-
     /** Delay before a refused request is retried, in milliseconds. */
     private static final long RETRY_DELAY_MS = 15;
 
@@ -174,7 +171,7 @@
     }
 
     private Optional<TargetState> choose(ForwardedRequest pending, long nowMs) {
-        if (isExhausted(pending)) {
+        if (pending.isExhausted()) {
             return Optional.empty();
         }
         List<TargetState> serving = mTargets.candidates(pending.service(), t -> mayRun(pending, t));
@@ -203,7 +200,7 @@
         }
         long waitedMs = nowMs - pending.arrivedMs();
         OptionalLong retryAfterMs =
-                isExhausted(pending)
+                pending.isExhausted()
                         ? OptionalLong.of(WaitRule.RETRY_AFTER_MS)
                         : WaitRule.rejectionMs(
                                 waitedMs,
@@ -218,11 +215,6 @@
                 });
     }
 
-    private static boolean isExhausted(ForwardedRequest pending) {
-        return pending.sendCount() >= MAX_SENDS
-                || pending.possibleRunCount() >= pending.route().maxAttempts();
-    }
-
     private OptionalLong refusedMs(ForwardedRequest pending, long nowMs) {
         return mCrashes.hasSuspects()
                 ? mCrashes.refusedMs(pending.fingerprint(), nowMs)
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -10,6 +10,7 @@
 import dev.cactusspan.fleet.ObservingTargets;
 import dev.cactusspan.fleet.TargetChooser;
 import dev.cactusspan.fleet.TargetPort;
+import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.forward.CrashGuard;
 import dev.cactusspan.forward.RequestForwarder;
 import dev.cactusspan.forward.StreamResumer;
@@ -155,10 +156,7 @@
                         GatewayProcess::nowMs);
         mWeights = newWeights(port);
         mRanks = new Ranks(mFleet::desiredState);
-        mLines = new ServiceLines(mThread, mFleet.targets()::nextPlaceMs, GatewayProcess::nowMs);
-        mFleet.targets().setPlaceListener(mLines::wake);
-        telemetry.gauge("waiting_work", mLines::size);
-        telemetry.gauge("reduced_targets", mFleet.targets()::reducedCount);
+        mLines = newLines();
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mThread, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
@@ -227,6 +225,15 @@
                 mWallClock);
     }
 
+    private ServiceLines newLines() {
+        TargetTable targets = mFleet.targets();
+        ServiceLines lines = new ServiceLines(mThread, targets::nextPlaceMs, GatewayProcess::nowMs);
+        targets.setPlaceListener(lines::wake);
+        mTelemetry.gauge("waiting_work", lines::size);
+        mTelemetry.gauge("reduced_targets", targets::reducedCount);
+        return lines;
+    }
+
     private StreamOriginExchange newOrigins(KeyStore store) {
         return new StreamOriginExchange(
                 mFleet.targets(),
