--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -32,7 +32,8 @@
 
     private HostedDeployment(Path folder, int nodes, NodeCommand command, StoreProxy proxy)
             throws IOException {
-        mStore.put("op/config", desiredState(FIRST_VERSION, List.of(HostedClients.KEY), List.of(), 0));
+        mStore.put(
+                "op/config", desiredState(FIRST_VERSION, List.of(HostedClients.KEY), List.of(), 0));
         for (int i = 0; i < ENGINES; i++) {
             addTarget("engine-" + i, "advice-lm", "v1", MODEL);
         }
@@ -115,7 +116,8 @@
      * @param coldPerS requests per second that a cold plain service bears, zero if it bears all
      */
     void publishDesiredState(long version, List<String> regions, double coldPerS) {
-        mStore.put("op/config", desiredState(version, List.of(HostedClients.KEY), regions, coldPerS));
+        mStore.put(
+                "op/config", desiredState(version, List.of(HostedClients.KEY), regions, coldPerS));
     }
 
     /** Publishes a desired state in which the clients' account has no key. */
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ForwardedRequest.java
@@ -210,9 +210,9 @@
         return mSendCount;
     }
 
-    /** Tells whether the request may be sent no more. */
+    /** Returns whether the request may be sent no more. */
     boolean isExhausted() {
-        return mSendCount >= MAX_SENDS || possibleRunCount() >= mRoute.maxAttempts();
+        return mSendCount >= MAX_SENDS || mPossibleRunCount >= mRoute.maxAttempts();
     }
 
     /** Returns the number of attempts that may have run. */
--- a/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/ArchitectureTest.java
@@ -35,6 +35,7 @@
                         "dev.cactusspan.placement",
                         "dev.cactusspan.region",
                         "dev.cactusspan.waiting",
+                        "dev.cactusspan.capacity",
                         "dev.cactusspan.fleet",
                         "dev.cactusspan.forward",
                         "dev.cactusspan.intake",
