Count the starts of an emulated target atomically

Cause: Error Prone rejects an increment of a volatile field, so that the module of stand-ins did not build under Maven; ZoneRulesTest had been run without it.

Red before: mvn compile of cactusspan-standin.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -77,7 +77,7 @@
     private volatile Optional<RequestLimitCheck> mLimitCheck = Optional.empty();
     private volatile int mRegisteredPort;
     private volatile String mZone = "zone-a";
-    private volatile long mBorn = 1;
+    private final AtomicLong mBorn = new AtomicLong(1);
     private volatile long mColdMs;
     private volatile Optional<ColdTargetCheck> mColdCheck = Optional.empty();
     private final AtomicInteger mRequests = new AtomicInteger();
@@ -235,7 +235,7 @@
      * @param coldPerS requests per second that it bears
      */
     void returnCold(long coldMs, double coldPerS) {
-        mBorn++;
+        mBorn.incrementAndGet();
         mColdMs = coldMs;
         mColdCheck = Optional.of(new ColdTargetCheck(mId, coldPerS, coldMs, mObservations));
         register();
@@ -251,7 +251,7 @@
         entry.put("state", mIsDraining ? "draining" : "ready");
         entry.put("cold_remaining_ms", mColdMs);
         entry.put("sequence", mSequence.get());
-        entry.put("born", mBorn);
+        entry.put("born", mBorn.get());
         if (!mModel.isEmpty()) {
             entry.put("models", List.of(Map.of("name", mModel, "version", mVersion.get())));
         }
