--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -366,7 +366,7 @@
      * @param isHeld true if no item may be sent
      */
     public void holdItems(boolean isHeld) {
-        mRunner.hold(isHeld);
+        mRunner.line().hold(isHeld);
     }
 
     /** Lets a batch go from memory; from then on it is read from the store. */
@@ -391,7 +391,7 @@
     /** Stops running items and saves their texts; finished results are still appended. */
     public void drain() {
         mIsDraining = true;
-        mRunner.stop();
+        mRunner.line().stop();
         for (OwnedBatch owned : mOwned.values()) {
             mSaver.save(owned);
             owned.runs().forEach(ItemRun::cancelAttempt);
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -9,18 +9,13 @@
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.fleet.TextEvent;
-import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.SendFailure;
-import dev.cactusspan.waiting.Flow;
-import dev.cactusspan.waiting.Rank;
 import dev.cactusspan.waiting.Ranks;
 import dev.cactusspan.waiting.ServiceLines;
-import dev.cactusspan.waiting.WaitingWork;
-import dev.cactusspan.waiting.WorkOrder;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -64,13 +59,10 @@
     private final TargetChooser mChooser;
     private final ItemScorer mScorer;
     private final ResidencyRule mResidency;
-    private final ServiceLines mLines;
     private final RunMover mMover;
-    private final Ranks mRanks;
+    private final ItemLine mLine;
     private final Telemetry mTelemetry;
     private final LongSupplier mNowMs;
-    private boolean mIsHeld;
-    private boolean mIsStopped;
 
     ItemRunner(
             TargetTable targets,
@@ -87,9 +79,8 @@
         mChooser = chooser;
         mScorer = scorer;
         mResidency = residency;
-        mLines = lines;
         mMover = new RunMover(targets, chooser, residency, lines, nowMs);
-        mRanks = ranks;
+        mLine = new ItemLine(lines, ranks, scorer, this::place);
         mTelemetry = telemetry;
         mNowMs = nowMs;
     }
@@ -107,79 +98,21 @@
             if (run.target().isPresent()) {
                 checkProgress(run, nowMs);
             } else if (!run.isInLine() && nowMs >= run.nextAttemptMs()) {
-                enterLine(owned, run);
+                mLine.enter(owned, run);
             }
         }
     }
 
-    /** Sets whether items wait, because it is not known whether their batches have ended. */
-    void hold(boolean isHeld) {
-        mIsHeld = isHeld;
+    /** Returns the line in which items wait for a place. */
+    ItemLine line() {
+        return mLine;
     }
 
-    /** Stops placing items. */
-    void stop() {
-        mIsStopped = true;
-    }
-
-    /** Has an item wait for a place at a target that generates or scores its text. */
-    private void enterLine(OwnedBatch owned, ItemRun run) {
-        Batch batch = owned.batch();
-        Optional<ServiceId> service =
-                run.state() == ItemState.SCORING
-                        ? mScorer.service(run)
-                        : Optional.of(batch.service());
-        if (service.isEmpty()) {
-            return;
-        }
-        run.enterLine();
-        mLines.add(service.get(), new ItemWork(owned, run), order(owned, run));
-    }
-
-    private WorkOrder order(OwnedBatch owned, ItemRun run) {
-        Batch batch = owned.batch();
-        return new WorkOrder(
-                rank(batch, run),
-                run.need(),
-                new Flow(batch.account(), batch.route()),
-                owned.dueMs(),
-                run.position());
-    }
-
-    private Rank rank(Batch batch, ItemRun run) {
-        return mRanks.of(batch.host(), run.item().path(), Optional.of(batch.account()));
-    }
-
-    /** An item that waits for a place. */
-    private final class ItemWork implements WaitingWork {
-        private final OwnedBatch mOwned;
-        private final ItemRun mRun;
-
-        ItemWork(OwnedBatch owned, ItemRun run) {
-            mOwned = owned;
-            mRun = run;
-        }
-
-        @Override
-        public boolean isWaiting() {
-            return !mIsStopped && mOwned.isRunning() && mRun.isInLine() && mRun.isWaiting();
-        }
-
-        @Override
-        public Object needs() {
-            return List.of(mOwned.batch().id(), mRun.needs());
-        }
-
-        @Override
-        public boolean place() {
-            if (mIsHeld) {
-                return false;
-            }
-            long nowMs = mNowMs.getAsLong();
-            return mRun.state() == ItemState.SCORING
-                    ? mScorer.score(mOwned, mRun, nowMs)
-                    : generate(mOwned, mRun, nowMs);
-        }
+    private boolean place(OwnedBatch owned, ItemRun run) {
+        long nowMs = mNowMs.getAsLong();
+        return run.state() == ItemState.SCORING
+                ? mScorer.score(owned, run, nowMs)
+                : generate(owned, run, nowMs);
     }
 
     private void checkProgress(ItemRun run, long nowMs) {
@@ -216,7 +149,7 @@
         mMover.consider(
                 owned,
                 run,
-                () -> order(owned, run),
+                () -> mLine.order(owned, run),
                 () -> filter(owned.batch(), run, mNowMs.getAsLong()).and(run::mayContinueAt),
                 target -> move(owned, run, target));
     }
@@ -295,7 +228,7 @@
                         Optional.of(batch.account()),
                         Math.max(1, owned.remainingMs(nowMs)),
                         run.lastEvent(),
-                        mRanks.urgency(batch.service(), rank(batch, run)));
+                        mLine.urgency(batch, run));
         Decision.of("item_sent")
                 .with("request", run.item().id().value())
                 .with("target", run.latestTarget())
@@ -477,7 +410,7 @@
             interrupt(run, "the target answered " + head.status(), nowMs);
             if (head.isNotRun()) {
                 run.retryAt(nowMs);
-                enterLine(owned, run);
+                mLine.enter(owned, run);
             }
         }
     }
@@ -508,6 +441,6 @@
             return;
         }
         run.apply(ItemEvent.TEXT_WHOLE);
-        enterLine(owned, run);
+        mLine.enter(owned, run);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -45,7 +45,6 @@
 import dev.cactusspan.time.WallClock;
 import dev.cactusspan.waiting.Ranks;
 import dev.cactusspan.waiting.ServiceLines;
-import dev.cactusspan.wire.Message;
 import java.io.IOException;
 import java.net.URI;
 import java.util.List;
@@ -395,7 +394,7 @@
      */
     public void start() throws IOException {
         StoredFormats.prepare();
-        mPeers.start(this::respond);
+        mPeers.start(new PeerRequests(mDirect, mPermits, mReader));
         mAdmin.start();
         mServer.start();
         mClientProbe = mServer.newProbe(mThread, atMs -> mGate.record(nowMs() - atMs));
@@ -406,18 +405,6 @@
                 .info();
     }
 
-    private void respond(Message request, PeerClient.ReplyConsumer consumer) {
-        if (request instanceof Message.StoreRequest storeRequest) {
-            RelayedStore.respond(storeRequest, mDirect, consumer);
-            return;
-        }
-        if (request instanceof Message.PermitsRequest permitsRequest) {
-            mPermits.respond(permitsRequest, consumer);
-            return;
-        }
-        mReader.respond(request, consumer);
-    }
-
     private void tick() {
         mProbe.tick();
         mClientProbe.tick();
