--- a/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/CapacityExperiment.java
+++ b/cactusspan-benchmark/src/main/java/dev/cactusspan/benchmark/CapacityExperiment.java
@@ -38,7 +38,7 @@
 
     private final EventLoop mLoop = new EventLoop();
     private final SplittableRandom mRandom;
-    private final List<Process> mProcesses = new ArrayList<>();
+    private final List<Sender> mProcesses = new ArrayList<>();
     private final int[] mTotal = new int[TARGETS];
     private final Samples mTimes = new Samples();
     private int mOffered;
@@ -47,7 +47,7 @@
     private CapacityExperiment(Supplier<ConcurrencyLimit> limits, long seed) {
         mRandom = new SplittableRandom(seed);
         for (int i = 0; i < PROCESSES; i++) {
-            mProcesses.add(new Process(limits));
+            mProcesses.add(new Sender(limits));
         }
     }
 
@@ -93,12 +93,12 @@
     }
 
     /** A process that queues work until a target has a place for it. */
-    private final class Process {
+    private final class Sender {
         private final Deque<Double> mQueue = new ArrayDeque<>();
         private final int[] mInFlight = new int[TARGETS];
         private final ConcurrencyLimit[] mLimits = new ConcurrencyLimit[TARGETS];
 
-        Process(Supplier<ConcurrencyLimit> limits) {
+        Sender(Supplier<ConcurrencyLimit> limits) {
             for (int i = 0; i < TARGETS; i++) {
                 mLimits[i] = limits.get();
             }
