Learn what targets take well only where the settings say so

Cause: the learned limit was in force for every deployment. Change: the setting learns_capacity; without it a target is taken by its word (FixedLimit). FleetView takes the table of targets instead of making it.

--- a/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
+++ b/cactusspan/src/main/java/dev/cactusspan/command/WarmUpCommand.java
@@ -96,6 +96,7 @@
                 1,
                 0,
                 0,
+                true,
                 1,
                 0,
                 0);
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -1,7 +1,6 @@
 package dev.cactusspan.fleet;
 
 import dev.cactusspan.capacity.ConcurrencyLimit;
-import dev.cactusspan.capacity.GradientLimit;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.observe.Decision;
@@ -47,7 +46,7 @@
     private final Consumer<ServiceId> mOnPlace;
     private final ColdPeriod mCold = new ColdPeriod();
     private double mColdIssuedPerS;
-    private final ConcurrencyLimit mLimit = new GradientLimit();
+    private final ConcurrencyLimit mLimit;
     private TargetRecord mRecord;
     private double mErrorRate;
     private long mErrorRateAsOfMs;
@@ -63,7 +62,8 @@
     private double mMeanDurationMs;
     private long mMissingSinceMs = -1;
 
-    TargetState(TargetRecord record, Consumer<ServiceId> onPlace) {
+    TargetState(TargetRecord record, ConcurrencyLimit limit, Consumer<ServiceId> onPlace) {
+        mLimit = limit;
         mRecord = record;
         mOnPlace = onPlace;
         mLoggedPlaces = record.slots();
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetTable.java
@@ -1,5 +1,7 @@
 package dev.cactusspan.fleet;
 
+import dev.cactusspan.capacity.ConcurrencyLimit;
+import dev.cactusspan.capacity.FixedLimit;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
@@ -16,6 +18,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 /**
@@ -44,6 +47,7 @@
     private static final int MAX_LEAVING = 4_096;
 
     private final RegionMap mRegions;
+    private final Supplier<ConcurrencyLimit> mLimits;
     private final Map<TargetId, TargetState> mTargets = new LinkedHashMap<>();
     private Consumer<ServiceId> mOnPlace = service -> {};
     private ColdRates mColdRates = ColdRates.NONE;
@@ -56,9 +60,20 @@
      * Creates a table.
      *
      * @param regions region of each availability zone
+     * @param limits creates the limit on concurrent work of a target
      */
-    public TargetTable(RegionMap regions) {
+    public TargetTable(RegionMap regions, Supplier<ConcurrencyLimit> limits) {
         mRegions = regions;
+        mLimits = limits;
+    }
+
+    /**
+     * Creates a table of targets that are taken to bear work in all their slots.
+     *
+     * @param regions region of each availability zone
+     */
+    public TargetTable(RegionMap regions) {
+        this(regions, FixedLimit::new);
     }
 
     /** Creates a table for a deployment whose regions are unknown. */
@@ -94,7 +109,8 @@
     }
 
     private TargetState newState(TargetRecord record) {
-        TargetState state = new TargetState(record, service -> mOnPlace.accept(service));
+        TargetState state =
+                new TargetState(record, mLimits.get(), service -> mOnPlace.accept(service));
         state.setColdRate(mColdRates.issuedPerS(record.service()));
         if (hasSaidLeaving(record)) {
             state.recordLeaving();
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/FleetView.java
@@ -68,15 +68,15 @@
     FleetView(
             KeyStore store,
             NodeDirectory nodes,
-            RegionMap regions,
+            TargetTable targets,
             Executor thread,
             Supplier<Backoff> backoffs,
             FollowTimes times,
             double coldOverage,
             LongSupplier nowMs) {
         mNodes = nodes;
-        mRegions = regions;
-        mTargets = new TargetTable(regions);
+        mRegions = targets.regions();
+        mTargets = targets;
         mColdOverage = coldOverage;
         mRefreshInterval = new RefreshInterval(times.drainMs());
         mNowMs = nowMs;
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -5,6 +5,8 @@
 import dev.cactusspan.batch.BatchStore;
 import dev.cactusspan.batch.KnownOwnership;
 import dev.cactusspan.batch.StoredFormats;
+import dev.cactusspan.capacity.FixedLimit;
+import dev.cactusspan.capacity.GradientLimit;
 import dev.cactusspan.duty.DutyHolder;
 import dev.cactusspan.duty.UsageReporter;
 import dev.cactusspan.duty.WeightRollout;
@@ -258,7 +260,9 @@
         return new FleetView(
                 store,
                 mNodes,
-                mRegions,
+                new TargetTable(
+                        mRegions,
+                        mSettings.learnsCapacity() ? GradientLimit::new : FixedLimit::new),
                 mControl,
                 this::backoff,
                 new FollowTimes(
--- a/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
+++ b/cactusspan/src/main/java/dev/cactusspan/settings/GatewaySettings.java
@@ -34,6 +34,8 @@
  * @param coldOverage how many times the rate that a cold target bears it may get in any second
  * @param desiredStateMs time within which a new desired state must be in force, in milliseconds
  * @param batchEndMs time within which the end of a batch must be in force, in milliseconds
+ * @param learnsCapacity true to learn how much work each target takes well, false to take it by its
+ *     word
  * @param stopS time between the request to stop and the kill, in seconds
  * @param memoryMb memory that the process may take, in MB, zero if not known
  * @param maxFds descriptors that the process may open, zero if not known
@@ -58,6 +60,7 @@
         double coldOverage,
         long desiredStateMs,
         long batchEndMs,
+        boolean learnsCapacity,
         int stopS,
         int memoryMb,
         int maxFds) {
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/EvacuationFollowedTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/EvacuationFollowedTest.java
@@ -3,14 +3,13 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.peer.NodeDirectory;
-import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.routing.Backoff;
 import dev.cactusspan.store.FakeKeyStore;
 import dev.cactusspan.store.ManualThread;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
@@ -32,7 +31,7 @@
         return new FleetView(
                 mStore,
                 new NodeDirectory(),
-                RegionMap.of(Map.of()),
+                new TargetTable(),
                 mThread,
                 () -> new Backoff(60, 600, new SplittableRandom(1)),
                 times,
