--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -22,6 +22,7 @@
 import dev.cactusspan.forward.WaitingRequests;
 import dev.cactusspan.http.HttpClient;
 import dev.cactusspan.http.ReadProbe;
+import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.link.DrainLatch;
 import dev.cactusspan.link.TaskThread;
 import dev.cactusspan.observe.AdminServer;
@@ -183,13 +184,7 @@
         mCrashGuard = new CrashGuard(self.owner());
         mCrashes = new CrashExchange(mCrashGuard, store, mControl, GatewayProcess::nowMs);
         mOrigins = newOrigins(store);
-        TargetChooser chooser =
-                new TargetChooser(
-                        new EvacuationSpread(
-                                mRegions.distancesFrom(settings.zone()),
-                                mFleet.targets(),
-                                settings.zone()),
-                        mRandom.split());
+        TargetChooser chooser = newChooser();
         mForwarder = newForwarder(port, chooser);
         BatchStore batches = new BatchStore(store);
         mBatches = newBatches(batches, self, port, chooser);
@@ -271,6 +266,13 @@
                 GatewayProcess::nowMs);
     }
 
+    private TargetChooser newChooser() {
+        AvailabilityZoneId zone = mSettings.zone();
+        return new TargetChooser(
+                new EvacuationSpread(mRegions.distancesFrom(zone), mFleet.targets(), zone),
+                mRandom.split());
+    }
+
     private ServiceLines newLines() {
         TargetTable targets = mFleet.targets();
         ServiceLines lines = new ServiceLines(mThread, targets::nextPlaceMs, GatewayProcess::nowMs);
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchFixture.java
@@ -2,6 +2,7 @@
 
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.region.Residency;
+import dev.cactusspan.result.Result;
 import dev.cactusspan.store.FakeKeyStore;
 import dev.cactusspan.store.ManualThread;
 import java.util.ArrayList;
@@ -53,4 +54,13 @@
     List<ItemResult> stored() {
         return new BatchStore(mStore).load(ID, Residency.ANYWHERE).join().get().results();
     }
+
+    /** Submits a batch and returns where its outcome is put. */
+    List<Result<Boolean>> submit(BatchNode node, int groups, int size) {
+        List<Result<Boolean>> outcomes = new ArrayList<>();
+        node.manager()
+                .submit(BatchNode.batch(ID.value(), groups, size, mThread.nowMs()), outcomes::add);
+        mThread.runAll();
+        return outcomes;
+    }
 }
