--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -154,7 +154,9 @@
         mWallClock = wallClock;
         mHttp = HttpClient.create();
         NodeRecord self = newRecord();
-        mDirect = new PlatformStore(mHttp, uri(settings.storeAddress()), telemetry);
+        mDirect =
+                new PlatformStore(
+                        mHttp, URI.create("http://" + settings.storeAddress()), telemetry);
         mPeers = new PeerClient(self, mNodes::isKnownAddress, mControl, GatewayProcess::nowMs);
         KeyStore store = newStore(self);
         mSession = new NodeSession(store, self, mControl, backoff(), GatewayProcess::nowMs);
@@ -244,7 +246,7 @@
                 mUsageDuty,
                 mNodes,
                 self,
-                new PlatformUsage(mHttp, uri(mSettings.usageAddress())),
+                new PlatformUsage(mHttp, URI.create("http://" + mSettings.usageAddress())),
                 mSettings.usageWindowS() * MS_PER_S,
                 mControl,
                 GatewayProcess::nowMs,
@@ -387,10 +389,6 @@
         return new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, mRandom.split());
     }
 
-    private static URI uri(String address) {
-        return URI.create("http://" + address);
-    }
-
     // Operations
 
     /**
