--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/Crowd.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/Crowd.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 /**
  * Clients that misbehave in the same way.
@@ -62,12 +61,13 @@
     }
 
     private static String head(String path, String more) {
-        return String.format(
-                Locale.ROOT,
-                "POST %s HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: crowd\r\nX-Api-Key: %s\r\n%s\r\n",
-                path,
-                HostedClients.KEY,
-                more);
+        return String.join(
+                "\r\n",
+                "POST " + path + " HTTP/1.1",
+                "Host: 127.0.0.1",
+                "Attempt-Id: crowd",
+                "X-Api-Key: " + HostedClients.KEY,
+                more + "\r\n");
     }
 
     /** A body of a length that it doesn't reach. */
