Name urgency only where client accounts' priorities differ

Cause: priority 0 was counted as one of the accounts' priorities, so equal priorities other than 0 passed for differing ones; engines preempted runs of less urgent routes in the middle of their texts. Test: RanksTest.shouldNameNoUrgencyWhereAllAccountsHaveTheSamePriority, red before, green after.

--- a/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/DesiredState.java
@@ -124,6 +124,15 @@
         return priorities;
     }
 
+    /**
+     * Tells whether some client accounts have a higher priority than others.
+     *
+     * @return false if all have the same, whatever it is
+     */
+    public boolean ranksAccounts() {
+        return new HashSet<>(mPriorityByAccount.values()).size() > 1;
+    }
+
     /**
      * Returns all routes.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/waiting/Ranks.java
+++ b/cactusspan/src/main/java/dev/cactusspan/waiting/Ranks.java
@@ -64,7 +64,7 @@
         Optional<DesiredState> desired =
                 mDesired.get()
                         .filter(d -> d.service(service).map(FleetService::isEngine).orElse(false))
-                        .filter(d -> d.accountPriorities().size() > 1);
+                        .filter(DesiredState::ranksAccounts);
         if (desired.isEmpty()) {
             return OptionalInt.empty();
         }
--- a/cactusspan/src/test/java/dev/cactusspan/waiting/RanksTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/waiting/RanksTest.java
@@ -73,6 +73,17 @@
         assertThat(ranks.urgency(ENGINE, new Rank(0, 1)), is(OptionalInt.empty()));
     }
 
+    /** Equal priorities other than 0 were taken for differing ones, and runs were preempted. */
+    @Test
+    void shouldNameNoUrgencyWhereAllAccountsHaveTheSamePriority() {
+        Ranks ranks =
+                ranks(
+                        List.of(route("a", ENGINE, 1), route("b", ENGINE, 0)),
+                        account("x", 1),
+                        account("y", 1));
+        assertThat(ranks.urgency(ENGINE, new Rank(1, 1)), is(OptionalInt.empty()));
+    }
+
     @Test
     void shouldNameNoUrgencyToPlainServices() {
         Ranks ranks = ranks(List.of(route("a", PLAIN, 0)), account("x", 0), account("y", 1));
