Use no connection again after the answer to another request

What callers saw: after one late copy of an answer on a connection to a target, requests that had run were answered 502, or sent once more, until that connection ended.

Ruled out: bytes that follow an answer in the same read, for which Undertow's client closes the connection (a first version of the test sent both at once and passed without the change).

Change: HttpRequest names the header in which the server repeats ids (ResponseTag), and HttpExchange closes the connection of an answer that bears another id.

LateAnswerTest.shouldNotUseAConnectionAgainAfterTheAnswerToAnotherRequest: red on a scratch copy without the check (the third request gets the answer to the second), green with it. LateAnswerTest.shouldOpenNoMoreConnectionsThanSendsOfOneRequest answered each request with the id of another one, so that its connections may not be used again any more; it now repeats the ids, with the same bound of 3.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -31,7 +31,7 @@
 /**
  * Sends HTTP requests with Undertow's client. A limited number of idle connections is kept for a
  * short time for reuse. No connection carries the same request twice, as the answer to the first
- * send may come a second time.
+ * send may come a second time, and none is used after the answer to another request.
  */
 public final class HttpClient implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 << 10;
@@ -190,7 +190,7 @@
             if (nowMs() >= idle.expiresMs() || !connection.connection().isOpen()) {
                 newest.remove();
                 IoUtils.safeClose(connection.connection());
-            } else if (!connection.sent().mayAnswer(request.id())) {
+            } else if (!connection.sent().mayAnswer(request)) {
                 newest.remove();
                 return connection;
             }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -44,6 +44,7 @@
     private long mBodyBytes;
     private String mKeepAlive = "";
     private ResponseFraming mFraming = ResponseFraming.EXPLICIT;
+    private boolean mIsOwnResponse = true;
     private boolean mSent;
     private boolean mDone;
 
@@ -85,7 +86,7 @@
             return;
         }
         mConnection.limit().startResponse();
-        mConnection.sent().add(mRequest.id());
+        mConnection.sent().add(mRequest.tag());
         mSent = true;
         ClientRequest request = new ClientRequest();
         request.setMethod(new HttpString(mRequest.method())).setPath(target.get().value());
@@ -169,6 +170,7 @@
             headers.put(name, values.getFirst());
         }
         mKeepAlive = headers.getOrDefault("keep-alive", "");
+        mIsOwnResponse = mRequest.tag().isOwn(headers);
         mListener.onHead(status, headers);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(this::read);
@@ -233,7 +235,7 @@
             return;
         }
         if (markDone()) {
-            if (mFraming == ResponseFraming.CONNECTION_END) {
+            if (mFraming == ResponseFraming.CONNECTION_END || !mIsOwnResponse) {
                 IoUtils.safeClose(mConnection.connection());
             } else {
                 mClient.release(mRequest.server(), mConnection, mKeepAlive);
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -17,8 +17,7 @@
  * @param maxBytes maximum size of the response body; a response beyond it fails
  * @param newConnection true to open a new connection, so that a failure to connect proves that the
  *     request was not executed
- * @param id id that the server repeats in its response, the same for all sends of one request;
- *     empty if it repeats none
+ * @param tag tells the response to this request from others
  * @param maxSendDelayMs time after which the request is not sent any more, because what it says
  *     would no longer hold, in milliseconds; 0 for no limit
  */
@@ -31,7 +30,7 @@
         long timeoutMs,
         long maxBytes,
         boolean newConnection,
-        String id,
+        ResponseTag tag,
         long maxSendDelayMs) {
 
     /** Maximum size of a response body where the caller sets none, in bytes. */
@@ -67,18 +66,18 @@
                 timeoutMs,
                 maxBytes,
                 newConnection,
-                "",
+                ResponseTag.NONE,
                 0);
     }
 
     /**
-     * Returns this request with an id, so that no second send of it uses a connection on which an
+     * Returns this request with a tag, so that no second send of it uses a connection on which an
      * answer to the first may still arrive.
      *
-     * @param id id that the server repeats in its response
+     * @param tag tells the response to this request from others
      * @return the request
      */
-    public HttpRequest withId(String id) {
+    public HttpRequest withTag(ResponseTag tag) {
         return new HttpRequest(
                 method,
                 server,
@@ -88,7 +87,7 @@
                 timeoutMs,
                 maxBytes,
                 newConnection,
-                id,
+                tag,
                 maxSendDelayMs);
     }
 
@@ -108,7 +107,7 @@
                 timeoutMs,
                 maxBytes,
                 newConnection,
-                id,
+                tag,
                 maxSendDelayMs);
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/http/SentRequests.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/SentRequests.java
@@ -18,19 +18,19 @@
 
     private final Deque<String> mIds = new ArrayDeque<>();
 
-    /** Records that a request is sent; requests without an id are not told apart. */
-    void add(String id) {
-        if (id.isEmpty()) {
+    /** Records that a request is sent. */
+    void add(ResponseTag tag) {
+        if (!tag.hasId()) {
             return;
         }
         if (mIds.size() >= MAX_REMEMBERED) {
             mIds.poll();
         }
-        mIds.add(id);
+        mIds.add(tag.id());
     }
 
-    /** Tells whether an answer that bears an id may belong to an earlier send. */
-    boolean mayAnswer(String id) {
-        return !id.isEmpty() && mIds.contains(id);
+    /** Tells whether the copy of an earlier answer could be taken for the answer to a request. */
+    boolean mayAnswer(HttpRequest request) {
+        return request.tag().hasId() && mIds.contains(request.tag().id());
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -11,6 +11,7 @@
 import dev.cactusspan.http.HttpRequest;
 import dev.cactusspan.http.HttpResponse;
 import dev.cactusspan.http.ResponseListener;
+import dev.cactusspan.http.ResponseTag;
 import dev.cactusspan.id.FencingNumber;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.VmId;
@@ -71,9 +72,9 @@
                         request.timeLeftMs(),
                         MAX_RESPONSE_BYTES,
                         false,
-                        request.id(),
+                        new ResponseTag(PlatformHeaders.REQUEST_ID, request.id()),
                         MAX_SEND_DELAY_MS);
-        return mHttp.send(httpRequest, new ResponseRelay(request.id(), listener));
+        return mHttp.send(httpRequest, new ResponseRelay(httpRequest.tag(), listener));
     }
 
     static Map<String, String> headers(TargetRecord target, TargetRequest request) {
@@ -160,11 +161,11 @@
 
     /** Parses the head of a response and passes all events to the thread of the listeners. */
     private final class ResponseRelay implements ResponseListener {
-        private final String mId;
+        private final ResponseTag mTag;
         private final TargetListener mListener;
 
-        ResponseRelay(String id, TargetListener listener) {
-            mId = id;
+        ResponseRelay(ResponseTag tag, TargetListener listener) {
+            mTag = tag;
             mListener = listener;
         }
 
@@ -175,7 +176,6 @@
         }
 
         private ResponseHead head(int status, Map<String, String> headers) {
-            String echoed = PlatformHeaders.get(headers, PlatformHeaders.REQUEST_ID);
             String version = PlatformHeaders.get(headers, PlatformHeaders.WEIGHT_VERSION);
             return new ResponseHead(
                     status,
@@ -184,7 +184,7 @@
                     !PlatformHeaders.get(headers, PlatformHeaders.NOT_EXECUTED).isEmpty()
                             || status == MISDIRECTED,
                     status == MISDIRECTED,
-                    echoed.isEmpty() || echoed.equals(mId),
+                    mTag.isOwn(headers),
                     version.matches("[0-9]{1,18}")
                             ? WeightVersion.of(Long.parseLong(version))
                             : WeightVersion.NONE,
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -145,7 +145,7 @@
                             LONG_TIMEOUT_MS,
                             MAX_BODY_BYTES,
                             true,
-                            "",
+                            ResponseTag.NONE,
                             100);
             // Holds the I/O thread up, as other work does in a process without processor time.
             mHttp.newProbe(Runnable::run, () -> 0, atMs -> pause(500)).tick();
--- a/cactusspan/src/test/java/dev/cactusspan/http/KeepAliveServer.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/KeepAliveServer.java
@@ -11,17 +11,20 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
-/** Answers requests without bodies, many on a connection, and counts the connections. */
-final class KeepAliveServer implements AutoCloseable {
+/** Answers requests, many on a connection, and counts the connections. */
+public final class KeepAliveServer implements AutoCloseable {
     private static final String HEAD_END = "\r\n\r\n";
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)");
 
     private final ServerSocket mSocket;
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final AtomicInteger mConnections = new AtomicInteger();
 
     /** Answers one request. */
-    interface Responder {
+    public interface Responder {
         /**
          * Returns the bytes of the answer.
          *
@@ -31,13 +34,13 @@
         String respond(String head, int number);
     }
 
-    KeepAliveServer(Responder responder) throws IOException {
+    public KeepAliveServer(Responder responder) throws IOException {
         mSocket = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         mThreads.execute(() -> accept(responder));
     }
 
     /** Returns a complete response with a body. */
-    static String response(int status, String header, String body) {
+    public static String response(int status, String header, String body) {
         return String.join(
                 "\r\n",
                 "HTTP/1.1 " + status + " Status",
@@ -83,14 +86,22 @@
             }
             head.append((char) next);
         }
+        skipBody(in, head);
         return head.toString();
     }
 
-    URI uri() {
+    private static void skipBody(InputStream in, CharSequence head) throws IOException {
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        if (length.find()) {
+            in.skipNBytes(Long.parseLong(length.group(1)));
+        }
+    }
+
+    public URI uri() {
         return URI.create("http://127.0.0.1:" + mSocket.getLocalPort());
     }
 
-    int connections() {
+    public int connections() {
         return mConnections.get();
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/http/LateAnswerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/LateAnswerTest.java
@@ -6,6 +6,7 @@
 import dev.cactusspan.result.Result;
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +30,10 @@
     }
 
     private int send(KeepAliveServer server, String id) throws Exception {
+        return exchange(server, id).status();
+    }
+
+    private HttpResponse exchange(KeepAliveServer server, String id) throws Exception {
         HttpRequest request =
                 new HttpRequest(
                                 "GET",
@@ -39,10 +44,10 @@
                                 TIMEOUT_MS,
                                 MAX_BYTES,
                                 false)
-                        .withId(id);
+                        .withTag(new ResponseTag(ID, id));
         Result<HttpResponse> response =
                 mHttp.collect(request, MAX_BYTES).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        return response.get().status();
+        return response.get();
     }
 
     private static String refusal(String id) {
@@ -70,13 +75,37 @@
         }
     }
 
+    /**
+     * The server still works on a request when the copy of the answer before passes for its own: on
+     * this connection, each further request would get the answer to the one before it.
+     */
+    @Test
+    void shouldNotUseAConnectionAgainAfterTheAnswerToAnotherRequest() throws Exception {
+        try (KeepAliveServer server =
+                new KeepAliveServer(
+                        (head, number) ->
+                                KeepAliveServer.response(
+                                        200, number == 0 ? idLine(head) : ID + ": late", "ok"))) {
+            assertThat(exchange(server, "a").header("attempt-id"), is(Optional.of("a")));
+            assertThat(exchange(server, "b").header("attempt-id"), is(Optional.of("late")));
+            assertThat(exchange(server, "c").header("attempt-id"), is(Optional.of("c")));
+            assertThat(server.connections(), is(2));
+        }
+    }
+
+    private static String idLine(String head) {
+        return head.lines().filter(line -> line.startsWith(ID)).findFirst().orElseThrow();
+    }
+
     /**
      * Connections are paid for: other requests use them again, and so do further sends of a request
      * that other connections have carried.
      */
     @Test
     void shouldOpenNoMoreConnectionsThanSendsOfOneRequest() throws Exception {
-        try (KeepAliveServer server = new KeepAliveServer((head, number) -> refusal("x"))) {
+        try (KeepAliveServer server =
+                new KeepAliveServer(
+                        (head, number) -> KeepAliveServer.response(503, idLine(head), "full"))) {
             for (int request = 0; request < 50; request++) {
                 for (int sends = 0; sends < 3; sends++) {
                     assertThat(send(server, "r" + request), is(503));
