Take no answer to a request for the answer to an order or a load query

What callers saw: nothing yet. An order that its target had refused passed for one that holds, so that the target got its new weights only after the time-out of the order; the refusal of an order proved that a request had not run, which may then run twice.

Orders and load queries bear none, and share their connections with requests.

Change: an answer belongs to a call without an id only if it bears none, and to a request only if it bears its id. An order is the first call without an id on its connection.

--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseTag.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseTag.java
@@ -16,18 +16,24 @@
     public static final ResponseTag NONE = new ResponseTag("", "");
 
     /**
-     * Returns whether a response belongs to the request: it bears the id of the request, or none.
+     * Returns whether a response belongs to the request: it bears the id of the request, or none if
+     * the request has none.
      *
      * @param lowerCase response headers with names in lower case
      * @return false if the response belongs to another request
      */
     public boolean isOwn(Map<String, String> lowerCase) {
         return header.isEmpty()
-                || lowerCase.getOrDefault(header.toLowerCase(Locale.ROOT), id).equals(id);
+                || lowerCase.getOrDefault(header.toLowerCase(Locale.ROOT), "").equals(id);
     }
 
     /** Returns whether the responses to the request bear an id. */
     boolean hasId() {
         return !id.isEmpty();
     }
+
+    /** Returns whether the server repeats ids, but the request has none. */
+    boolean isWithoutId() {
+        return !header.isEmpty() && id.isEmpty();
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/SentRequests.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/SentRequests.java
@@ -7,7 +7,8 @@
  * The requests that were sent on one connection. Load pattern: a faulty server sends an answer
  * twice, and the second copy comes where the next answer is expected. Its id tells it from the
  * answer to another request, but not from that to a further send of the same one; such a send
- * therefore goes to a connection that has not carried the request yet.
+ * therefore goes to a connection that has not carried the request yet. Calls without an id cannot
+ * be told apart at all, so one that changes state is the first of them on its connection.
  */
 final class SentRequests {
     /**
@@ -17,9 +18,11 @@
     static final int MAX_REMEMBERED = 16;
 
     private final Deque<String> mIds = new ArrayDeque<>();
+    private boolean mHasCallWithoutId;
 
     /** Records that a request is sent. */
     void add(ResponseTag tag) {
+        mHasCallWithoutId |= tag.isWithoutId();
         if (!tag.hasId()) {
             return;
         }
@@ -31,6 +34,10 @@
 
     /** Tells whether the copy of an earlier answer could be taken for the answer to a request. */
     boolean mayAnswer(HttpRequest request) {
-        return request.tag().hasId() && mIds.contains(request.tag().id());
+        ResponseTag tag = request.tag();
+        if (tag.hasId()) {
+            return mIds.contains(tag.id());
+        }
+        return tag.isWithoutId() && !request.method().equals("GET") && mHasCallWithoutId;
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformTargets.java
@@ -16,6 +16,7 @@
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.VmId;
 import dev.cactusspan.id.WeightVersion;
+import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.result.SendFailure;
 import dev.cactusspan.text.JsonText;
@@ -46,6 +47,9 @@
     private static final int MAX_ORDER_RESPONSE_BYTES = 16 << 10;
     private static final int MAX_REPORT_BYTES = 1 << 20;
 
+    /** Tag of orders and load queries, which bear no id. */
+    private static final ResponseTag CALL = new ResponseTag(PlatformHeaders.REQUEST_ID, "");
+
     private final HttpClient mHttp;
     private final Executor mThread;
 
@@ -99,11 +103,13 @@
     @Override
     public CompletableFuture<Result<TargetLoad>> load(TargetRecord target) {
         return mHttp.collect(
-                        HttpRequest.get(target.address(), "/-/report", ORDER_TIMEOUT_MS),
+                        HttpRequest.get(target.address(), "/-/report", ORDER_TIMEOUT_MS)
+                                .withTag(CALL),
                         MAX_REPORT_BYTES)
                 .thenApply(
                         r ->
-                                r.flatMap(a -> JsonText.read(a.body(), JsonNode.class))
+                                r.flatMap(a -> own(a, ErrorKind.TARGET_FAILED))
+                                        .flatMap(a -> JsonText.read(a.body(), JsonNode.class))
                                         .map(
                                                 n ->
                                                         new TargetLoad(
@@ -137,16 +143,29 @@
                         target.id().value());
         HttpRequest httpRequest =
                 new HttpRequest(
-                        "POST",
-                        target.address(),
-                        "/-/order",
-                        headers,
-                        JsonText.write(order),
-                        ORDER_TIMEOUT_MS,
-                        HttpRequest.DEFAULT_MAX_BYTES,
-                        false);
+                                "POST",
+                                target.address(),
+                                "/-/order",
+                                headers,
+                                JsonText.write(order),
+                                ORDER_TIMEOUT_MS,
+                                HttpRequest.DEFAULT_MAX_BYTES,
+                                false)
+                        .withTag(CALL);
         return mHttp.collectWrite(httpRequest, MAX_ORDER_RESPONSE_BYTES)
-                .thenApply(r -> r.map(PlatformTargets::outcome));
+                .thenApply(
+                        r ->
+                                r.flatMap(a -> own(a, ErrorKind.OUTCOME_UNKNOWN))
+                                        .map(PlatformTargets::outcome));
+    }
+
+    /** Returns the response to a call, or a failure if it belongs to a request. */
+    private static Result<HttpResponse> own(HttpResponse response, ErrorKind kind) {
+        if (CALL.isOwn(response.headers())) {
+            return Result.of(response);
+        }
+        String id = PlatformHeaders.get(response.headers(), PlatformHeaders.REQUEST_ID);
+        return Result.fail(kind, "the answer belongs to request " + id);
     }
 
     private static OrderOutcome outcome(HttpResponse response) {
