Follow the items behind one that cannot be taken

What callers saw: nothing on their own; where another writer left an odd entry among those of the targets, a process knew of the entries behind it, and that some were gone, later than it had to, or not before the next list.

Cause: a listener that throws at an item ended the handling of that page or watch response, so that the rest waited for the next call, and a list that was cut short was never complete.

Ruled out: the thread ends (TaskThread logs the exception and goes on).

Change: PrefixMirror logs item_not_taken with the key and goes on with the next item.

PrefixMirrorTest.shouldFollowTheItemsBehindOneThatItsListenerCannotTake: red before (the exception of the listener), green with it.

--- a/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
+++ b/cactusspan/src/main/java/dev/cactusspan/store/PrefixMirror.java
@@ -224,7 +224,7 @@
         }
         mItems.put(item.key(), item);
         mRemovedAt.remove(item.key());
-        mListener.onChange(item.key(), Optional.of(item));
+        notifyListener(item.key(), item.revision(), Optional.of(item));
     }
 
     private void remove(String key, long revision) {
@@ -234,7 +234,23 @@
         }
         mItems.remove(key);
         mRemovedAt.put(key, revision);
-        mListener.onChange(key, Optional.empty());
+        notifyListener(key, revision, Optional.empty());
+    }
+
+    /**
+     * Passes a change on. Other writers may write what a listener cannot take; the items behind it
+     * are followed all the same.
+     */
+    private void notifyListener(String key, long revision, Optional<StoredItem> item) {
+        try {
+            mListener.onChange(key, item);
+        } catch (RuntimeException e) {
+            Decision.of("item_not_taken")
+                    .with("key", key)
+                    .with("revision", revision)
+                    .with("reason", e.toString())
+                    .warn();
+        }
     }
 
     private void succeeded() {
--- a/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/PrefixMirrorTest.java
@@ -21,6 +21,7 @@
     private final ManualThread mThread = new ManualThread();
     private final FakeKeyStore mStore = new FakeKeyStore(mThread);
     private final Map<String, Long> mMirrored = new HashMap<>();
+    private String mOddKey = "";
     private final PrefixMirror mMirror =
             new PrefixMirror(
                     mStore,
@@ -32,6 +33,9 @@
                     this::changed);
 
     private void changed(String key, Optional<StoredItem> item) {
+        if (key.equals(mOddKey)) {
+            throw new IllegalArgumentException("odd item");
+        }
         item.ifPresentOrElse(
                 i -> {
                     assertThat(i.revision() > mMirrored.getOrDefault(key, 0L), is(true));
@@ -72,6 +76,25 @@
         assertThat(mMirror.isLoaded(), is(true));
     }
 
+    /** Guards against one odd item that keeps the process from the items behind it. */
+    @Test
+    void shouldFollowTheItemsBehindOneThatItsListenerCannotTake() {
+        mOddKey = "a/3";
+        for (int i = 0; i < 10; i++) {
+            mStore.put("a/" + i, new byte[0]);
+        }
+        run(200);
+        assertThat(mMirrored.size(), is(9));
+        assertThat(mMirror.isHealthy(), is(true));
+        mStore.put("a/3", new byte[0]);
+        mStore.put("a/4", new byte[0]);
+        mStore.put("a/10", new byte[0]);
+        run(4_000);
+        mOddKey = "";
+        assertThat(mMirrored.size(), is(10));
+        assertThat(mMirrored.get("a/4"), is(stored().get("a/4")));
+    }
+
     @Test
     void shouldListAgainWhenTheHistoryIsLost() {
         mStore.put("a/1", new byte[0]);
