Use entries of targets as a whole or not at all

Cause: the reader checked that fields are there and of some type, not that they fit. Port 0 or 65536, host names, "a b:80" and numbers beyond the range became targets, numbers that wrapped round silently among them; some made it throw. The same for numbers in desired states and weight versions.

Ruled out: very deep nesting and numbers of hundreds of digits (the JSON reader refuses both, as before).

Change: JsonFields reads a field or names why it is not usable; one unusable field makes the entry unusable. TargetReader takes an IPv4 address of a host and a port from 1 to 65535, one slot or more, ids that fit a header. In what operators write, a number that does not fit refuses the whole document, and the one in force stays.

Red before: OddTargetEntryTest (5 of 7), PlatformReaderTest.shouldRefuseNumbersThatDoNotFitInWhatOperatorsWrite. Green with it.

--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformReader.java
@@ -11,22 +11,17 @@
 import dev.cactusspan.http.HttpField;
 import dev.cactusspan.http.RequestTarget;
 import dev.cactusspan.id.AccountId;
-import dev.cactusspan.id.AvailabilityZoneId;
 import dev.cactusspan.id.ModelId;
 import dev.cactusspan.id.RegionId;
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
-import dev.cactusspan.id.SoftwareVersion;
-import dev.cactusspan.id.TargetId;
 import dev.cactusspan.id.WeightVersion;
 import dev.cactusspan.region.Residency;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.text.JsonText;
-import java.net.URI;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -100,25 +95,23 @@
     }
 
     private static Result<DesiredState> desiredState(JsonNode node) {
-        if (!node.path("version").isIntegralNumber() || !node.path("routes").isArray()) {
-            return Result.fail(ErrorKind.BAD_REQUEST, "no version or no routes");
+        if (!node.path("routes").isArray()) {
+            return Result.fail(ErrorKind.BAD_REQUEST, "no routes");
         }
+        JsonFields fields = JsonFields.of("desired_state", node);
+        long revision = fields.whole("version", 0, Long.MAX_VALUE);
         List<FleetRoute> routes = new ArrayList<>();
-        node.path("routes").forEach(n -> routes.add(route(n)));
+        node.path("routes").forEach(n -> routes.add(route(n, fields.at("routes", n))));
         List<FleetService> services = new ArrayList<>();
-        node.path("services").forEach(n -> services.add(service(n)));
+        node.path("services").forEach(n -> services.add(service(n, fields.at("services", n))));
         List<FleetAccount> accounts = new ArrayList<>();
-        node.path("tenants").forEach(n -> accounts.add(account(n)));
-        return Result.of(
-                DesiredState.of(
-                        Revision.of(node.path("version").asLong()),
-                        routes,
-                        services,
-                        accounts,
-                        limits(node.path("limits"))));
+        node.path("tenants").forEach(n -> accounts.add(account(n, fields.at("tenants", n))));
+        ClientLimits limits = limits(fields.at("limits", node.path("limits")));
+        return fields.result(
+                () -> DesiredState.of(Revision.of(revision), routes, services, accounts, limits));
     }
 
-    private static FleetRoute route(JsonNode node) {
+    private static FleetRoute route(JsonNode node, JsonFields fields) {
         List<FleetRoute.Share> shares = new ArrayList<>();
         node.path("backends")
                 .forEach(
@@ -126,7 +119,7 @@
                                 shares.add(
                                         new FleetRoute.Share(
                                                 ServiceId.of(n.path("service").asText()),
-                                                n.path("weight").asDouble(1))));
+                                                fields.at("backends", n).fraction("weight", 1))));
         if (shares.isEmpty()) {
             shares.add(new FleetRoute.Share(ServiceId.of(node.path("service").asText()), 1));
         }
@@ -135,16 +128,16 @@
                 node.path("host").asText(),
                 node.path("prefix").asText(),
                 kind(node.path("type").asText()),
-                node.path("timeout_ms").asLong(0),
-                node.path("slo_ms").asLong(0),
-                node.path("priority").asInt(0),
+                fields.number("timeout_ms", 0, 0, Long.MAX_VALUE),
+                fields.number("slo_ms", 0, 0, Long.MAX_VALUE),
+                (int) fields.number("priority", 0, 0, Integer.MAX_VALUE),
                 List.copyOf(shares),
-                Math.max(1, node.path("max_attempts").asInt(1)),
+                Math.max(1, (int) fields.number("max_attempts", 1, 0, Integer.MAX_VALUE)),
                 node.path("public").asBoolean(false),
                 node.path("resumable").asBoolean(false),
                 new FleetRoute.BatchBounds(
-                        node.path("run_slo_ms").asLong(0),
-                        (long) (node.path("retention_s").asDouble(0) * MS_PER_S),
+                        fields.number("run_slo_ms", 0, 0, Long.MAX_VALUE),
+                        (long) (fields.fraction("retention_s", 0) * MS_PER_S),
                         node.path("single_version").asBoolean(false)),
                 residency(node));
     }
@@ -159,25 +152,25 @@
         };
     }
 
-    private static FleetService service(JsonNode node) {
+    private static FleetService service(JsonNode node, JsonFields fields) {
         List<ModelId> models = new ArrayList<>();
         node.path("engine")
                 .path("models")
                 .forEach(n -> models.add(ModelId.of(n.path("name").asText())));
         return new FleetService(
                 ServiceId.of(node.path("name").asText()),
-                node.path("max_connections").asInt(0),
+                (int) fields.number("max_connections", 0, 0, Integer.MAX_VALUE),
                 List.copyOf(models),
-                (long) (node.path("cold_start_s").asDouble(0) * MS_PER_S),
-                Math.max(0, node.path("cold_per_s").asDouble(0)));
+                (long) (fields.fraction("cold_start_s", 0) * MS_PER_S),
+                fields.fraction("cold_per_s", 0));
     }
 
-    private static FleetAccount account(JsonNode node) {
+    private static FleetAccount account(JsonNode node, JsonFields fields) {
         Set<String> keys = new HashSet<>();
         node.path("api_keys").forEach(n -> keys.add(n.asText()));
         return new FleetAccount(
                 AccountId.of(node.path("name").asText()),
-                node.path("priority").asInt(0),
+                (int) fields.number("priority", 0, 0, Integer.MAX_VALUE),
                 Set.copyOf(keys),
                 residency(node));
     }
@@ -188,12 +181,12 @@
         return Residency.of(regions);
     }
 
-    private static ClientLimits limits(JsonNode node) {
+    private static ClientLimits limits(JsonFields fields) {
         return new ClientLimits(
-                node.path("max_header_bytes").asInt(DEFAULT_HEADER_BYTES),
-                node.path("max_body_bytes").asLong(DEFAULT_BODY_BYTES),
-                node.path("header_timeout_ms").asInt(DEFAULT_HEADER_MS),
-                node.path("idle_timeout_ms").asInt(DEFAULT_IDLE_MS));
+                (int) fields.number("max_header_bytes", DEFAULT_HEADER_BYTES, 0, Integer.MAX_VALUE),
+                fields.number("max_body_bytes", DEFAULT_BODY_BYTES, 0, Long.MAX_VALUE),
+                (int) fields.number("header_timeout_ms", DEFAULT_HEADER_MS, 0, Integer.MAX_VALUE),
+                (int) fields.number("idle_timeout_ms", DEFAULT_IDLE_MS, 0, Integer.MAX_VALUE));
     }
 
     /**
@@ -204,46 +197,8 @@
      * @return the target, or {@code bad_request}
      */
     public static Result<TargetRecord> target(String key, byte[] bytes) {
-        TargetId id = TargetId.of(key.substring(TARGET_PREFIX.length()));
-        return JsonText.read(bytes, JsonNode.class).flatMap(node -> target(id, node));
-    }
-
-    private static Result<TargetRecord> target(TargetId id, JsonNode node) {
-        String state = node.path("state").asText();
-        boolean isValidState = state.equals("ready") || state.equals("draining");
-        String[] address = node.path("address").asText().split(":", -1);
-        boolean isValidAddress = address.length == 2 && address[1].matches("[0-9]{1,5}");
-        boolean isComplete =
-                node.path("service").isTextual()
-                        && node.path("version").isTextual()
-                        && node.path("zone").isTextual()
-                        && node.path("state").isTextual()
-                        && node.path("address").isTextual()
-                        && node.path("slots").isIntegralNumber()
-                        && node.path("sequence").isIntegralNumber();
-        if (!isValidState || !isValidAddress || !isComplete) {
-            return Result.fail(ErrorKind.BAD_REQUEST, "no usable entry of a target");
-        }
-        Map<ModelId, WeightVersion> versions = new HashMap<>();
-        for (JsonNode model : node.path("models")) {
-            long version = model.path("version").asLong(0);
-            if (version > 0) {
-                versions.put(ModelId.of(model.path("name").asText()), WeightVersion.of(version));
-            }
-        }
-        return Result.of(
-                new TargetRecord(
-                        id,
-                        ServiceId.of(node.path("service").asText()),
-                        SoftwareVersion.of(node.path("version").asText()),
-                        URI.create("http://" + address[0] + ":" + address[1]),
-                        AvailabilityZoneId.of(node.path("zone").asText()),
-                        Math.max(1, node.path("slots").asInt()),
-                        state.equals("draining"),
-                        node.path("sequence").asLong(),
-                        node.path("born").asLong(0),
-                        Map.copyOf(versions),
-                        Math.max(0, node.path("cold_remaining_ms").asLong(0))));
+        String id = key.substring(TARGET_PREFIX.length());
+        return JsonText.read(bytes, JsonNode.class).flatMap(node -> TargetReader.read(id, node));
     }
 
     /**
@@ -254,11 +209,12 @@
      */
     public static Result<WeightVersion> namedVersion(byte[] bytes) {
         return JsonText.read(bytes, JsonNode.class)
+                .map(node -> JsonFields.of("weights", node))
                 .flatMap(
-                        node ->
-                                node.path("version").isIntegralNumber()
-                                        ? Result.of(WeightVersion.of(node.path("version").asLong()))
-                                        : Result.fail(ErrorKind.BAD_REQUEST, "no version"));
+                        fields -> {
+                            long version = fields.whole("version", 0, Long.MAX_VALUE);
+                            return fields.result(() -> WeightVersion.of(version));
+                        });
     }
 
     /**
--- a/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/PlatformReaderTest.java
@@ -138,6 +138,25 @@
         }
     }
 
+    /** A number that does not fit became another one, such as a negative time-out. */
+    @Test
+    void shouldRefuseNumbersThatDoNotFitInWhatOperatorsWrite() {
+        String text =
+                "{\"version\":7,\"limits\":{\"max_header_bytes\":1},\"routes\":[{\"name\":\"r\","
+                        + "\"prefix\":\"/a/\",\"timeout_ms\":2,\"max_attempts\":3}],"
+                        + "\"services\":[{\"name\":\"s\",\"max_connections\":4}]}";
+        assertThat(PlatformReader.desiredState(bytes(text)).isOk(), is(true));
+        for (String number : List.of("18446744073709551620", "1e400", "-4294967295")) {
+            for (String field : List.of(":1}", ":2,", ":3}", ":4}", ":7,")) {
+                String odd = text.replace(field, ":" + number + field.substring(2));
+                assertThat(odd, PlatformReader.desiredState(bytes(odd)).isOk(), is(false));
+            }
+            assertThat(
+                    PlatformReader.namedVersion(bytes("{\"version\":" + number + "}")).isOk(),
+                    is(false));
+        }
+    }
+
     @Property(seed = "81", tries = 500)
     void shouldNotThrowOnMalformedText(@ForAll String text, @ForAll int cut) {
         target(text);
