Tell from the store where a stream without a record began

Cause: a stream without a record is one of the route's oldest origin, and the entry took its own list for that: the one it last knew, of targets that may have left. An entry that cannot reach the store passes streams on without a record once it knows no target of another origin; if it ends before the record is written, nothing but the age of the other entry's list kept the two apart.

Ruled out: the entry where the stream begins (without the store it would have to refuse all streams for up to ten minutes after a release); the age of the own list (a watch on a silent connection looks current for 2.6 s).

Change: for a resumption without a record, the list of origins is read from the store, and while it names several, the targets too. The oldest origin counts only while a target of it is registered; otherwise the resumption is refused as not run. One reading of the targets serves all resumptions that wait.

--- a/cactusspan/src/main/java/dev/cactusspan/forward/OriginRule.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/OriginRule.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -42,6 +43,19 @@
                 || base.filter(present::contains).isEmpty();
     }
 
+    /**
+     * Returns where a stream without a record began. While no target of the oldest origin is left,
+     * streams of others may have been passed on unrecorded.
+     *
+     * @param listed origins of the route, the oldest first, as the store has them now
+     * @param present origins of the targets that the store has now
+     * @return the origin, empty if it cannot be told
+     */
+    public static Optional<StreamOrigin> unrecorded(
+            List<StreamOrigin> listed, Set<StreamOrigin> present) {
+        return listed.stream().findFirst().filter(present::contains);
+    }
+
     /**
      * Tells whether a stream whose record could not be written may be passed on.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/OriginLister.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/OriginLister.java
@@ -83,7 +83,8 @@
                 item.map(StoredItem::revision).orElse(0L));
     }
 
-    private static List<StreamOrigin> read(StoredItem item) {
+    /** Reads a list from its item; one that cannot be read is empty. */
+    static List<StreamOrigin> read(StoredItem item) {
         return JsonText.read(item.value(), StreamOrigin[].class)
                 .fold(
                         f -> {
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/StreamOriginExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/StreamOriginExchange.java
@@ -73,6 +73,7 @@
     private final Executor mThread;
     private final LongSupplier mNowMs;
     private final OriginLister mLister;
+    private final UnrecordedOrigin mUnrecorded;
     private final RotatingLease mLease;
     private final Map<RouteId, Set<StreamOrigin>> mPresent = new HashMap<>();
     private final Map<RequestId, StreamOrigin> mKnown =
@@ -101,6 +102,7 @@
         mThread = thread;
         mNowMs = nowMs;
         mLister = new OriginLister(store, thread, nowMs);
+        mUnrecorded = new UnrecordedOrigin(store, thread);
         mLease = new RotatingLease(store, thread, LEASE_TTL_MS, nowMs);
     }
 
@@ -205,29 +207,35 @@
         FutureResults.deliver(
                 mStore.get(streamKey(id)),
                 mThread,
-                r -> complete(search, r.flatMap(item -> origin(id, route, item))));
+                r ->
+                        r.fold(
+                                f -> complete(search, Result.fail(f)),
+                                item -> onRecordRead(search, id, route, item)));
     }
 
-    private void complete(Search search, Result<StreamOrigin> result) {
+    private Void onRecordRead(
+            Search search, RequestId id, FleetRoute route, Optional<StoredItem> item) {
+        item.ifPresentOrElse(
+                i -> complete(search, recorded(id, i)),
+                () -> mUnrecorded.find(route.name(), origin -> complete(search, origin)));
+        return null;
+    }
+
+    private Void complete(Search search, Result<StreamOrigin> result) {
         if (mSearches.remove(search)) {
             search.mConsumer.accept(result);
         }
+        return null;
     }
 
-    /** Returns the recorded origin, or the one that streams without a record have. */
-    private Result<StreamOrigin> origin(RequestId id, FleetRoute route, Optional<StoredItem> item) {
-        if (item.isPresent()) {
-            return JsonText.read(item.get().value(), StreamOrigin.class)
-                    .fold(
-                            f ->
-                                    Result.fail(
-                                            ErrorKind.STREAM_ORIGIN_UNKNOWN,
-                                            "the record of " + id + " cannot be read"),
-                            Result::of);
-        }
-        return mLister.base(route.name())
-                .map(Result::of)
-                .orElse(Result.fail(ErrorKind.STREAM_ORIGIN_UNKNOWN, "no record of " + id));
+    private static Result<StreamOrigin> recorded(RequestId id, StoredItem item) {
+        return JsonText.read(item.value(), StreamOrigin.class)
+                .fold(
+                        f ->
+                                Result.fail(
+                                        ErrorKind.STREAM_ORIGIN_UNKNOWN,
+                                        "the record of " + id + " cannot be read"),
+                        Result::of);
     }
 
     /**
--- a/cactusspan/src/test/java/dev/cactusspan/forward/LateRequestCutAtStopTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/LateRequestCutAtStopTest.java
@@ -135,7 +135,9 @@
         assertThat(mForwarder.size(), is(0));
     }
 
-    /** Whatever targets take, up to a quarter more than before, no answer is lost with the process. */
+    /**
+     * Whatever targets take, up to a quarter more than before, no answer is lost with the process.
+     */
     @Property(seed = "3502", tries = 200)
     void shouldLoseNoAnswerInAStop(@ForAll long seed) {
         new LateRequestCutAtStopTest().playStop(new Random(seed));
--- a/cactusspan/src/test/java/dev/cactusspan/forward/OriginRuleTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/OriginRuleTest.java
@@ -5,6 +5,7 @@
 
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.SoftwareVersion;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -35,6 +36,16 @@
         assertThat(OriginRule.mayBegin(base, NEW, Set.of(NEW), false), is(true));
     }
 
+    /** Once the oldest origin has left, streams of others may have been passed on unrecorded. */
+    @Test
+    void shouldTakeUnrecordedStreamsForTheOldestOriginOnlyWhileItServes() {
+        assertThat(OriginRule.unrecorded(List.of(OLD), Set.of(OLD)), is(Optional.of(OLD)));
+        assertThat(
+                OriginRule.unrecorded(List.of(OLD, NEW), Set.of(OLD, NEW)), is(Optional.of(OLD)));
+        assertThat(OriginRule.unrecorded(List.of(OLD, NEW), Set.of(NEW)), is(Optional.empty()));
+        assertThat(OriginRule.unrecorded(List.of(), Set.of(NEW)), is(Optional.empty()));
+    }
+
     @Test
     void shouldPassUnrecordedStreamsOnlyWhileNoOtherOriginServes() {
         assertThat(OriginRule.mayPassUnrecorded(NEW, Set.of(NEW)), is(true));
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/StreamsJoinedAfterRestartTest.java
@@ -16,6 +16,7 @@
 import dev.cactusspan.forward.ClientRequest;
 import dev.cactusspan.forward.ClientSink;
 import dev.cactusspan.forward.CrashGuard;
+import dev.cactusspan.forward.OriginListing;
 import dev.cactusspan.forward.RequestForwarder;
 import dev.cactusspan.forward.StreamResumer;
 import dev.cactusspan.id.RequestId;
@@ -24,6 +25,7 @@
 import dev.cactusspan.id.ServiceId;
 import dev.cactusspan.id.TargetId;
 import dev.cactusspan.observe.Telemetry;
+import dev.cactusspan.platform.PlatformReader;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.Backoff;
@@ -31,6 +33,7 @@
 import dev.cactusspan.store.FakeKeyStore;
 import dev.cactusspan.store.ManualThread;
 import dev.cactusspan.store.PrefixMirror;
+import dev.cactusspan.text.JsonText;
 import dev.cactusspan.waiting.ServiceLinesFixture;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -121,12 +124,22 @@
         private final StreamResumer mResumer =
                 new StreamResumer(mForwarder, mOrigins, Telemetry.create());
         private int mAnswered;
+        private boolean mIsOutOfStep;
 
         private boolean isStoreAvailable() {
             return mMirror.isHealthy();
         }
 
         void tick(boolean isLister) {
+            if (!mIsOutOfStep) {
+                followTargets();
+                mMirror.tick();
+            }
+            mOrigins.tick(isLister);
+            mForwarder.tick();
+        }
+
+        private void followTargets() {
             mTable.all().stream()
                     .map(t -> t.record().id())
                     .filter(id -> !mTargets.containsKey(id.value()))
@@ -134,9 +147,6 @@
                     .forEach(id -> mTable.remove(id, mThread.nowMs(), true));
             mTargets.forEach(
                     (id, software) -> mTable.put(FakeTargets.record(id, "lm", software, 99, 1)));
-            mMirror.tick();
-            mOrigins.tick(isLister);
-            mForwarder.tick();
         }
 
         /** Sends some events of each stream that has begun since, and breaks it off or ends it. */
@@ -240,7 +250,35 @@
         run(300);
     }
 
+    /** Registers targets in the store, where processes look that cannot rely on their own list. */
+    private void register() {
+        String prefix = PlatformReader.TARGET_PREFIX;
+        List.copyOf(mStore.items().keySet()).stream()
+                .filter(key -> key.startsWith(prefix))
+                .filter(key -> !mTargets.containsKey(key.substring(prefix.length())))
+                .forEach(mStore::delete);
+        mTargets.forEach(
+                (id, software) -> {
+                    if (!mStore.items().containsKey(prefix + id)) {
+                        mStore.put(prefix + id, entry(software));
+                    }
+                });
+    }
+
+    private static byte[] entry(String software) {
+        return JsonText.write(
+                Map.of(
+                        "service", "lm",
+                        "version", software,
+                        "zone", "a",
+                        "state", "ready",
+                        "address", "10.0.0.9:80",
+                        "slots", 1,
+                        "sequence", 0));
+    }
+
     private void run(long ms) {
+        register();
         for (long i = 0; i < ms; i += TICK_MS) {
             mThread.advance(TICK_MS);
             mStore.step();
@@ -315,6 +353,46 @@
         assertThat(client.mFailure.orElseThrow().isNotRun(), is(true));
     }
 
+    /**
+     * A release at an entry that is out of step: it knows the old version only, and a stream of the
+     * new one has no record, as the entry where it began could not reach the store and ended.
+     */
+    @Test
+    void shouldNotTakeAStreamForTheOldVersionOnAnOldList() {
+        mTargets.put("a", "v1");
+        start(2);
+        mTargets.put("b", "v2");
+        run(100);
+        mNodes.get(1).mIsOutOfStep = true;
+        mTargets.remove("a");
+        run(100);
+        mStore.setDown(true);
+        Client client = begin(0);
+        run(1_000);
+        assertThat(client.mSoftware, is(Set.of("v2")));
+        mNodes.set(0, new Node());
+        mStore.setDown(false);
+        submit(mNodes.get(1), client);
+        run(TICK_MS);
+        assertThat(mNodes.get(1).mPort.sent(), is(empty()));
+        assertThat(client.mFailure.orElseThrow().kind(), is(ErrorKind.STREAM_ORIGIN_UNKNOWN));
+    }
+
+    /** The list of origins that such an entry has is old as well. */
+    @Test
+    void shouldNotTakeAStreamForTheOriginOfAnOldListOfOrigins() {
+        mTargets.put("a", "v1");
+        start(2);
+        mNodes.get(1).mIsOutOfStep = true;
+        mTargets.remove("a");
+        mTargets.put("b", "v2");
+        run(OriginListing.RETENTION_MS + 1_000);
+        Client client = begin(0);
+        submit(mNodes.get(1), client);
+        run(TICK_MS);
+        mNodes.get(1).mPort.sent().forEach(s -> assertThat(s.target().id().value(), is("b")));
+    }
+
     @Test
     void shouldRejectAResumptionThatNamesNoFirstAttempt() {
         mTargets.put("a", "v1");
