--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -170,14 +170,7 @@
         BatchStore batches = new BatchStore(store);
         mBatches = newBatches(batches, self, port, chooser);
         mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mControl);
-        mStop =
-                new GracefulStop(
-                        mThread,
-                        mSession,
-                        mBatches,
-                        mForwarder,
-                        settings.stopS() * MS_PER_S,
-                        GatewayProcess::nowMs);
+        mStop = newStop();
         mGateway = newGateway();
         mIntake = IntakeState.create(settings, telemetry);
         mServer = newServer();
@@ -330,6 +323,16 @@
                         mWallClock));
     }
 
+    private GracefulStop newStop() {
+        return new GracefulStop(
+                mThread,
+                mSession,
+                mBatches,
+                mForwarder,
+                mSettings.stopS() * MS_PER_S,
+                GatewayProcess::nowMs);
+    }
+
     private Gateway newGateway() {
         return new Gateway(
                 mKnowledge::desiredState,
