Register again when a process began to leave during its registration

What callers saw: nothing directly; a process that was stopped while it registered went on to be chosen for duties and for batches of others until its lease ended, up to the whole grace.

Lost replies were no problem here, as a registration is repeated.

Change: the reply counts only if the process still wants to register the same record.

NodeSessionTest.shouldSayThatItLeavesWhenItStopsDuringItsRegistration: red before, green with it.

--- a/cactusspan/src/main/java/dev/cactusspan/peer/NodeSession.java
+++ b/cactusspan/src/main/java/dev/cactusspan/peer/NodeSession.java
@@ -86,11 +86,12 @@
     }
 
     private void register(long sentMs) {
-        String key = NodeDirectory.PREFIX + mSelf.vm().value();
+        NodeRecord record = mSelf;
+        String key = NodeDirectory.PREFIX + record.vm().value();
         Transaction write =
                 Transaction.of(
                         List.of(),
-                        List.of(new Transaction.Write(key, JsonText.write(mSelf), mLease)));
+                        List.of(new Transaction.Write(key, JsonText.write(record), mLease)));
         FutureResults.deliver(
                 mStore.commit(write),
                 mThread,
@@ -98,11 +99,12 @@
                         r.fold(
                                 this::failed,
                                 revision -> {
-                                    mIsRegistered = true;
+                                    // It may have begun to leave since.
+                                    mIsRegistered = record.equals(mSelf);
                                     mIsBusy = false;
-                                    mNextMs = sentMs + RENEW_INTERVAL_MS;
+                                    mNextMs = mIsRegistered ? sentMs + RENEW_INTERVAL_MS : 0;
                                     Decision.of("registered")
-                                            .with("node", mSelf.owner())
+                                            .with("node", record.owner())
                                             .with("lease", mLease)
                                             .info();
                                     return null;
