--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchManagerTest.java
@@ -201,7 +201,7 @@
         assertThat(node.port().sent(), hasSize(3));
     }
 
-    /** A late copy of the answer to another item says nothing about this one. */
+    /** Guards against an item that is given up for the late copy of another item's failure. */
     @Test
     void shouldNotCountTheFailureOfAnotherItem() {
         BatchNode node = startWithOneRun();
--- a/cactusspan/src/test/java/dev/cactusspan/duty/DutyAfterOpenWriteTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/duty/DutyAfterOpenWriteTest.java
@@ -60,6 +60,10 @@
         }
     }
 
+    /**
+     * Guards against a duty that nobody performs: its key names a process that lost the reply to
+     * its write, and then that to its read.
+     */
     @Test
     void shouldActUnderItsKeyAfterALostReplyAndAFailedRead() {
         addNode(DutyNode.TURN_MS, 0);
--- a/cactusspan/src/test/java/dev/cactusspan/http/LateAnswerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/LateAnswerTest.java
@@ -54,7 +54,10 @@
         return KeepAliveServer.response(503, ID + ": " + id, "full");
     }
 
-    /** The copy of the refusal bears the id of the second send as well. */
+    /**
+     * Guards against a request that runs twice, or is refused though it ran: the copy of a refusal
+     * bears the id of the second send as well.
+     */
     @Test
     void shouldNotTakeTheCopyOfARefusalForTheAnswerToTheNextSend() throws Exception {
         AtomicInteger runs = new AtomicInteger();
@@ -76,8 +79,9 @@
     }
 
     /**
-     * The server still works on a request when the copy of the answer before passes for its own: on
-     * this connection, each further request would get the answer to the one before it.
+     * Guards against a connection that is one answer behind. The server still works on a request
+     * when the copy of the answer before passes for its own: on this connection, each further
+     * request would get the answer to the one before it.
      */
     @Test
     void shouldNotUseAConnectionAgainAfterTheAnswerToAnotherRequest() throws Exception {
