--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -200,7 +200,15 @@
     }
 
     private void addOwned(StoredBatch stored, long revision, long acceptedMs) {
-        mOwned.put(stored.batch().id(), new OwnedBatch(stored, revision, acceptedMs));
+        OwnedBatch owned = new OwnedBatch(stored, revision, acceptedMs);
+        OwnedBatch former = mOwned.put(stored.batch().id(), owned);
+        Decision.of("batch_begun")
+                .with("batch", stored.batch().id().value())
+                .with("revision", revision)
+                .with("listed", owned.listedCount())
+                .with("open", owned.runs().size())
+                .with("replaces", former != null)
+                .info();
     }
 
     // Ownership
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -70,6 +70,7 @@
         owned.onAppended(results, mNowMs.getAsLong() + MIN_INTERVAL_MS);
         Decision.of("results_listed")
                 .with("batch", owned.batch().id().value())
+                .with("revision", owned.revision())
                 .with("results", results.size())
                 .with("listed", owned.listedCount())
                 .with("open", owned.runs().size())
@@ -80,6 +81,7 @@
     private Void onAppendFailed(OwnedBatch owned, Failure failure) {
         Decision.of("append_failed")
                 .with("batch", owned.batch().id().value())
+                .with("revision", owned.revision())
                 .with("listed", owned.listedCount())
                 .with("failure", failure.toString())
                 .warn();
@@ -130,8 +132,20 @@
                                     return null;
                                 },
                                 stored -> {
-                                    owned.onReloaded(stored);
+                                    onReloaded(owned, stored);
                                     return null;
                                 }));
     }
+
+    private static void onReloaded(OwnedBatch owned, StoredBatch stored) {
+        int listedBefore = owned.listedCount();
+        owned.onReloaded(stored);
+        Decision.of("results_reloaded")
+                .with("batch", owned.batch().id().value())
+                .with("revision", owned.revision())
+                .with("listed_before", listedBefore)
+                .with("listed", owned.listedCount())
+                .with("open", owned.runs().size())
+                .warn();
+    }
 }
