--- a/cactusspan/src/test/java/dev/cactusspan/store/UnreliableKeyStore.java
+++ b/cactusspan/src/test/java/dev/cactusspan/store/UnreliableKeyStore.java
@@ -30,6 +30,9 @@
     private String mLostPrefix = "";
     private int mRepliesToLose;
     private int mReadsToFail;
+    private String mDelayedPrefix = "";
+    private int mRepliesToDelay;
+    private long mReplyDelayMs;
 
     public UnreliableKeyStore(KeyStore store, ManualThread thread) {
         mStore = store;
@@ -61,6 +64,15 @@
         mRepliesToLose = count;
     }
 
+    /**
+     * Delays the replies to the next writes of keys with a prefix, which are carried out at once.
+     */
+    public void delayReplies(String prefix, int count, long delayMs) {
+        mDelayedPrefix = prefix;
+        mRepliesToDelay = count;
+        mReplyDelayMs = delayMs;
+    }
+
     /** Fails the next reads of single keys. */
     public void failReads(int count) {
         mReadsToFail = count;
@@ -158,17 +170,24 @@
 
     @Override
     public CompletableFuture<Result<Long>> commit(Transaction transaction) {
-        boolean isLost =
-                mRepliesToLose > 0
-                        && transaction.writes().stream()
-                                .anyMatch(w -> w.key().startsWith(mLostPrefix));
-        if (isLost && !mIsCut) {
+        if (mRepliesToLose > 0 && !mIsCut && writes(transaction, mLostPrefix)) {
             mRepliesToLose--;
             return mStore.commit(transaction).thenApply(r -> unknown());
         }
+        if (mRepliesToDelay > 0 && !mIsCut && writes(transaction, mDelayedPrefix)) {
+            mRepliesToDelay--;
+            CompletableFuture<Result<Long>> future = new CompletableFuture<>();
+            Result<Long> result = mStore.commit(transaction).join();
+            later(mReplyDelayMs, () -> future.complete(result));
+            return future;
+        }
         return write(() -> mStore.commit(transaction));
     }
 
+    private static boolean writes(Transaction transaction, String prefix) {
+        return transaction.writes().stream().anyMatch(w -> w.key().startsWith(prefix));
+    }
+
     @Override
     public CompletableFuture<Result<Long>> grantLease(long ttlMs) {
         return write(() -> mStore.grantLease(ttlMs));
