Begin a batch once in a process, and run nothing that the store lists

Callers saw items at two positions of a batch's results (TWICE): 16 results for 12 items when a batch was submitted again while its first write was open.

Cause: what a process holds in memory of a batch was begun from a guess. Each submission whose write or look-up succeeded began the batch as new, in the place of the state that was there; the former state's requests and its append went on. The new one met them as a refused append, read the store again and took the listed results over, but let the runs of the same items go on, which were listed once more. A batch that had left memory was begun as new as well, and all its items ran again.

Change: submissions of a batch share one write (BatchCreator). Only the process whose own write created a batch begins it as new, and only if its owner key has not changed since; any other begins it with what the store holds. A batch has one state in a process. After a refused append the runs of listed items are stopped, and a stopped run leaves no result.

Ruled out: two owners (the revision of each append is the owner's; no append of a former owner passed in the property), pages put together wrongly (the store itself had the doubled items).

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchAcquirer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchAcquirer.java
@@ -45,16 +45,6 @@
         mManager = manager;
     }
 
-    /** Records that a new batch is being written. */
-    void begin(BatchId id) {
-        mAcquiring.add(id);
-    }
-
-    /** Records that the write of a new batch has its outcome. */
-    void end(BatchId id) {
-        mAcquiring.remove(id);
-    }
-
     /**
      * Takes over batches whose owner no longer holds a lease, if this process is the sweeper, and
      * loads batches that this process owns but has not loaded.
@@ -63,7 +53,7 @@
         for (KnownOwnership known : mKnown.open()) {
             BatchOwnership ownership = known.ownership();
             BatchId id = ownership.id();
-            if (mManager.hasLoaded(id) || mAcquiring.contains(id)) {
+            if (mManager.hasBegun(id) || mAcquiring.contains(id)) {
                 continue;
             }
             boolean isOrphan = mNodes.find(ownership.owner()).isEmpty();
@@ -117,7 +107,7 @@
                                 item -> {
                                     item.ifPresent(i -> mManager.onOwnerKeyChanged(i.key(), item));
                                     mAcquiring.remove(id);
-                                    if (isMine(id) && !mManager.hasLoaded(id)) {
+                                    if (isMine(id) && !mManager.hasBegun(id)) {
                                         mAcquiring.add(id);
                                         loadBatch(id, item.orElseThrow().revision());
                                     }
@@ -142,7 +132,7 @@
                                 },
                                 stored -> {
                                     mAcquiring.remove(id);
-                                    if (isMine(id) && !mManager.hasLoaded(id)) {
+                                    if (isMine(id) && !mManager.hasBegun(id)) {
                                         mManager.onLoaded(stored, revision);
                                     }
                                     return null;
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -5,10 +5,7 @@
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.peer.NodeDirectory;
 import dev.cactusspan.result.ErrorKind;
-import dev.cactusspan.result.Failure;
-import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.result.Result;
-import dev.cactusspan.store.OpenWrite;
 import dev.cactusspan.store.StoredItem;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,14 +25,13 @@
     /** How long processes may take to register again after the store recovers, in milliseconds. */
     private static final long REGISTRATION_GRACE_MS = 2_000;
 
-    private final BatchStore mStore;
     private final String mOwner;
-    private final Executor mThread;
     private final ItemRunner mRunner;
     private final ResultAppender mAppender;
     private final ProgressSaver mSaver;
     private final BatchAge mAge;
     private final BatchHomes mHomes;
+    private final BatchCreator mCreator;
     private final BatchEnder mEnder;
     private final BatchAcquirer mAcquirer;
     private final LongSupplier mNowMs;
@@ -70,9 +66,7 @@
             BatchAge age,
             BatchHomes homes,
             LongSupplier nowMs) {
-        mStore = store;
         mOwner = owner;
-        mThread = thread;
         mRunner = runner;
         mAppender = appenderFactory.apply(this::onOwnershipLost);
         mSaver = saver;
@@ -87,6 +81,7 @@
                         this::onEndedHere);
         mNowMs = nowMs;
         mDelayed = new DelayedTasks(nowMs);
+        mCreator = new BatchCreator(store, owner, thread, mDelayed, creations());
         mAcquirer = new BatchAcquirer(store, mKnown, nodes, owner, homes, thread, mDelayed, this);
     }
 
@@ -116,29 +111,25 @@
                             "no target of " + batch.service() + " in " + batch.residency()));
             return;
         }
-        mAcquirer.begin(batch.id());
-        create(
-                batch,
-                result -> {
-                    mAcquirer.end(batch.id());
-                    done.accept(result);
-                },
-                new OpenWrite());
+        mCreator.create(batch, done);
     }
 
-    private void create(Batch batch, Consumer<Result<Boolean>> done, OpenWrite write) {
-        BatchOwnership ownership = BatchOwnership.of(batch, mOwner);
-        FutureResults.deliver(
-                mStore.create(batch, ownership),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> onCreateFailed(batch, done, write, f),
-                                revision -> onCreated(batch, ownership, revision, done)));
+    private BatchCreator.Listener creations() {
+        return new BatchCreator.Listener() {
+            @Override
+            public void onCreated(Batch batch, KnownOwnership created) {
+                BatchManager.this.onCreated(batch, created);
+            }
+
+            @Override
+            public void onExisting(StoredItem ownerKey) {
+                onOwnerKeyChanged(ownerKey.key(), Optional.of(ownerKey));
+            }
+        };
     }
 
-    private Void onCreated(
-            Batch batch, BatchOwnership ownership, long revision, Consumer<Result<Boolean>> done) {
+    /** Begins a batch that this process created, unless its owner key has changed since. */
+    private void onCreated(Batch batch, KnownOwnership created) {
         Decision.of("batch_accepted")
                 .with("batch", batch.id().value())
                 .with("account", batch.account().value())
@@ -146,68 +137,41 @@
                 .with("model", batch.model().value())
                 .with("min_version", batch.minVersion().number())
                 .with("items", batch.items().size())
-                .with("revision", revision)
+                .with("revision", created.revision())
                 .info();
-        mKnown.put(batch.id(), new KnownOwnership(ownership, revision));
-        addOwned(StoredBatch.ofNew(batch), revision, mAge.acceptedNowMs());
-        done.accept(Result.of(true));
-        return null;
-    }
-
-    private Void onCreateFailed(
-            Batch batch, Consumer<Result<Boolean>> done, OpenWrite write, Failure failure) {
-        switch (write.onWriteFailed(failure)) {
-            case READ -> lookUpOwner(batch, done);
-            case WRITE -> mDelayed.add(() -> create(batch, done, write));
-            default -> done.accept(Result.fail(failure));
+        boolean isCurrent =
+                mKnown.find(batch.id())
+                        .map(known -> known.revision() <= created.revision())
+                        .orElse(true);
+        if (isCurrent) {
+            mKnown.put(batch.id(), created);
+            begin(StoredBatch.ofNew(batch), created.revision(), mAge.acceptedNowMs());
         }
-        return null;
     }
 
-    /** Looks up the owner of a batch that already exists. */
-    private void lookUpOwner(Batch batch, Consumer<Result<Boolean>> done) {
-        FutureResults.deliver(
-                mStore.readOwnerKey(batch.id()),
-                mThread,
-                r ->
-                        r.fold(
-                                f -> {
-                                    mDelayed.add(() -> lookUpOwner(batch, done));
-                                    return null;
-                                },
-                                item -> {
-                                    item.ifPresent(i -> onOwnerKeyChanged(i.key(), item));
-                                    boolean isMine = mAcquirer.isMine(batch.id());
-                                    if (isMine && !mOwned.containsKey(batch.id())) {
-                                        addOwned(
-                                                StoredBatch.ofNew(batch),
-                                                item.orElseThrow().revision(),
-                                                mAge.acceptedNowMs());
-                                    }
-                                    done.accept(Result.of(true));
-                                    return null;
-                                }));
-    }
-
-    /** Tells whether this process has a batch in memory. */
-    boolean hasLoaded(BatchId id) {
-        return mOwned.containsKey(id);
+    /** Tells whether this process has a batch in memory, or is about to. */
+    boolean hasBegun(BatchId id) {
+        return mOwned.containsKey(id) || mCreator.isOpen(id);
     }
 
     /** Takes a batch of this process that was read from the store. */
     void onLoaded(StoredBatch stored, long revision) {
-        addOwned(stored, revision, mAge.acceptedMs(stored.batch()));
+        begin(stored, revision, mAge.acceptedMs(stored.batch()));
     }
 
-    private void addOwned(StoredBatch stored, long revision, long acceptedMs) {
+    /** Begins a batch, unless it is in memory: it has one state in a process. */
+    private void begin(StoredBatch stored, long revision, long acceptedMs) {
+        BatchId id = stored.batch().id();
+        if (mOwned.containsKey(id)) {
+            return;
+        }
         OwnedBatch owned = new OwnedBatch(stored, revision, acceptedMs);
-        OwnedBatch former = mOwned.put(stored.batch().id(), owned);
+        mOwned.put(id, owned);
         Decision.of("batch_begun")
-                .with("batch", stored.batch().id().value())
+                .with("batch", id.value())
                 .with("revision", revision)
                 .with("listed", owned.listedCount())
                 .with("open", owned.runs().size())
-                .with("replaces", former != null)
                 .info();
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -88,14 +88,21 @@
 
     // Results
 
+    /** Takes the result of a run, unless the run was stopped before. */
     void finish(ItemRun run, ItemResult result, long nowMs) {
-        mRuns.remove(run);
+        if (!mRuns.remove(run)) {
+            return;
+        }
         if (mReady.isEmpty()) {
             mReadySinceMs = nowMs;
         }
         mReady.add(result);
-        int unfinished = mUnfinishedByGroup.merge(run.item().group(), -1, Integer::sum);
-        mIsGroupComplete |= unfinished == 0;
+        mIsGroupComplete |= countFinished(run);
+    }
+
+    /** Returns whether no item of the run's group is unfinished any more. */
+    private boolean countFinished(ItemRun run) {
+        return mUnfinishedByGroup.merge(run.item().group(), -1, Integer::sum) == 0;
     }
 
     /** Gives an item up, so that it is listed without a text. */
@@ -172,7 +179,7 @@
         return mAppendFailures;
     }
 
-    /** Replaces the listed results with those in the store. */
+    /** Replaces the listed results with those in the store, and stops the runs of their items. */
     void onReloaded(StoredBatch stored) {
         mIsAppending = false;
         mIsAppendUnknown = false;
@@ -181,6 +188,14 @@
         mListed.clear();
         mListed.addAll(stored.results());
         mReady.removeIf(r -> listed.contains(r.id()));
+        List<ItemRun> stopped =
+                mRuns.stream().filter(run -> listed.contains(run.item().id())).toList();
+        mRuns.removeAll(stopped);
+        for (ItemRun run : stopped) {
+            countFinished(run);
+            run.apply(ItemEvent.END);
+            run.cancelAttempt();
+        }
         completePendingReads();
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/batch/ItemsListedTwiceTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/ItemsListedTwiceTest.java
@@ -57,7 +57,7 @@
         int sends = node.port().sent().size();
         mThread.advance(BatchNode.batch(ID.value(), 1, 1, 0).retentionMs() + 1_000);
         run(200);
-        assertThat(node.manager().hasLoaded(ID), is(false));
+        assertThat(node.manager().hasBegun(ID), is(false));
         List<Result<Boolean>> again = submit(node, 1, GROUP_SIZE);
         runWithResponses(2_000);
         assertThat(again, is(List.of(Result.of(true))));
