Take over what a refused append shows of the owner key

Callers saw nothing of it yet; it was found on the way of the doubled items. An owner that learned only by a refused append that its batch was ended, or taken over, dropped the batch and forgot the key that it had read. What it knew was still the old key, so it loaded the batch again, at the old revision, and sent all unlisted items once more until its watch caught up: work on a batch whose end was acknowledged, or that another process runs.

Cause: the same class as the doubled items, state begun from old knowledge. Change: the key that is read after a refused append goes the way of any other news of owner keys.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -49,7 +49,7 @@
      * @param owner the name of this process as an owner
      * @param thread the single thread on which all calls and callbacks run
      * @param runner runs items
-     * @param appenderFactory creates the result appender, given a listener for lost ownership
+     * @param appenderFactory creates the result appender, given a listener for owner keys
      * @param saver saves the progress of unfinished texts
      * @param age converts times of acceptance
      * @param homes decides where batches that are bound to regions may be
@@ -61,14 +61,14 @@
             String owner,
             Executor thread,
             ItemRunner runner,
-            Function<Consumer<OwnedBatch>, ResultAppender> appenderFactory,
+            Function<ResultAppender.OwnerKeyListener, ResultAppender> appenderFactory,
             ProgressSaver saver,
             BatchAge age,
             BatchHomes homes,
             LongSupplier nowMs) {
         mOwner = owner;
         mRunner = runner;
-        mAppender = appenderFactory.apply(this::onOwnershipLost);
+        mAppender = appenderFactory.apply(this::onOwnerKeyRead);
         mSaver = saver;
         mAge = age;
         mHomes = homes;
@@ -211,6 +211,16 @@
         }
     }
 
+    /** Handles an owner key read for an owned batch; returns whether it is still owned. */
+    private boolean onOwnerKeyRead(OwnedBatch owned, Optional<StoredItem> item) {
+        item.ifPresent(i -> onOwnerKeyChanged(i.key(), item));
+        boolean isMine = item.map(i -> i.revision() == owned.revision()).orElse(false);
+        if (!isMine && mOwned.get(owned.batch().id()) == owned) {
+            onOwnershipLost(owned);
+        }
+        return isMine && !owned.isLost();
+    }
+
     private void onEnded(OwnedBatch owned, long revision) {
         if (!owned.isEnded()) {
             Decision.of("batch_ended")
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManagerFactory.java
@@ -84,13 +84,13 @@
                 dependencies.owner(),
                 dependencies.thread(),
                 runner,
-                onOwnershipLost ->
+                ownerKeys ->
                         new ResultAppender(
                                 dependencies.store(),
                                 dependencies.thread(),
                                 dependencies.backoff(),
                                 dependencies.nowMs(),
-                                onOwnershipLost),
+                                ownerKeys),
                 new ProgressSaver(
                         dependencies.store(), dependencies.thread(), dependencies.nowMs()),
                 new BatchAge(dependencies.nowMs(), dependencies.wallClock()),
--- a/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/OwnedBatch.java
@@ -348,6 +348,11 @@
         return mIsEnded;
     }
 
+    /** Tells whether another process owns the batch. */
+    boolean isLost() {
+        return mIsLost;
+    }
+
     boolean isDone() {
         return mIsEnded || (mRuns.isEmpty() && mReady.isEmpty());
     }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ResultAppender.java
@@ -6,9 +6,10 @@
 import dev.cactusspan.result.FutureResults;
 import dev.cactusspan.result.Result;
 import dev.cactusspan.routing.Backoff;
+import dev.cactusspan.store.StoredItem;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -37,19 +38,31 @@
     private final Executor mThread;
     private final Backoff mBackoff;
     private final LongSupplier mNowMs;
-    private final Consumer<OwnedBatch> mOnOwnershipLost;
+    private final OwnerKeyListener mOwnerKeys;
 
     ResultAppender(
             BatchStore store,
             Executor thread,
             Backoff backoff,
             LongSupplier nowMs,
-            Consumer<OwnedBatch> onOwnershipLost) {
+            OwnerKeyListener ownerKeys) {
         mStore = store;
         mThread = thread;
         mBackoff = backoff;
         mNowMs = nowMs;
-        mOnOwnershipLost = onOwnershipLost;
+        mOwnerKeys = ownerKeys;
+    }
+
+    /** Receives owner keys that were read after a refused append. */
+    interface OwnerKeyListener {
+        /**
+         * Called with the owner key of a batch.
+         *
+         * @param owned the batch
+         * @param item its owner key, empty if there is none
+         * @return false if this process no longer owns the batch
+         */
+        boolean onOwnerKeyRead(OwnedBatch owned, Optional<StoredItem> item);
     }
 
     void tick(OwnedBatch owned) {
@@ -109,13 +122,8 @@
                                     return null;
                                 },
                                 item -> {
-                                    boolean isMine =
-                                            item.map(i -> i.revision() == owned.revision())
-                                                    .orElse(false);
-                                    if (isMine) {
+                                    if (mOwnerKeys.onOwnerKeyRead(owned, item)) {
                                         reload(owned);
-                                    } else {
-                                        mOnOwnershipLost.accept(owned);
                                     }
                                     return null;
                                 }));
