Begin a batch only under the owner key that the store holds

Found by the review of the doubled items, as the same cause: a process that follows no owner keys until it owns a batch began one whose key had changed while the reply to its write was on its way, or while it was being read. Items ran whose batch was ended: 4 sent, none owed, in the second case 8 s after the acknowledged end (cancel bound 3 s).

Change: after a batch was read its owner key is read again, and it is begun only if the key has not changed. Batches that are being written or acquired count as open, so that their owner keys are followed from the submission on, and a planned stop waits for them.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchAcquirer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchAcquirer.java
@@ -47,7 +47,7 @@
 
     /**
      * Takes over batches whose owner no longer holds a lease, if this process is the sweeper, and
-     * loads batches that this process owns but has not loaded.
+     * loads batches that this process owns but has not begun.
      */
     void takeOverBatches(boolean isSweeper) {
         for (KnownOwnership known : mKnown.open()) {
@@ -59,7 +59,7 @@
             boolean isOrphan = mNodes.find(ownership.owner()).isEmpty();
             if (ownership.owner().equals(mOwner)) {
                 mAcquiring.add(id);
-                loadBatch(id, known.revision());
+                loadBatch(id);
             } else if (isSweeper && isOrphan && mHomes.isNextOwner(mOwner, ownership)) {
                 tryTakeOver(known, new OpenWrite());
             }
@@ -89,7 +89,7 @@
                                             .with("from", known.ownership().owner())
                                             .info();
                                     mKnown.put(id, new KnownOwnership(mine, revision));
-                                    loadBatch(id, revision);
+                                    loadBatch(id);
                                     return null;
                                 }));
     }
@@ -106,17 +106,14 @@
                                 },
                                 item -> {
                                     item.ifPresent(i -> mManager.onOwnerKeyChanged(i.key(), item));
-                                    mAcquiring.remove(id);
-                                    if (isMine(id) && !mManager.hasBegun(id)) {
-                                        mAcquiring.add(id);
-                                        loadBatch(id, item.orElseThrow().revision());
-                                    }
+                                    loadBatch(id);
                                     return null;
                                 }));
     }
 
-    private void loadBatch(BatchId id, long revision) {
-        Optional<KnownOwnership> known = mKnown.find(id);
+    /** Reads a batch that this process owns. */
+    private void loadBatch(BatchId id) {
+        Optional<KnownOwnership> known = mKnown.find(id).filter(k -> isMine(k.ownership()));
         if (known.isEmpty()) {
             mAcquiring.remove(id);
             return;
@@ -127,20 +124,48 @@
                 (Result<StoredBatch> r) ->
                         r.fold(
                                 f -> {
-                                    mDelayed.add(() -> loadBatch(id, revision));
+                                    mDelayed.add(() -> loadBatch(id));
                                     return null;
                                 },
                                 stored -> {
-                                    mAcquiring.remove(id);
-                                    if (isMine(id) && !mManager.hasBegun(id)) {
+                                    confirm(id, stored, known.get().revision());
+                                    return null;
+                                }));
+    }
+
+    /** Begins a batch if its owner key has not changed while the batch was read. */
+    private void confirm(BatchId id, StoredBatch stored, long revision) {
+        FutureResults.deliver(
+                mStore.readOwnerKey(id),
+                mThread,
+                r ->
+                        r.fold(
+                                f -> {
+                                    mDelayed.add(() -> loadBatch(id));
+                                    return null;
+                                },
+                                item -> {
+                                    item.ifPresent(i -> mManager.onOwnerKeyChanged(i.key(), item));
+                                    boolean isCurrent =
+                                            item.map(i -> i.revision() == revision).orElse(false);
+                                    if (isCurrent) {
+                                        mAcquiring.remove(id);
                                         mManager.onLoaded(stored, revision);
+                                    } else {
+                                        mDelayed.add(() -> loadBatch(id));
                                     }
                                     return null;
                                 }));
     }
 
-    /** Tells whether this process owns a batch that has not ended. */
-    boolean isMine(BatchId id) {
-        return mKnown.find(id).map(k -> k.ownership().isOpenAt(mOwner)).orElse(false);
+    private boolean isMine(BatchOwnership ownership) {
+        return ownership.isOpenAt(mOwner);
+    }
+
+    // Accessors
+
+    /** Returns how many batches are being acquired. */
+    int size() {
+        return mAcquiring.size();
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchCreator.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchCreator.java
@@ -122,6 +122,11 @@
 
     // Accessors
 
+    /** Returns how many batches have a write whose outcome is open. */
+    int size() {
+        return mOpen.size();
+    }
+
     /** Tells whether the outcome of a batch's write is open. */
     boolean isOpen(BatchId id) {
         return mOpen.containsKey(id);
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -381,12 +381,14 @@
     }
 
     /**
-     * Returns how many batches owned by this process have work left.
+     * Returns how many batches of this process have work left, with those that are being written or
+     * acquired.
      *
      * @return the number of batches
      */
     public int openBatches() {
-        return (int) mOwned.values().stream().filter(o -> !o.isDone()).count();
+        int begun = (int) mOwned.values().stream().filter(o -> !o.isDone()).count();
+        return begun + mCreator.size() + mAcquirer.size();
     }
 
     /** Returns how many batches are kept in memory, and owners of batches. */
