Give each of a batch's submissions its outcome, and begin it during a stop

Three faults of the shared write, shown by its reviewer:

- a lost reply that is resolved after a planned stop began was answered 202, but the batch was not begun until another process took it over (0 of 4 items after 5 s).
A process now loads its own batches until it drains; it takes none over once it stops.
- a submission whose answer fails kept the others of its batch from theirs.
Each has its own task.
- a submission during a stop was refused as not run while the write of the same batch was open, and the store already held it.
It now gets the outcome of that write.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchCreator.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchCreator.java
@@ -116,7 +116,8 @@
     }
 
     private Void complete(BatchId id, Result<Boolean> result) {
-        mOpen.remove(id).forEach(done -> done.accept(result));
+        // A submission that fails keeps no other one from its outcome.
+        mOpen.remove(id).forEach(done -> mThread.execute(() -> done.accept(result)));
         return null;
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/BatchManager.java
@@ -100,6 +100,10 @@
             done.accept(Result.of(true));
             return;
         }
+        if (mCreator.isOpen(batch.id())) {
+            mCreator.create(batch, done);
+            return;
+        }
         if (mIsStopping) {
             done.accept(Result.fail(ErrorKind.SHUTTING_DOWN, "the process is stopping"));
             return;
@@ -326,8 +330,8 @@
         long nowMs = mNowMs.getAsLong();
         mDelayed.runDue();
         boolean isSettled = nowMs - storeRecoveredMs > REGISTRATION_GRACE_MS;
-        if (!mIsStopping) {
-            mAcquirer.takeOverBatches(isSweeper && isSettled);
+        if (!mIsDraining) {
+            mAcquirer.takeOverBatches(isSweeper && isSettled && !mIsStopping);
         }
         for (OwnedBatch owned : List.copyOf(mOwned.values())) {
             if (!mIsDraining) {
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchStateFromTheStoreTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchStateFromTheStoreTest.java
@@ -89,6 +89,32 @@
         assertThat(textSends(node), is(sends));
     }
 
+    @Test
+    void shouldRunABatchWhoseLostReplyIsResolvedAfterTheStopBegan() {
+        BatchNode node = node("n1");
+        run(100);
+        node.path().loseReplies(BatchStore.OWNER_PREFIX, 1);
+        List<Result<Boolean>> outcome = submit(node, ITEMS, 1);
+        node.manager().stopAccepting();
+        runWithResponses(5_000);
+        assertThat(outcome, is(List.of(Result.of(true))));
+        assertThat(stored(), hasSize(ITEMS));
+    }
+
+    @Test
+    void shouldNotRefuseABatchWhoseWriteIsOpenWhenTheStopBegins() {
+        BatchNode node = node("n1");
+        run(100);
+        node.path().delayReplies(BatchStore.OWNER_PREFIX, 1, 400);
+        List<Result<Boolean>> first = submit(node, ITEMS, 1);
+        node.manager().stopAccepting();
+        List<Result<Boolean>> second = submit(node, ITEMS, 1);
+        run(1_000);
+        assertThat(first, is(List.of(Result.of(true))));
+        assertThat(mStore.items().containsKey(BatchStore.OWNER_PREFIX + ID.value()), is(true));
+        assertThat(second, is(List.of(Result.of(true))));
+    }
+
     /** The stop waits for open batches; one whose write is open is not counted. */
     @Test
     void shouldCountABatchWhoseWriteIsOpen() {
@@ -100,6 +126,28 @@
         assertThat(node.manager().openBatches(), not(is(0)));
     }
 
+    @Test
+    void shouldAnswerAllSubmissionsAlthoughOneClientFails() {
+        BatchNode node = node("n1");
+        run(100);
+        node.path().delayReplies(BatchStore.OWNER_PREFIX, 1, 100);
+        Batch batch = BatchNode.batch(ID.value(), 1, 1, mThread.nowMs());
+        List<Result<Boolean>> second = new ArrayList<>();
+        node.manager()
+                .submit(
+                        batch,
+                        r -> {
+                            throw new IllegalStateException("closed");
+                        });
+        node.manager().submit(batch, second::add);
+        try {
+            run(300);
+        } catch (IllegalStateException e) {
+            run(300);
+        }
+        assertThat(second, hasSize(1));
+    }
+
     @Test
     void shouldLoseNoResultWhenOwnershipIsLostAndWonBack() {
         BatchNode node = startWithLateOwnerKeys();
