Have the soak's trainers submit each batch twice at once

Two submissions of a batch met at one process only by chance, so no run of the soak could show what came of it. Each submission now goes to its process on two connections.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -283,7 +284,10 @@
 
     private boolean submit(String batch, byte[] body, long untilMs) {
         while (System.currentTimeMillis() < untilMs) {
-            int status = send(nextNode(), "/train/" + batch, batch, body);
+            GatewayNode node = nextNode();
+            CompletableFuture<?> copy = sendCopy(node, batch, body);
+            int status = send(node, "/train/" + batch, batch, body);
+            copy.cancel(true);
             if (status == 202) {
                 return true;
             }
@@ -296,6 +300,17 @@
         return false;
     }
 
+    /**
+     * Submits a batch on a connection of its own, at the process that gets it once more at once.
+     */
+    private CompletableFuture<?> sendCopy(GatewayNode node, String batch, byte[] body) {
+        return mHttp.sendAsync(
+                request(node, "/train/" + batch, batch)
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+                        .build(),
+                HttpResponse.BodyHandlers.discarding());
+    }
+
     private int send(GatewayNode node, String path, String id, byte[] body) {
         try {
             return mHttp.send(
