Show requests in chunks that end a process or keep others waiting

Callers saw no answer while an entry was started again, out of memory, and none while its I/O thread read bodies in very small chunks.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/Crowd.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/Crowd.java
@@ -1,8 +1,11 @@
 package dev.cactusspan.standin.hosted;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Clients that misbehave in the same way.
@@ -17,6 +20,11 @@
     private static final List<String> PATHS =
             List.of("/quotes/c", "/train/c", "/nowhere/c", "/-/lots/c", "/-/readyz");
 
+    private static final long TURN_MS = 20;
+
+    /** Bytes that a crowd sends at most. */
+    private static final long MAX_BYTES = 600_000_000;
+
     private static final int UNIT_BYTES = 1_024;
     private static final int FAST = 64;
 
@@ -43,16 +51,60 @@
         return crowds;
     }
 
-    private interface ScriptFactory {
+    /**
+     * Connects and sends for some time, and then closes all connections.
+     *
+     * @param lengthMs that time, in milliseconds
+     * @param isOver ends that time early
+     * @param onTurn run after each turn
+     */
+    void play(long lengthMs, BooleanSupplier isOver, Runnable onTurn) {
+        List<CrowdConnection> open = new ArrayList<>();
+        long untilMs = nowMs() + lengthMs;
+        long sentBytes = 0;
+        try {
+            while (nowMs() < untilMs && !isOver.getAsBoolean()) {
+                connectSome(open);
+                for (CrowdConnection connection : open) {
+                    sentBytes += sentBytes < MAX_BYTES ? connection.send() : 0;
+                }
+                onTurn.run();
+                TimeUnit.MILLISECONDS.sleep(TURN_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("the crowd " + name + " was interrupted", e);
+        } finally {
+            open.forEach(CrowdConnection::close);
+        }
+    }
+
+    /** Opens some of the connections that are missing, so that not all come in one instant. */
+    private void connectSome(List<CrowdConnection> open) {
+        int missing = connections - open.size();
+        for (int i = 0; i < Math.min(missing, 1 + connections / 20); i++) {
+            try {
+                open.add(new CrowdConnection(port, scripts.get(open.size() % scripts.size())));
+            } catch (IOException e) {
+                // The process refuses the connection, as it may.
+                return;
+            }
+        }
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    interface ScriptFactory {
         CrowdConnection.Script of(String path);
     }
 
-    private static Crowd of(String name, int port, int connections, ScriptFactory factory) {
+    static Crowd of(String name, int port, int connections, ScriptFactory factory) {
         return new Crowd(name, port, connections, PATHS.stream().map(factory::of).toList());
     }
 
-    private static CrowdConnection.Script script(
-            String head, String unit, long units, int unitsPerTurn) {
+    static CrowdConnection.Script script(String head, String unit, long units, int unitsPerTurn) {
         return new CrowdConnection.Script(
                 head.getBytes(StandardCharsets.ISO_8859_1),
                 unit.getBytes(StandardCharsets.ISO_8859_1),
@@ -60,7 +112,7 @@
                 unitsPerTurn);
     }
 
-    private static String head(String path, String more) {
+    static String head(String path, String more) {
         return String.join(
                 "\r\n",
                 "POST " + path + " HTTP/1.1",
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -89,6 +89,26 @@
         return deployment;
     }
 
+    /**
+     * Starts the process of a VM with a disk, which serves metrics once it is ready.
+     *
+     * @param folder where settings and logs are written
+     * @return the running process, which this deployment closes
+     * @throws IOException if it cannot be started
+     */
+    GatewayNode startStorage(Path folder) throws IOException {
+        GatewayNode node =
+                GatewayNode.start(
+                        folder,
+                        "storage-1",
+                        NodeCommand.DEPLOYED_STORAGE,
+                        mStore.port(),
+                        mUsage.port(),
+                        WINDOW_S);
+        mNodes.add(node);
+        return node;
+    }
+
     private void addTarget(String id, String service, String software, String model) {
         mTargets.add(
                 TargetEmulator.start(
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/MisbehavingClientsTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/MisbehavingClientsTrial.java
@@ -19,11 +19,6 @@
     /** Time that a crowd stays, in milliseconds. */
     private static final long CROWD_MS = 1_500;
 
-    private static final long TURN_MS = 20;
-
-    /** Bytes that a crowd sends at most. */
-    private static final long MAX_CROWD_BYTES = 600_000_000;
-
     private static final int LARGE_BYTES = 33_000_000;
     private static final int ITEMS = 16;
     private static final long DUE_MS = 30_000;
@@ -109,7 +104,7 @@
             ordinary.execute(() -> callUntil(isOver, clients));
         }
         ordinary.execute(() -> probeUntil(isOver, node, isProbeMissed));
-        play(crowd);
+        crowd.play(CROWD_MS, () -> false, () -> {});
         isOver.set(true);
         ordinary.shutdown();
         ordinary.awaitTermination(TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -123,39 +118,6 @@
         }
     }
 
-    private static void play(Crowd crowd) throws InterruptedException {
-        List<CrowdConnection> connections = new ArrayList<>();
-        long untilMs = nowMs() + CROWD_MS;
-        long sentBytes = 0;
-        try {
-            while (nowMs() < untilMs) {
-                open(crowd, connections);
-                for (CrowdConnection connection : connections) {
-                    sentBytes += sentBytes < MAX_CROWD_BYTES ? connection.send() : 0;
-                }
-                TimeUnit.MILLISECONDS.sleep(TURN_MS);
-            }
-        } finally {
-            connections.forEach(CrowdConnection::close);
-        }
-    }
-
-    /** Opens some of the connections that are missing, so that not all come in one instant. */
-    private static void open(Crowd crowd, List<CrowdConnection> connections) {
-        int missing = crowd.connections() - connections.size();
-        for (int i = 0; i < Math.min(missing, 1 + crowd.connections() / 20); i++) {
-            try {
-                connections.add(
-                        new CrowdConnection(
-                                crowd.port(),
-                                crowd.scripts().get(connections.size() % crowd.scripts().size())));
-            } catch (IOException e) {
-                // The process refuses the connection, as it may.
-                return;
-            }
-        }
-    }
-
     private static void callUntil(AtomicBoolean isOver, HostedClients clients) {
         while (!isOver.get()) {
             clients.sendQuote();
@@ -182,8 +144,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    private static long nowMs() {
-        return System.nanoTime() / 1_000_000;
-    }
 }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/NodeCommand.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/NodeCommand.java
@@ -25,7 +25,10 @@
                             clockFile.toString());
 
     /** The entry's command of the deploy file, with the classes under test instead of the jar. */
-    NodeCommand DEPLOYED = clockFile -> deployed();
+    NodeCommand DEPLOYED = clockFile -> deployed("entry");
+
+    /** The same for the process of a VM with a disk. */
+    NodeCommand DEPLOYED_STORAGE = clockFile -> deployed("storage");
 
     /**
      * Returns the words of the command.
@@ -48,17 +51,18 @@
         return Path.of(System.getProperty("java.home"), "bin", "java").toString();
     }
 
-    private static List<String> deployed() {
+    private static List<String> deployed(String role) {
         try {
             String text = Files.readString(root().resolve("deploy").resolve("system.toml"));
-            Matcher run = Pattern.compile("run = \"java (.*) -jar \\S+ entry\"").matcher(text);
+            Matcher run =
+                    Pattern.compile("run = \"java (.*) -jar \\S+ " + role + "\"").matcher(text);
             if (!run.find()) {
-                throw new IllegalStateException("deploy/system.toml: no command of an entry");
+                throw new IllegalStateException("deploy/system.toml: no command of role " + role);
             }
             List<String> words = new ArrayList<>(List.of(java()));
             words.addAll(List.of(run.group(1).split(" ")));
             words.addAll(List.of("-cp", System.getProperty("java.class.path")));
-            words.addAll(List.of("dev.cactusspan.command.Main", "entry"));
+            words.addAll(List.of("dev.cactusspan.command.Main", role));
             return words;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
