Bound and count what a request sends between bytes of its body

Callers saw no answer for as long as an ended entry took to start again.

Cause: after the last chunk Undertow's parser keeps trailers, without any limit, until the connection is closed. Their bytes passed the meter of the connection in the phase of the body, in which only the body is held for.

Ruled out: the body (one byte), the header (within its limit). A bound on the sum of framing, as ResponseLimit has, was weighed and not taken: it grows with the body, and with it the trailers allowed after a large one.

Change: FramingLimit counts bytes that the parser has consumed since the last byte of the body. More than max_header_bytes close the connection (reason "framing"); less are held for with 64 a byte, since distinct fields of five bytes take about 300. With more than 128 such bytes a refused or evicted request is closed at once, as its trailers live until then. Trailers of a complete request are dropped; nothing reads them.

--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -3,7 +3,9 @@
 import dev.cactusspan.intake.Caller;
 import dev.cactusspan.intake.Callers;
 import dev.cactusspan.intake.Hold;
+import dev.cactusspan.intake.Refusal;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.xnio.IoUtils;
@@ -15,6 +17,7 @@
     private final Callers mCallers;
     private Caller mCaller;
     private Optional<Runnable> mOnEvicted = Optional.empty();
+    private long mReadBytes;
 
     GuardedConnection(StreamConnection channel, Callers callers) {
         mChannel = channel;
@@ -28,6 +31,7 @@
     // Events
 
     boolean onRead(long bytes) {
+        mReadBytes += bytes;
         return mCallers.onRead(mCaller, bytes, GuardedServer.nowMs());
     }
 
@@ -82,6 +86,16 @@
         return mCallers.grow(mCaller, bytes, GuardedServer.nowMs());
     }
 
+    /**
+     * Closes the connection without an answer.
+     *
+     * @param reason why
+     */
+    void close(Refusal reason) {
+        mCallers.refuse(reason, GuardedServer.nowMs());
+        IoUtils.safeClose(mChannel);
+    }
+
     /** Notes that the request was read completely. */
     public void onRequestRead() {
         mOnEvicted = Optional.empty();
@@ -107,4 +121,22 @@
     public static void send(HttpServerExchange exchange, byte[] body) {
         ResponseWriter.send(exchange, ByteBuffer.wrap(body));
     }
+
+    // Accessors
+
+    /** Returns the limit on the size of a header that is in force. */
+    int maxHeaderBytes() {
+        return mCallers.limits().maxHeaderBytes();
+    }
+
+    /** Returns the bytes that the parser has consumed, without those that it has put back. */
+    long consumedBytes(HttpServerExchange exchange) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
+            return mReadBytes;
+        }
+        return mReadBytes
+                - Optional.ofNullable(connection.getExtraBytes())
+                        .map(extra -> extra.getBuffer().remaining())
+                        .orElse(0);
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -3,9 +3,12 @@
 import dev.cactusspan.intake.Body;
 import dev.cactusspan.intake.BodyCollector;
 import dev.cactusspan.intake.Hold;
+import dev.cactusspan.intake.Refusal;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpAttachments;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -26,6 +29,7 @@
     private final long mMaxBytes;
     private final Listener mListener;
     private final BodyCollector mCollector;
+    private final FramingLimit mFraming;
     private Hold mHold = Hold.UNLIMITED;
     private long mHeldBytes;
     private boolean mIsDone;
@@ -57,6 +61,8 @@
         mMaxBytes = maxBytes;
         mListener = listener;
         mCollector = new BodyCollector(exchange.getRequestContentLength());
+        mFraming =
+                new FramingLimit(connection.maxHeaderBytes(), connection.consumedBytes(exchange));
     }
 
     /**
@@ -112,7 +118,7 @@
     private void start() {
         mHeldBytes = mExchange.isRequestComplete() ? 0 : mCollector.heldBytes();
         Optional<Hold> hold =
-                mConnection.admit(headerBytes(mExchange), mHeldBytes, () -> refuse(tooSlow()));
+                mConnection.admit(headerBytes(mExchange), mHeldBytes, this::onEvicted);
         if (hold.isEmpty()) {
             refuse(noRoom());
             return;
@@ -147,11 +153,13 @@
                     return;
                 }
                 if (count == 0) {
+                    checkFraming();
                     channel.resumeReads();
                     return;
                 }
                 turnBytes += count;
                 mCollector.added(count);
+                mFraming.onBody(mConnection.consumedBytes(mExchange));
                 checkLimits();
             }
         } catch (IOException e) {
@@ -174,6 +182,33 @@
         mHeldBytes += Math.max(0, missingBytes);
     }
 
+    private void checkFraming() {
+        mFraming.onFraming(mConnection.consumedBytes(mExchange));
+        if (mFraming.isExceeded()) {
+            mIsDone = true;
+            mConnection.close(Refusal.FRAMING);
+            return;
+        }
+        long missingBytes = mFraming.takeMissingBytes();
+        if (missingBytes > 0 && !mConnection.grow(missingBytes)) {
+            refuseOrClose(noRoom());
+        }
+    }
+
+    private void onEvicted() {
+        refuseOrClose(tooSlow());
+    }
+
+    /** Refuses the request; with many trailers at once, as they are kept until it is closed. */
+    private void refuseOrClose(Failure failure) {
+        if (mFraming.isSmall()) {
+            refuse(failure);
+            return;
+        }
+        mIsDone = true;
+        IoUtils.safeClose(mExchange.getConnection());
+    }
+
     private void refuse(Failure failure) {
         if (mIsDone) {
             // It was answered, and its connection is being closed.
@@ -185,6 +220,9 @@
 
     private void complete() {
         mIsDone = true;
+        // Trailers are not passed on.
+        Optional.ofNullable(mExchange.getAttachment(HttpAttachments.REQUEST_TRAILERS))
+                .ifPresent(HeaderMap::clear);
         mConnection.onRequestRead();
         mListener.onRead(mCollector.body(mHold));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/intake/Callers.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/Callers.java
@@ -231,6 +231,16 @@
         return victim.isPresent();
     }
 
+    /**
+     * Counts a refusal that the reader of a request has decided.
+     *
+     * @param reason why
+     * @param nowMs the steady clock in milliseconds
+     */
+    public void refuse(Refusal reason, long nowMs) {
+        mOnRefusal.accept(reason, nowMs);
+    }
+
     /**
      * Notes that the body of a request is complete.
      *
@@ -290,6 +300,15 @@
 
     // Accessors
 
+    /**
+     * Returns the limits in force.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return mLimits.get();
+    }
+
     /**
      * Returns the number of open connections.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/intake/Refusal.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/Refusal.java
@@ -12,6 +12,8 @@
     PACE,
     /** The body is over the limit. */
     SIZE,
+    /** More bytes than a header may have come between chunks of a body, or as its trailers. */
+    FRAMING,
     /** The first bytes of a link are not those of a process of the system. */
     HELLO;
 
--- a/cactusspan/src/test/java/dev/cactusspan/http/GuardedServerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/GuardedServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -187,6 +188,68 @@
         awaitNothingHeld();
     }
 
+    @Test
+    void shouldReadABodyWithATrailer() throws IOException {
+        try (Socket socket = connect()) {
+            write(socket, head("Transfer-Encoding: chunked\r\n") + "2\r\nab\r\n0\r\nx-su");
+            pause(100);
+            write(socket, "m: 1f\r\n\r\n");
+            assertThat(read(socket), containsString("\r\n\r\n2"));
+            write(socket, head("Content-Length: 3\r\n") + "abc");
+            assertThat(read(socket), containsString("\r\n\r\n3"));
+        }
+        assertThat(mRefusals, is(List.of()));
+        awaitNothingHeld();
+    }
+
+    @Test
+    void shouldReadABodyInChunksOfOneByte() throws IOException {
+        try (Socket socket = connect()) {
+            write(socket, head("Transfer-Encoding: chunked\r\n"));
+            write(socket, "1\r\nx\r\n".repeat(300_000) + "0\r\n\r\n");
+            assertThat(read(socket), containsString("\r\n\r\n300000"));
+        }
+        assertThat(mRefusals, is(List.of()));
+        awaitNothingHeld();
+    }
+
+    @Test
+    void shouldCloseAConnectionThatSendsMoreTrailersThanAHeaderHasBytes() throws IOException {
+        try (Socket socket = connect()) {
+            write(socket, head("Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n");
+            sendUntilClosed(socket, "x".repeat(4 << 10));
+        }
+        assertThat(mRefusals, is(List.of(Refusal.FRAMING)));
+        awaitNothingHeld();
+    }
+
+    @Test
+    void shouldHoldMemoryForTrailers() throws IOException {
+        try (Socket socket = connect()) {
+            write(socket, head("Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n");
+            write(socket, "x".repeat(8 << 10));
+            long untilNs = System.nanoTime() + TIMEOUT_MS * 1_000_000L;
+            while (mBudget.heldBytes() < 8 << 16 && System.nanoTime() < untilNs) {
+                pause(10);
+            }
+            assertThat(mBudget.heldBytes(), greaterThan(8L << 16));
+        }
+        awaitNothingHeld();
+    }
+
+    private static void sendUntilClosed(Socket socket, String unit) {
+        long untilNs = System.nanoTime() + TIMEOUT_MS * 1_000_000L;
+        while (System.nanoTime() < untilNs) {
+            try {
+                write(socket, unit);
+            } catch (IOException e) {
+                // The server has closed the connection.
+                return;
+            }
+        }
+        throw new AssertionError("the connection is open after " + TIMEOUT_MS + " ms");
+    }
+
     @Test
     void shouldCloseHalfHeadersAndSilentConnections() throws IOException {
         try (Socket half = connect();
