Answer unknown paths at the metrics address without the parser

Callers of the storage process, and the monitor, had no answer for as long as it took to start again after it had run out of memory.

Cause: a path without a handler was answered by Undertow, whose answer waits until its parser has read the rest of the request, with all its trailers.

Change: AdminServer answers such paths itself, and LingeringClose discards the rest, as for its other paths.

--- a/cactusspan/src/main/java/dev/cactusspan/observe/AdminServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/observe/AdminServer.java
@@ -49,7 +49,8 @@
             BooleanSupplier ready,
             Supplier<Object> status) {
         PathHandler paths =
-                new PathHandler()
+                // Undertow's own answer would have the parser read the rest of the request.
+                new PathHandler(e -> sendText(e, StatusCodes.NOT_FOUND, "not found\n"))
                         .addExactPath("/healthz", e -> sendText(e, StatusCodes.OK, "ok\n"))
                         .addExactPath("/readyz", e -> sendReadiness(e, ready.getAsBoolean()))
                         .addExactPath(
