Ask for the memory of a body in chunks in steps

Callers waited while the I/O thread read bodies in chunks of one byte.

Cause, in part: the hold of a body without a length grew by each byte that came, and each time the budget was computed anew. Of seven samples of the thread beside 400 such clients, five were there.

Change: the hold grows by 4 KB, the size of the first chunk. BodyCollectorTest: 25 steps for 100,000 bytes that come one by one, before one for each byte.

--- a/cactusspan/src/main/java/dev/cactusspan/intake/BodyCollector.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/BodyCollector.java
@@ -64,12 +64,17 @@
     }
 
     /**
-     * Returns the memory that the chunks take, or will take for a body of known length.
+     * Returns the memory that the chunks take, or will take for a body of known length. Without one
+     * it grows in steps, as a body may come byte by byte.
      *
      * @return the bytes
      */
     public long heldBytes() {
-        return Math.max(mExpectedBytes, mLength + (mExpectedBytes < 0 ? Body.CHUNK_BYTES : 0));
+        if (mExpectedBytes >= 0) {
+            return Math.max(mExpectedBytes, mLength);
+        }
+        long steps = (mLength + FIRST_CHUNK_BYTES - 1) / FIRST_CHUNK_BYTES;
+        return steps * FIRST_CHUNK_BYTES + Body.CHUNK_BYTES;
     }
 
     /**
