Let bodies that take more than one turn share a bounded task

Callers had no answer beside clients that send bodies in chunks of one byte, for as long as those stayed.

Cause: a turn of a body ended after 256 KB of it, which in chunks of one byte are 1.5 MB on the wire and as many reads, each of which has the parser copy up to 16 KB that were read ahead. What was left went on as a task of the I/O thread, and XNIO runs all tasks before it looks at its sockets.

Change: a turn ends after 128 reads as well. Turns that are left wait in TurnQueue, whose one task ends after 4 ms; the next comes after a look at the sockets. Bodies in small chunks are read there only and alternate with others. A turn of a closed connection does nothing.

--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -15,13 +15,15 @@
 public final class GuardedConnection {
     private final StreamConnection mChannel;
     private final Callers mCallers;
+    private final TurnQueue mTurns;
     private Caller mCaller;
     private Optional<Runnable> mOnEvicted = Optional.empty();
     private long mReadBytes;
 
-    GuardedConnection(StreamConnection channel, Callers callers) {
+    GuardedConnection(StreamConnection channel, Callers callers, TurnQueue turns) {
         mChannel = channel;
         mCallers = callers;
+        mTurns = turns;
     }
 
     void setCaller(Caller caller) {
@@ -96,6 +98,16 @@
         IoUtils.safeClose(mChannel);
     }
 
+    /**
+     * Reads more of a body once other connections had their turn.
+     *
+     * @param turn reads a bounded part
+     * @param isCostly true if the body comes in small chunks
+     */
+    void awaitTurn(Runnable turn, boolean isCostly) {
+        mTurns.add(turn, isCostly);
+    }
+
     /** Notes that the request was read completely. */
     public void onRequestRead() {
         mOnEvicted = Optional.empty();
--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
@@ -60,6 +60,7 @@
     private final XnioWorker mWorker;
     private final MemoryBudget mBudget;
     private final IntakeReport mReport;
+    private final TurnQueue mTurns;
     private final ByteBufferPool mBuffers =
             new DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
     private final Map<StreamConnection, GuardedConnection> mConnections = new HashMap<>();
@@ -68,6 +69,12 @@
         mWorker = worker;
         mBudget = budget;
         mReport = report;
+        mTurns =
+                new TurnQueue(
+                        (task, delayMs) ->
+                                worker.getIoThread()
+                                        .executeAfter(task, delayMs, TimeUnit.MILLISECONDS),
+                        System::nanoTime);
     }
 
     /** Handles requests whose header was read. */
@@ -173,7 +180,7 @@
     }
 
     private void open(StreamConnection channel, Callers callers, HttpOpenListener listener) {
-        GuardedConnection connection = new GuardedConnection(channel, callers);
+        GuardedConnection connection = new GuardedConnection(channel, callers, mTurns);
         Optional<Caller> caller = callers.open(nowMs(), connection::evict);
         if (caller.isEmpty()) {
             IoUtils.safeClose(channel);
--- a/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -24,6 +24,12 @@
     /** Bytes read in one turn, so that one client does not occupy the I/O thread. */
     private static final int MAX_TURN_BYTES = 256 << 10;
 
+    /**
+     * Reads in one turn. Each takes one chunk at most, and has the parser copy what was read ahead,
+     * up to a buffer.
+     */
+    private static final int MAX_TURN_READS = 128;
+
     private final HttpServerExchange mExchange;
     private final GuardedConnection mConnection;
     private final long mMaxBytes;
@@ -33,6 +39,8 @@
     private Hold mHold = Hold.UNLIMITED;
     private long mHeldBytes;
     private boolean mIsDone;
+    private boolean mIsCostly;
+    private boolean mIsQueued;
 
     /** Receives the body, or why there is none. Called once, on the I/O thread. */
     public interface Listener {
@@ -129,23 +137,50 @@
             return;
         }
         StreamSourceChannel channel = mExchange.getRequestChannel();
-        channel.getReadSetter().set(this::read);
+        channel.getReadSetter().set(this::onReadable);
         read(channel);
     }
 
+    private void onReadable(StreamSourceChannel channel) {
+        if (mIsQueued) {
+            return;
+        }
+        if (mIsCostly && !mIsDone) {
+            awaitTurn(channel);
+        } else {
+            read(channel);
+        }
+    }
+
+    private void awaitTurn(StreamSourceChannel channel) {
+        channel.suspendReads();
+        mIsQueued = true;
+        mConnection.awaitTurn(() -> takeTurn(channel), mIsCostly);
+    }
+
+    private void takeTurn(StreamSourceChannel channel) {
+        mIsQueued = false;
+        // Once it is refused, its connection is read by whoever closes it.
+        if (!mIsDone && mExchange.getConnection().isOpen()) {
+            read(channel);
+        }
+    }
+
     private void read(StreamSourceChannel channel) {
         int turnBytes = 0;
+        int turnReads = 0;
         try {
             while (true) {
                 if (mIsDone) {
                     channel.suspendReads();
                     return;
                 }
-                if (turnBytes >= MAX_TURN_BYTES) {
-                    channel.suspendReads();
-                    mExchange.getIoThread().execute(() -> read(channel));
+                if (turnBytes >= MAX_TURN_BYTES || turnReads >= MAX_TURN_READS) {
+                    mIsCostly = turnBytes < MAX_TURN_BYTES;
+                    awaitTurn(channel);
                     return;
                 }
+                turnReads++;
                 int count = channel.read(mCollector.room());
                 if (count < 0) {
                     channel.suspendReads();
