--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -3,7 +3,9 @@
 import dev.cactusspan.intake.Caller;
 import dev.cactusspan.intake.Callers;
 import dev.cactusspan.intake.Hold;
+import dev.cactusspan.intake.Refusal;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.xnio.IoUtils;
@@ -13,12 +15,15 @@
 public final class GuardedConnection {
     private final StreamConnection mChannel;
     private final Callers mCallers;
+    private final TurnQueue mTurns;
     private Caller mCaller;
     private Optional<Runnable> mOnEvicted = Optional.empty();
+    private long mReadBytes;
 
-    GuardedConnection(StreamConnection channel, Callers callers) {
+    GuardedConnection(StreamConnection channel, Callers callers, TurnQueue turns) {
         mChannel = channel;
         mCallers = callers;
+        mTurns = turns;
     }
 
     void setCaller(Caller caller) {
@@ -28,6 +33,7 @@
     // Events
 
     boolean onRead(long bytes) {
+        mReadBytes += bytes;
         return mCallers.onRead(mCaller, bytes, GuardedServer.nowMs());
     }
 
@@ -82,6 +88,26 @@
         return mCallers.grow(mCaller, bytes, GuardedServer.nowMs());
     }
 
+    /**
+     * Closes the connection without an answer.
+     *
+     * @param reason why
+     */
+    void close(Refusal reason) {
+        mCallers.refuse(reason, GuardedServer.nowMs());
+        IoUtils.safeClose(mChannel);
+    }
+
+    /**
+     * Reads more of a body once other connections had their turn.
+     *
+     * @param turn reads a bounded part
+     * @param isCostly true if the body comes in small chunks
+     */
+    void awaitTurn(Runnable turn, boolean isCostly) {
+        mTurns.add(turn, isCostly);
+    }
+
     /** Notes that the request was read completely. */
     public void onRequestRead() {
         mOnEvicted = Optional.empty();
@@ -107,4 +133,22 @@
     public static void send(HttpServerExchange exchange, byte[] body) {
         ResponseWriter.send(exchange, ByteBuffer.wrap(body));
     }
+
+    // Accessors
+
+    /** Returns the limit on the size of a header that is in force. */
+    int maxHeaderBytes() {
+        return mCallers.limits().maxHeaderBytes();
+    }
+
+    /** Returns the bytes that the parser has consumed, without those that it has put back. */
+    long consumedBytes(HttpServerExchange exchange) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
+            return mReadBytes;
+        }
+        return mReadBytes
+                - Optional.ofNullable(connection.getExtraBytes())
+                        .map(extra -> extra.getBuffer().remaining())
+                        .orElse(0);
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -3,9 +3,12 @@
 import dev.cactusspan.intake.Body;
 import dev.cactusspan.intake.BodyCollector;
 import dev.cactusspan.intake.Hold;
+import dev.cactusspan.intake.Refusal;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpAttachments;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -21,14 +24,23 @@
     /** Bytes read in one turn, so that one client does not occupy the I/O thread. */
     private static final int MAX_TURN_BYTES = 256 << 10;
 
+    /**
+     * Reads in one turn. Each takes one chunk at most, and has the parser copy what was read ahead,
+     * up to a buffer.
+     */
+    private static final int MAX_TURN_READS = 128;
+
     private final HttpServerExchange mExchange;
     private final GuardedConnection mConnection;
     private final long mMaxBytes;
     private final Listener mListener;
     private final BodyCollector mCollector;
+    private final FramingLimit mFraming;
     private Hold mHold = Hold.UNLIMITED;
     private long mHeldBytes;
     private boolean mIsDone;
+    private boolean mIsCostly;
+    private boolean mIsQueued;
 
     /** Receives the body, or why there is none. Called once, on the I/O thread. */
     public interface Listener {
@@ -57,6 +69,8 @@
         mMaxBytes = maxBytes;
         mListener = listener;
         mCollector = new BodyCollector(exchange.getRequestContentLength());
+        mFraming =
+                new FramingLimit(connection.maxHeaderBytes(), connection.consumedBytes(exchange));
     }
 
     /**
@@ -112,7 +126,7 @@
     private void start() {
         mHeldBytes = mExchange.isRequestComplete() ? 0 : mCollector.heldBytes();
         Optional<Hold> hold =
-                mConnection.admit(headerBytes(mExchange), mHeldBytes, () -> refuse(tooSlow()));
+                mConnection.admit(headerBytes(mExchange), mHeldBytes, this::onEvicted);
         if (hold.isEmpty()) {
             refuse(noRoom());
             return;
@@ -123,23 +137,50 @@
             return;
         }
         StreamSourceChannel channel = mExchange.getRequestChannel();
-        channel.getReadSetter().set(this::read);
+        channel.getReadSetter().set(this::onReadable);
         read(channel);
     }
 
+    private void onReadable(StreamSourceChannel channel) {
+        if (mIsQueued) {
+            return;
+        }
+        if (mIsCostly && !mIsDone) {
+            awaitTurn(channel);
+        } else {
+            read(channel);
+        }
+    }
+
+    private void awaitTurn(StreamSourceChannel channel) {
+        channel.suspendReads();
+        mIsQueued = true;
+        mConnection.awaitTurn(() -> takeTurn(channel), mIsCostly);
+    }
+
+    private void takeTurn(StreamSourceChannel channel) {
+        mIsQueued = false;
+        // Once it is refused, its connection is read by whoever closes it.
+        if (!mIsDone && mExchange.getConnection().isOpen()) {
+            read(channel);
+        }
+    }
+
     private void read(StreamSourceChannel channel) {
         int turnBytes = 0;
+        int turnReads = 0;
         try {
             while (true) {
                 if (mIsDone) {
                     channel.suspendReads();
                     return;
                 }
-                if (turnBytes >= MAX_TURN_BYTES) {
-                    channel.suspendReads();
-                    mExchange.getIoThread().execute(() -> read(channel));
+                if (turnBytes >= MAX_TURN_BYTES || turnReads >= MAX_TURN_READS) {
+                    mIsCostly = turnBytes < MAX_TURN_BYTES;
+                    awaitTurn(channel);
                     return;
                 }
+                turnReads++;
                 int count = channel.read(mCollector.room());
                 if (count < 0) {
                     channel.suspendReads();
@@ -147,11 +188,13 @@
                     return;
                 }
                 if (count == 0) {
+                    checkFraming();
                     channel.resumeReads();
                     return;
                 }
                 turnBytes += count;
                 mCollector.added(count);
+                mFraming.onBody(mConnection.consumedBytes(mExchange));
                 checkLimits();
             }
         } catch (IOException e) {
@@ -174,6 +217,33 @@
         mHeldBytes += Math.max(0, missingBytes);
     }
 
+    private void checkFraming() {
+        mFraming.onFraming(mConnection.consumedBytes(mExchange));
+        if (mFraming.isExceeded()) {
+            mIsDone = true;
+            mConnection.close(Refusal.FRAMING);
+            return;
+        }
+        long missingBytes = mFraming.takeMissingBytes();
+        if (missingBytes > 0 && !mConnection.grow(missingBytes)) {
+            refuseOrClose(noRoom());
+        }
+    }
+
+    private void onEvicted() {
+        refuseOrClose(tooSlow());
+    }
+
+    /** Refuses the request; with many trailers at once, as they are kept until it is closed. */
+    private void refuseOrClose(Failure failure) {
+        if (mFraming.isSmall()) {
+            refuse(failure);
+            return;
+        }
+        mIsDone = true;
+        IoUtils.safeClose(mExchange.getConnection());
+    }
+
     private void refuse(Failure failure) {
         if (mIsDone) {
             // It was answered, and its connection is being closed.
@@ -185,6 +255,9 @@
 
     private void complete() {
         mIsDone = true;
+        // Trailers are not passed on.
+        Optional.ofNullable(mExchange.getAttachment(HttpAttachments.REQUEST_TRAILERS))
+                .ifPresent(HeaderMap::clear);
         mConnection.onRequestRead();
         mListener.onRead(mCollector.body(mHold));
     }
