Show a process that ends while many clients read long answers slowly

Callers saw an entry end, out of memory (code 3), while 150 clients read answers of 6 MB at 50 bytes a second.

A heap dump taken at the end (57 MB of byte arrays): 26 arrays with 21.9 MB belong to attempts in progress, 17 with 16.7 MB to attempts that have ended or were dropped, one of 6.3 MB to a client. There were 205 attempts of 60 requests. None of the arrays of attempts is in the budget of callers.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 /** Runs a real process of the product on loopback; signals are sent to it by its process id. */
 public final class GatewayNode implements AutoCloseable {
@@ -202,6 +203,21 @@
         }
     }
 
+    /**
+     * Returns the number of descriptors that the process has open.
+     *
+     * @return how many, zero if the process has ended
+     */
+    public int openDescriptors() {
+        Path folder = Path.of("/proc", Long.toString(mProcess.pid()), "fd");
+        try (Stream<Path> descriptors = Files.list(folder)) {
+            return (int) descriptors.count();
+        } catch (IOException | UncheckedIOException e) {
+            // The process has ended.
+            return 0;
+        }
+    }
+
     /**
      * Returns the port that serves clients.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/NodeCommand.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/NodeCommand.java
@@ -27,6 +27,19 @@
     /** The entry's command of the deploy file, with the classes under test instead of the jar. */
     NodeCommand DEPLOYED = clockFile -> deployed();
 
+    /**
+     * Returns the entry's command of the deploy file with a smaller heap.
+     *
+     * @param heapMb size of the heap in MB
+     * @return the command
+     */
+    static NodeCommand deployedWithHeap(int heapMb) {
+        return clockFile ->
+                deployed().stream()
+                        .map(word -> word.startsWith("-Xmx") ? "-Xmx" + heapMb + "m" : word)
+                        .toList();
+    }
+
     /**
      * Returns the words of the command.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/TargetEmulator.java
@@ -376,7 +376,12 @@
             return;
         }
         exchange.getResponseHeaders().put(RESPONSE_DIGEST, responseDigest(id));
-        exchange.getResponseSender().send("echo " + echoed(body) + " of " + id);
+        LongAnswer.of(exchange.getRequestPath())
+                .ifPresentOrElse(
+                        answer -> answer.send(exchange),
+                        () ->
+                                exchange.getResponseSender()
+                                        .send("echo " + echoed(body) + " of " + id));
     }
 
     private static String echoed(byte[] body) {
@@ -392,6 +397,11 @@
         exchange.getResponseHeaders().put(WEIGHT_VERSIONS, version);
         exchange.getResponseHeaders().put(RESPONSE_DIGEST, responseDigest(id));
         exchange.getResponseHeaders().put(new HttpString("Content-Type"), "text/event-stream");
+        Optional<LongAnswer> answer = LongAnswer.of(exchange.getRequestPath());
+        if (answer.isPresent()) {
+            answer.get().send(exchange);
+            return;
+        }
         exchange.startBlocking();
         boolean isClientStream = exchange.getRequestPath().startsWith(STREAM_PREFIX);
         List<String> text =
