Hold the memory of targets' responses from their arrival to the client's hold

Callers saw an entry end, out of memory, while many of them read long answers slowly.

Cause: the bodies of attempts were counted by their length, with a limit of 16 MB, and took far more: the spare half of arrays that grow by doubling, arrays of dropped bodies that were emptied and not let go of, bodies of ended attempts for as long as their request lived, and a copy on the way to the client. In the heap dump 38.6 of 57 MB of byte arrays. Ruled out by the dump: answers that wait to be written (one, held) and bytes between threads.

Now an attempt collects chunks and holds each before it is allocated, in a budget of a sixth of the heap. It returns them when it ends, whatever its end. A complete response moves with its hold to the sink, which returns it once the connection's hold covers it, and is let go of chunk by chunk as it is written. The largest response is still given up first; its request may have run, so it is sent again or answered 502.

The limit in the fixture of the forwarder's tests is 16 MB, as it was.

--- a/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/Attempt.java
@@ -2,7 +2,8 @@
 
 import dev.cactusspan.fleet.ResponseHead;
 import dev.cactusspan.fleet.TargetState;
-import java.io.ByteArrayOutputStream;
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.HeldBody;
 import java.util.Optional;
 
 /** One attempt to run a request at one target. */
@@ -11,7 +12,7 @@
     private final long mStartedMs;
     private final boolean mWasTargetFailing;
     private final BodyBudget mBudget;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final HeldBody mBody;
     private Runnable mCanceller = () -> {};
     private Optional<ResponseHead> mHead = Optional.empty();
     private boolean mIsFinished;
@@ -20,6 +21,7 @@
     Attempt(TargetState target, BodyBudget budget, long startedMs) {
         mTarget = target;
         mBudget = budget;
+        mBody = budget.newBody();
         mStartedMs = startedMs;
         mWasTargetFailing = target.isFailing(startedMs);
         target.recordSent(startedMs);
@@ -34,28 +36,41 @@
         mHead = Optional.of(head);
     }
 
-    void appendBody(byte[] data) {
-        if (!mIsBodyDropped) {
-            mBody.writeBytes(data);
-            mBudget.add(this, data.length);
+    /** Adds bytes to the body; returns false if there is no memory for them. */
+    boolean appendBody(byte[] data) {
+        if (mIsBodyDropped) {
+            return true;
         }
+        mBudget.add(this);
+        return mBody.add(data);
     }
 
     /** Drops the body and cancels the exchange, which then reports a failure. */
     void dropBody() {
-        mIsBodyDropped = true;
-        mBudget.release(this);
-        mBody.reset();
+        releaseBody();
         mCanceller.run();
     }
 
+    /** Lets go of the body. */
+    void releaseBody() {
+        mIsBodyDropped = true;
+        mBudget.remove(this);
+        mBody.close();
+    }
+
+    /** Moves the body and what is held for it to the caller. */
+    Body takeBody() {
+        mIsBodyDropped = true;
+        mBudget.remove(this);
+        return mBody.take();
+    }
+
     /** Marks the attempt as finished; returns false if it was finished already. */
     boolean finish() {
         if (mIsFinished) {
             return false;
         }
         mIsFinished = true;
-        mBudget.release(this);
         mTarget.recordEnded();
         return true;
     }
@@ -63,6 +78,7 @@
     /** Cancels the exchange unless the attempt has finished. */
     void cancel() {
         if (finish()) {
+            releaseBody();
             mCanceller.run();
         }
     }
@@ -89,12 +105,8 @@
         return mHead;
     }
 
-    byte[] body() {
-        return mBody.toByteArray();
-    }
-
-    int bodyBytes() {
-        return mBody.size();
+    long bodyBytes() {
+        return mBody.length();
     }
 
     boolean isFinished() {
--- a/cactusspan/src/main/java/dev/cactusspan/forward/ClientSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/ClientSink.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.forward;
 
+import dev.cactusspan.intake.Body;
 import dev.cactusspan.result.Failure;
 import java.util.Map;
 
@@ -11,9 +12,9 @@
      *
      * @param status HTTP status
      * @param headers response headers
-     * @param body response body
+     * @param body response body, whose memory is returned once it is written or not needed
      */
-    void respond(int status, Map<String, String> headers, byte[] body);
+    void respond(int status, Map<String, String> headers, Body body);
 
     /**
      * Starts a streamed response.
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestForwarder.java
@@ -11,6 +11,7 @@
 import dev.cactusspan.fleet.TargetState;
 import dev.cactusspan.fleet.TargetTable;
 import dev.cactusspan.id.AccountId;
+import dev.cactusspan.intake.MemoryBudget;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.ErrorKind;
 import dev.cactusspan.result.Failure;
@@ -35,9 +36,6 @@
     /** Delay before a refused request is retried, in milliseconds. */
     private static final long RETRY_DELAY_MS = 15;
 
-    /** Maximum memory of the responses that are buffered at the same time. */
-    private static final long MAX_BUFFERED_BYTES = 16 << 20;
-
     private static final long DEFAULT_CLIENT_TIMEOUT_MS = 30_000;
     private static final int SERVER_ERROR = 500;
 
@@ -56,7 +54,7 @@
     private final RequestLog mLog;
     private final SplittableRandom mRandom;
     private final LongSupplier mNowMs;
-    private final BodyBudget mBudget = new BodyBudget(MAX_BUFFERED_BYTES);
+    private final BodyBudget mBudget;
     private final Set<ForwardedRequest> mPending = new LinkedHashSet<>();
     private final PlannedStop mStop = new PlannedStop();
     private final SendCheck mCheck;
@@ -72,6 +70,7 @@
      * @param usageListener counts the requests that run
      * @param crashes keeps requests that crash targets away from further ones
      * @param origins knows where resumable streams began
+     * @param responses memory of the responses that are collected
      * @param telemetry records metrics
      * @param random the source of randomness
      * @param nowMs monotonic clock in milliseconds
@@ -85,11 +84,13 @@
             UsageListener usageListener,
             CrashGuard crashes,
             StreamOrigins origins,
+            MemoryBudget responses,
             Telemetry telemetry,
             SplittableRandom random,
             LongSupplier nowMs) {
         mSelection = new TargetSelection(targets, chooser, origins, new ResidencyRule(desired));
         mPort = port;
+        mBudget = new BodyBudget(responses);
         mWaiting = waiting;
         mUsageListener = usageListener;
         mCrashes = crashes;
@@ -279,15 +280,15 @@
                 mRequest.sink().data(data, consumed);
                 return;
             }
-            mAttempt.appendBody(data);
+            mBudget.append(mAttempt, data, mLog);
             consumed.run();
-            mBudget.findExcess().ifPresent(RequestForwarder.this::dropBody);
         }
 
         @Override
         public void onEnd() {
             if (mAttempt.finish()) {
                 handleEnd(mRequest, mAttempt);
+                mAttempt.releaseBody();
             }
         }
 
@@ -299,11 +300,6 @@
         }
     }
 
-    private void dropBody(Attempt attempt) {
-        mLog.dropped(attempt, "the buffered responses exceed " + MAX_BUFFERED_BYTES + " bytes");
-        attempt.dropBody();
-    }
-
     private void handleEnd(ForwardedRequest pending, Attempt attempt) {
         ResponseHead head = attempt.head().orElseThrow();
         long nowMs = mNowMs.getAsLong();
@@ -322,7 +318,7 @@
                     .recordRequest(pending.route().name(), nowMs - attempt.startedMs(), nowMs);
             pending.activeBefore(attempt)
                     .forEach(a -> a.target().recordLate(nowMs - a.startedMs(), nowMs));
-            pending.sink().respond(head.status(), head.headers(), attempt.body());
+            pending.sink().respond(head.status(), head.headers(), attempt.takeBody());
             finish(pending, ANSWERED);
             return;
         }
@@ -338,7 +334,7 @@
             handleFailedRun(pending, "the target answered " + head.status() + " without a digest");
             return;
         }
-        pending.sink().respond(head.status(), head.headers(), attempt.body());
+        pending.sink().respond(head.status(), head.headers(), attempt.takeBody());
         finish(pending, "target_answered_" + head.status());
     }
 
@@ -354,6 +350,7 @@
     private void handleFailure(
             ForwardedRequest pending, Attempt attempt, SendFailure failure, String reason) {
         attempt.finish();
+        attempt.releaseBody();
         long nowMs = mNowMs.getAsLong();
         if (nowMs >= pending.deadlineMs() - RETRY_DELAY_MS) {
             // The deadline was too short for the work or the target is slow, so this does not prove
--- a/cactusspan/src/main/java/dev/cactusspan/forward/RequestLog.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/RequestLog.java
@@ -41,6 +41,7 @@
     }
 
     void dropped(Attempt attempt, String reason) {
+        mTelemetry.count("responses_dropped_total", "reason", "memory");
         Decision.of("response_dropped")
                 .with("target", attempt.target().record().id().value())
                 .with("bytes", attempt.bodyBytes())
--- a/cactusspan/src/main/java/dev/cactusspan/forward/WithheldSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/forward/WithheldSink.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.forward;
 
+import dev.cactusspan.intake.Body;
 import dev.cactusspan.result.Failure;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -51,7 +52,7 @@
     }
 
     @Override
-    public void respond(int status, Map<String, String> headers, byte[] body) {
+    public void respond(int status, Map<String, String> headers, Body body) {
         call(() -> mSink.respond(status, headers, body));
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import dev.cactusspan.id.AccountId;
 import dev.cactusspan.id.BatchId;
 import dev.cactusspan.id.ItemId;
+import dev.cactusspan.intake.Body;
 import dev.cactusspan.observe.Decision;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.ErrorKind;
@@ -231,7 +232,7 @@
                     return null;
                 },
                 ok -> {
-                    submission.mSink.respond(202, Map.of(), new byte[0]);
+                    submission.mSink.respond(202, Map.of(), Body.empty());
                     return null;
                 });
     }
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/GatewayProcess.java
@@ -132,6 +132,7 @@
         mTelemetry = telemetry;
         mWallClock = wallClock;
         mHttp = HttpClient.create();
+        mIntake = IntakeState.create(settings, telemetry);
         NodeRecord self = newRecord();
         mDirect =
                 new PlatformStore(
@@ -172,7 +173,6 @@
         mReader = new BatchReader(mBatches, batches, mNodes, mPeers, mControl);
         mStop = newStop();
         mGateway = newGateway();
-        mIntake = IntakeState.create(settings, telemetry);
         mServer = newServer();
         mAdmin =
                 new AdminServer(
@@ -294,6 +294,7 @@
                 mUsage::count,
                 mCrashGuard,
                 mOrigins,
+                mIntake.responses(),
                 mTelemetry,
                 mRandom.split(),
                 GatewayProcess::nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/gateway/IntakeState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/gateway/IntakeState.java
@@ -25,15 +25,24 @@
     /** Interval at which owned batches are counted, in milliseconds. */
     private static final long COUNT_INTERVAL_MS = 250;
 
+    /**
+     * Part of the heap for responses of targets that are being collected: on an entry's heap of 96
+     * MB the largest one takes half of it.
+     */
+    private static final int RESPONSES_HEAP_DIVISOR = 6;
+
     private final MemoryBudget mBudget;
+    private final MemoryBudget mResponses;
     private final IntakeReport mReport;
     private final int mMaxConnections;
     private final LongConsumer mBatchBytes;
     private long mNextCountMs = Long.MIN_VALUE;
     private volatile CallerLimits mLimits;
 
-    private IntakeState(MemoryBudget budget, IntakeReport report, int maxConnections) {
+    private IntakeState(
+            MemoryBudget budget, MemoryBudget responses, IntakeReport report, int maxConnections) {
         mBudget = budget;
+        mResponses = responses;
         mReport = report;
         mBatchBytes = budget.standing();
         mMaxConnections = maxConnections;
@@ -46,8 +55,13 @@
         telemetry.gauge("caller_memory_limit_bytes", budget::totalBytes);
         telemetry.gauge("caller_memory_bytes", budget::heldBytes);
         telemetry.gauge("caller_memory_peak_bytes", budget::peakBytes);
+        MemoryBudget responses = new MemoryBudget(heapBytes / RESPONSES_HEAP_DIVISOR);
+        telemetry.gauge("response_memory_limit_bytes", responses::totalBytes);
+        telemetry.gauge("response_memory_bytes", responses::heldBytes);
+        telemetry.gauge("response_memory_peak_bytes", responses::peakBytes);
         return new IntakeState(
                 budget,
+                responses,
                 report(telemetry, budget),
                 ConnectionCap.of(settings.maxFds(), settings.memoryMb(), heapBytes));
     }
@@ -90,6 +104,11 @@
         return mBudget;
     }
 
+    /** Returns the memory for responses of targets that are being collected. */
+    MemoryBudget responses() {
+        return mResponses;
+    }
+
     IntakeReport report() {
         return mReport;
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -1,10 +1,10 @@
 package dev.cactusspan.http;
 
+import dev.cactusspan.intake.Body;
 import dev.cactusspan.intake.Caller;
 import dev.cactusspan.intake.Callers;
 import dev.cactusspan.intake.Hold;
 import io.undertow.server.HttpServerExchange;
-import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -105,6 +105,16 @@
      * @param body body of the response
      */
     public static void send(HttpServerExchange exchange, byte[] body) {
-        ResponseWriter.send(exchange, ByteBuffer.wrap(body));
+        send(exchange, Body.of(body));
+    }
+
+    /**
+     * Sends a complete response and lets go of its body as it is written.
+     *
+     * @param exchange the request
+     * @param body body of the response, which is drained
+     */
+    public static void send(HttpServerExchange exchange, Body body) {
+        ResponseWriter.send(exchange, body);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseWriter.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseWriter.java
@@ -1,50 +1,47 @@
 package dev.cactusspan.http;
 
+import dev.cactusspan.intake.Body;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Iterator;
 import org.xnio.IoUtils;
 
 /** Writes a response in parts, as a socket copies each part that it is given. */
 final class ResponseWriter implements IoCallback {
-    /** Size of a part, and of the buffer through which it goes. */
-    private static final int PART_BYTES = 64 << 10;
-
-    private final ByteBuffer mBody;
+    private final Iterator<ByteBuffer> mParts;
     private final boolean mIsRequestRead;
 
-    private ResponseWriter(ByteBuffer body, boolean isRequestRead) {
-        mBody = body;
+    private ResponseWriter(Iterator<ByteBuffer> parts, boolean isRequestRead) {
+        mParts = parts;
         mIsRequestRead = isRequestRead;
     }
 
-    static void send(HttpServerExchange exchange, ByteBuffer body) {
+    static void send(HttpServerExchange exchange, Body body) {
         boolean isRequestRead = exchange.isRequestComplete();
         if (!isRequestRead) {
             exchange.setPersistent(false);
             exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         }
-        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.remaining());
-        if (!body.hasRemaining() && isRequestRead) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length());
+        if (body.length() == 0 && isRequestRead) {
             exchange.endExchange();
             return;
         }
-        new ResponseWriter(body, isRequestRead).next(exchange);
+        new ResponseWriter(body.drainParts(), isRequestRead).next(exchange);
     }
 
     private void next(HttpServerExchange exchange) {
-        int size = Math.min(PART_BYTES, mBody.remaining());
-        ByteBuffer part = mBody.slice(mBody.position(), size);
-        mBody.position(mBody.position() + size);
+        ByteBuffer part = mParts.hasNext() ? mParts.next() : ByteBuffer.allocate(0);
         exchange.getResponseSender().send(part, this);
     }
 
     @Override
     public void onComplete(HttpServerExchange exchange, Sender sender) {
-        if (mBody.hasRemaining()) {
+        if (mParts.hasNext()) {
             next(exchange);
         } else if (mIsRequestRead) {
             exchange.endExchange();
--- a/cactusspan/src/main/java/dev/cactusspan/intake/Body.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/Body.java
@@ -8,9 +8,9 @@
 import java.util.List;
 
 /**
- * The body of a request, in chunks, so that a large one needs no array of its size and no copy on
- * its way to a target. It stays in memory until the request ends, so that the request can be sent
- * again. Thread-safe unless it is drained.
+ * The body of a request or response, in chunks, so that a large one needs no array of its size and
+ * no copy on its way to a target. It stays in memory until the request ends, so that the request
+ * can be sent again. Thread-safe unless it is drained.
  */
 public final class Body {
     /** Size of a chunk; a socket is written one chunk at a time, through a buffer of this size. */
@@ -112,6 +112,33 @@
         };
     }
 
+    /**
+     * Returns the bytes in parts, like {@link #parts}, and lets go of each chunk when its last part
+     * is returned. The body is empty afterwards.
+     *
+     * @return the parts in order, each read once
+     */
+    public Iterator<ByteBuffer> drainParts() {
+        return new Iterator<>() {
+            @Override
+            public boolean hasNext() {
+                return !mChunks.isEmpty();
+            }
+
+            @Override
+            public ByteBuffer next() {
+                ByteBuffer chunk = mChunks.element();
+                int size = Math.min(CHUNK_BYTES, chunk.remaining());
+                ByteBuffer part = chunk.slice(chunk.position(), size);
+                chunk.position(chunk.position() + size);
+                if (!chunk.hasRemaining()) {
+                    mChunks.remove();
+                }
+                return part;
+            }
+        };
+    }
+
     // Accessors
 
     /**
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -2,6 +2,8 @@
 
 import dev.cactusspan.forward.ClientSink;
 import dev.cactusspan.http.GuardedConnection;
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.Hold;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.result.Result;
 import io.undertow.io.IoCallback;
@@ -53,16 +55,23 @@
     }
 
     @Override
-    public void respond(int status, Map<String, String> headers, byte[] body) {
+    public void respond(int status, Map<String, String> headers, Body body) {
         onIoThread(() -> send(status, headers, body));
     }
 
-    private void send(int status, Map<String, String> headers, byte[] body) {
+    /** Sends a response, whose memory the connection holds from now on. */
+    private void send(int status, Map<String, String> headers, Body body) {
+        try (Hold before = body.hold()) {
+            sendHeld(status, headers, body);
+        }
+    }
+
+    private void sendHeld(int status, Map<String, String> headers, Body body) {
         if (mExchange.isResponseStarted() || !mExchange.getConnection().isOpen()) {
             return;
         }
         ClientDisconnectWatcher.stop(mExchange);
-        if (body.length > SMALL_RESPONSE_BYTES && !mConnection.holdResponse(body.length)) {
+        if (body.length() > SMALL_RESPONSE_BYTES && !mConnection.holdResponse(body.length())) {
             IoUtils.safeClose(mExchange.getConnection());
             return;
         }
@@ -82,7 +91,7 @@
                     respond(
                             200,
                             contentType.isEmpty() ? Map.of() : Map.of("Content-Type", contentType),
-                            body);
+                            Body.of(body));
                     return null;
                 });
     }
@@ -171,7 +180,7 @@
         byte[] body =
                 (failure.kind().wireName() + "\n")
                         .getBytes(java.nio.charset.StandardCharsets.UTF_8);
-        respond(status(failure), headers, body);
+        respond(status(failure), headers, Body.of(body));
     }
 
     private static int status(Failure failure) {
--- a/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/forward/RequestForwarderFixture.java
@@ -13,6 +13,8 @@
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.MemoryBudget;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.region.RegionMap;
 import dev.cactusspan.result.Failure;
@@ -46,6 +48,7 @@
     long mTimeoutMs = 1_000;
     final FakeOrigins mOrigins = new FakeOrigins();
     final List<AccountId> mUsage = new ArrayList<>();
+    final MemoryBudget mResponses = new MemoryBudget(16 << 20);
     final RequestForwarder mForwarder =
             new RequestForwarder(
                     mTargets,
@@ -56,6 +59,7 @@
                     this::countUsage,
                     new CrashGuard("entry"),
                     mOrigins,
+                    mResponses,
                     Telemetry.create(),
                     new SplittableRandom(1),
                     mThread::nowMs);
@@ -69,9 +73,10 @@
         long mRetryAfterMs;
 
         @Override
-        public void respond(int status, Map<String, String> headers, byte[] body) {
+        public void respond(int status, Map<String, String> headers, Body body) {
             mStatuses.add(status);
-            mBody.append(new String(body, StandardCharsets.UTF_8));
+            mBody.append(new String(body.toBytes(), StandardCharsets.UTF_8));
+            body.hold().close();
         }
 
         @Override
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/CrashExchangeTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/CrashExchangeTest.java
@@ -18,6 +18,8 @@
 import dev.cactusspan.id.RequestId;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.MemoryBudget;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.result.Failure;
 import dev.cactusspan.routing.Backoff;
@@ -78,6 +80,7 @@
                         account -> () -> {},
                         mGuard,
                         new FakeOrigins(),
+                        MemoryBudget.ofHeap(32 << 20),
                         Telemetry.create(),
                         new SplittableRandom(1),
                         mThread::nowMs);
@@ -139,7 +142,7 @@
     /** Ignores the responses. */
     private static final class NoSink implements ClientSink {
         @Override
-        public void respond(int status, Map<String, String> headers, byte[] body) {}
+        public void respond(int status, Map<String, String> headers, Body body) {}
 
         @Override
         public void start(int status, Map<String, String> headers) {}
--- a/cactusspan/src/test/java/dev/cactusspan/gateway/ResumedStreamsFixture.java
+++ b/cactusspan/src/test/java/dev/cactusspan/gateway/ResumedStreamsFixture.java
@@ -16,6 +16,8 @@
 import dev.cactusspan.id.Revision;
 import dev.cactusspan.id.RouteId;
 import dev.cactusspan.id.ServiceId;
+import dev.cactusspan.intake.Body;
+import dev.cactusspan.intake.MemoryBudget;
 import dev.cactusspan.observe.Telemetry;
 import dev.cactusspan.platform.PlatformReader;
 import dev.cactusspan.result.Failure;
@@ -103,6 +105,7 @@
                         account -> () -> {},
                         new CrashGuard("node"),
                         mOrigins,
+                        MemoryBudget.ofHeap(32 << 20),
                         Telemetry.create(),
                         new SplittableRandom(1),
                         mThread::nowMs);
@@ -165,7 +168,7 @@
         Optional<Failure> mFailure = Optional.empty();
 
         @Override
-        public void respond(int status, Map<String, String> headers, byte[] body) {}
+        public void respond(int status, Map<String, String> headers, Body body) {}
 
         @Override
         public void start(int status, Map<String, String> headers) {
