--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -204,15 +204,15 @@
     }
 
     /**
-     * Returns the number of open descriptors of the process.
+     * Returns the number of descriptors that the process has open.
      *
      * @return how many, zero if the process has ended
      */
-    public long openDescriptors() {
+    public int openDescriptors() {
         Path folder = Path.of("/proc", Long.toString(mProcess.pid()), "fd");
         try (Stream<Path> descriptors = Files.list(folder)) {
-            return descriptors.count();
-        } catch (IOException e) {
+            return (int) descriptors.count();
+        } catch (IOException | UncheckedIOException e) {
             // The process has ended.
             return 0;
         }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/NodeCommand.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/NodeCommand.java
@@ -30,6 +30,19 @@
     /** The same for the process of a VM with a disk. */
     NodeCommand DEPLOYED_STORAGE = clockFile -> deployed("storage");
 
+    /**
+     * Returns the entry's command of the deploy file with a smaller heap.
+     *
+     * @param heapMb size of the heap in MB
+     * @return the command
+     */
+    static NodeCommand deployedWithHeap(int heapMb) {
+        return clockFile ->
+                deployed("entry").stream()
+                        .map(word -> word.startsWith("-Xmx") ? "-Xmx" + heapMb + "m" : word)
+                        .toList();
+    }
+
     /**
      * Returns the words of the command.
      *
