Log what a learned limit rests on

The log did not name the mean that it is compared with; usual_ms in learned_limit_fell and learned_limit_recovered does. No logic has changed.

--- a/cactusspan/src/main/java/dev/cactusspan/capacity/AimdLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/AimdLimit.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** Raises the limit by one place while work is not much slower, and halves it when it is. */
 public final class AimdLimit implements ConcurrencyLimit {
@@ -29,4 +30,9 @@
         mLimit = mLimit >= slots ? Double.POSITIVE_INFINITY : mLimit;
         return (int) Math.min(slots, mLimit);
     }
+
+    @Override
+    public double usualMs(String kind) {
+        return Optional.ofNullable(mPaces.get(kind)).map(WorkPace::usualMs).orElse(0.0);
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/ConcurrencyLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/ConcurrencyLimit.java
@@ -20,4 +20,12 @@
      * @return 1 to {@code slots}
      */
     int places(int slots);
+
+    /**
+     * Returns how long work of a kind takes here under little load, which the limit rests on.
+     *
+     * @param kind kind of work
+     * @return milliseconds, zero if it is not measured
+     */
+    double usualMs(String kind);
 }
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/FixedLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/FixedLimit.java
@@ -11,4 +11,9 @@
     public int places(int slots) {
         return slots;
     }
+
+    @Override
+    public double usualMs(String kind) {
+        return 0;
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/GradientLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/GradientLimit.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Learns the limit from the gradient of duration over load. Load patterns: targets of a service
@@ -52,4 +53,9 @@
         mLimit = mLimit >= slots ? Double.POSITIVE_INFINITY : mLimit;
         return (int) Math.min(slots, mLimit);
     }
+
+    @Override
+    public double usualMs(String kind) {
+        return Optional.ofNullable(mPaces.get(kind)).map(WorkPace::usualMs).orElse(0.0);
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/WorkPace.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/WorkPace.java
@@ -48,6 +48,11 @@
         return meanMs / mShortestMs;
     }
 
+    /** Returns the shortest mean seen, zero if there is none. */
+    double usualMs() {
+        return mShortestMs;
+    }
+
     /** Returns the most work that was in flight during the units of the mean. */
     int maxInFlight() {
         return mMaxInFlight;
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -301,6 +301,7 @@
                 .with("slots", mRecord.slots())
                 .with("in_flight", inFlight)
                 .with("duration_ms", durationMs)
+                .with("usual_ms", (long) mLimit.usualMs(kind.value()))
                 .info();
     }
 
