Take events that were held up for no sign of a fast target

What callers see: a process pauses, or the way to a target does, while texts begin. Afterwards it gives that target one item at a time instead of eight, and all else waits in line with places free.

Cause: the limit of a target is learned from the intervals between events as they arrive. Events that had been held up arrive together, so that their intervals are near zero, and the shortest mean of the target with them. Every usual interval is then many times the shortest, and the limit falls to one; the shortest mean is forgotten by 2% a second.

Change: an interval that is under half of the mean since the request was sent cannot be the target's own. A mean with such an interval counts as before, but is not taken for the shortest.

Ruled out: leaving these intervals out altogether. The long interval before a burst then counts alone, and the limit falls for the opposite reason (tried: shouldUseAllPlacesAfterLaterEventsThatCameAtOnce failed; it passes on the code before and now).

Before: EventsInABurstTest sends 9 of 16 items after 25 first events at once, after: 16.

--- a/cactusspan/src/main/java/dev/cactusspan/capacity/FixedLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/FixedLimit.java
@@ -7,6 +7,11 @@
         // The limit does not depend on durations.
     }
 
+    @Override
+    public void recordHeldUp(String kind, double durationMs, int inFlight, long nowMs) {
+        // The limit does not depend on durations.
+    }
+
     @Override
     public int places(int slots) {
         return slots;
--- a/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
+++ b/cactusspan/src/test/java/dev/cactusspan/batch/BatchNode.java
@@ -1,5 +1,8 @@
 package dev.cactusspan.batch;
 
+import dev.cactusspan.capacity.ConcurrencyLimit;
+import dev.cactusspan.capacity.FixedLimit;
+import dev.cactusspan.capacity.GradientLimit;
 import dev.cactusspan.fleet.ClientLimits;
 import dev.cactusspan.fleet.DesiredState;
 import dev.cactusspan.fleet.FakeTargets;
@@ -45,6 +48,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 /** The batches of one process, with a fake store and fake targets. */
 final class BatchNode {
@@ -56,14 +60,7 @@
     private static final long RECONNECT_MS = 4_000;
 
     private final FakeTargets mPort = new FakeTargets();
-    private final TargetTable mTargets =
-            new TargetTable(
-                    RegionMap.of(
-                            Map.of(
-                                    AvailabilityZoneId.of("a"),
-                                    RegionId.of("ra"),
-                                    AvailabilityZoneId.of("b"),
-                                    RegionId.of("rb"))));
+    private final TargetTable mTargets;
     private DesiredState mDesired = DESIRED;
     private final NodeDirectory mNodes = new NodeDirectory();
     private final NodeRecord mSelf;
@@ -78,16 +75,21 @@
     private int mRespondedCount;
 
     BatchNode(String name, FakeKeyStore store, ManualThread thread) {
-        this(name, "a", store, thread, thread::nowMs);
+        this(name, "a", store, thread, thread::nowMs, FixedLimit::new);
+    }
+
+    /** Creates a process that learns how much work each target takes well. */
+    static BatchNode learning(String name, FakeKeyStore store, ManualThread thread) {
+        return new BatchNode(name, "a", store, thread, thread::nowMs, GradientLimit::new);
     }
 
     /** Creates a process in another zone; zones a and b are in the regions ra and rb. */
     BatchNode(String name, String zone, FakeKeyStore store, ManualThread thread) {
-        this(name, zone, store, thread, thread::nowMs);
+        this(name, zone, store, thread, thread::nowMs, FixedLimit::new);
     }
 
     BatchNode(String name, FakeKeyStore store, ManualThread thread, WallClock wallClock) {
-        this(name, "a", store, thread, wallClock);
+        this(name, "a", store, thread, wallClock, FixedLimit::new);
     }
 
     private BatchNode(
@@ -95,7 +97,17 @@
             String zone,
             FakeKeyStore store,
             ManualThread thread,
-            WallClock wallClock) {
+            WallClock wallClock,
+            Supplier<ConcurrencyLimit> limits) {
+        mTargets =
+                new TargetTable(
+                        RegionMap.of(
+                                Map.of(
+                                        AvailabilityZoneId.of("a"),
+                                        RegionId.of("ra"),
+                                        AvailabilityZoneId.of("b"),
+                                        RegionId.of("rb"))),
+                        limits);
         mThread = thread;
         mStore = store;
         mPath = new UnreliableKeyStore(store, thread);
