Read no more of a request that was refused for its framing

A read that found trailers over the limit, or no room for them, resumed reads on a connection that was closed. It suspends them now, as after the other refusals. Nothing was seen to go wrong; found by reading. The tests of ChunkedRequestsTest (eight) and of http/ that were run stay green.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ChunkedRequestsTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ChunkedRequestsTrial.java
@@ -100,7 +100,7 @@
      * Result of a trial.
      *
      * @param isAlive true if the process still runs
-     * @param isAnswered true if an ordinary request was answered after the crowds
+     * @param isAnswered true if the ordinary request was answered
      * @param peakMemoryKb the largest memory of the process, in KB
      * @param peakDescriptors the most open descriptors of the process
      */
--- a/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -189,6 +189,9 @@
                 }
                 if (count == 0) {
                     checkFraming();
+                    if (mIsDone) {
+                        continue;
+                    }
                     channel.resumeReads();
                     return;
                 }
