Open a trainer's step once in a process

Callers saw a step refused with a conflict, or its slots run twice, when they submitted it again while its first submission was on its way: two states of one step. The second ledger write took the place of the first, and the first state's requests went on.

Each submission that found no step held read the ledger and wrote one of its own; of two at once, one was refused, or the later one was held in the place of the earlier.

Change: a lane opens one step at a time (StepOpener). Submissions of the same step share its outcome, and the step is held once, under the key of the latest one. Those of another step wait, and are then opened by what the store holds. Each reply is a task of its own, so that one that fails keeps no other from its trainer.

Ruled out: samples delivered twice. Each ledger write is conditional on its version, so that only one of the two states could deliver; the other one's runs were lost work.

--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepManager.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepManager.java
@@ -69,7 +69,7 @@
         mEnvironment = environment;
         mOwner = owner;
         mKeyValues = keyValues;
-        mOpener = new StepOpener(environment, owner, keyValues, thread);
+        mOpener = new StepOpener(environment, owner, keyValues, thread, this::holdStep);
         mThread = thread;
         mRequests = requests;
         mTargets = targets;
@@ -94,24 +94,13 @@
             reply.accept(Result.of(held.scheduler().ledger()));
             return;
         }
-        mOpener.open(
-                lane,
-                spec,
-                result ->
-                        reply.accept(
-                                result.map(
-                                        opening -> {
-                                            holdStep(lane, trainer, keyHash, spec, opening);
-                                            return opening.ledger();
-                                        })));
+        mOpener.open(new StepSubmission(lane, trainer, keyHash, spec, reply));
     }
 
-    private void holdStep(
-            Lane lane,
-            EnvironmentDocument.Trainer trainer,
-            KeyHash keyHash,
-            StepSpec spec,
-            StepOpener.Opening opening) {
+    private void holdStep(StepSubmission submission, StepOpener.Opening opening) {
+        Lane lane = submission.lane();
+        EnvironmentDocument.Trainer trainer = submission.trainer();
+        StepSpec spec = submission.spec();
         long stalenessBound =
                 mConfiguration
                         .get()
@@ -122,7 +111,8 @@
         StepScheduler scheduler =
                 new StepScheduler(
                         spec, opening.ledger(), stalenessBound, trainer.deliverySamples());
-        ActiveStep step = new ActiveStep(scheduler, trainer, keyHash, opening.version());
+        ActiveStep step =
+                new ActiveStep(scheduler, trainer, submission.keyHash(), opening.version());
         Optional.ofNullable(mSteps.put(lane, step))
                 .flatMap(ActiveStep::takePoll)
                 .ifPresent(p -> p.reply().fail(Failure.of(ErrorKind.CONFLICT, "a newer step")));
--- a/cactusspan/src/main/java/dev/cactusspan/entry/StepOpener.java
+++ b/cactusspan/src/main/java/dev/cactusspan/entry/StepOpener.java
@@ -8,47 +8,66 @@
 import dev.cactusspan.sample.StepLedger;
 import dev.cactusspan.sample.StepSpec;
 import dev.cactusspan.text.JsonText;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 
-/** Writes the ledger of a submitted step, which is new or taken over from another entry. */
+/**
+ * Writes the ledger of a submitted step, which is new or taken over from another entry. Load
+ * pattern: trainers submit a step again while the reply to its first submission is on its way. A
+ * lane opens one step at a time: submissions of the same step share its outcome, those of another
+ * step wait for it. All methods are called on the executor's thread.
+ */
 final class StepOpener {
     private final EnvironmentId mEnvironment;
     private final String mOwner;
     private final KeyValueService mKeyValues;
     private final Executor mThread;
+    private final Listener mListener;
+    private final Map<Lane, List<StepSubmission>> mOpen = new HashMap<>();
 
     StepOpener(
-            EnvironmentId environment, String owner, KeyValueService keyValues, Executor thread) {
+            EnvironmentId environment,
+            String owner,
+            KeyValueService keyValues,
+            Executor thread,
+            Listener listener) {
         mEnvironment = environment;
         mOwner = owner;
         mKeyValues = keyValues;
         mThread = thread;
+        mListener = listener;
+    }
+
+    /** Receives the steps that were opened. */
+    interface Listener {
+        /** Called once for each opened step, with the latest submission of it. */
+        void onOpened(StepSubmission submission, Opening opening);
     }
 
     static String key(EnvironmentId environment, Lane lane) {
         return "steps/" + environment + "/" + lane.trainer() + "/" + lane.number();
     }
 
-    /**
-     * Opens a step for this entry and passes the written ledger to the callback, on the executor.
-     */
-    void open(Lane lane, StepSpec spec, Consumer<Result<Opening>> reply) {
+    /** Opens a step for this entry and replies with the written ledger, on the executor. */
+    void open(StepSubmission submission) {
+        List<StepSubmission> submissions = mOpen.get(submission.lane());
+        if (submissions != null) {
+            submissions.add(submission);
+            return;
+        }
+        mOpen.put(submission.lane(), new ArrayList<>(List.of(submission)));
         FutureResults.deliver(
-                mKeyValues.get(key(mEnvironment, lane)),
+                mKeyValues.get(key(mEnvironment, submission.lane())),
                 mThread,
                 r ->
-                        r.flatMap(entry -> opening(entry, spec))
+                        r.flatMap(entry -> opening(entry, submission.spec()))
                                 .fold(
-                                        failure -> {
-                                            reply.accept(Result.fail(failure));
-                                            return null;
-                                        },
-                                        opening -> {
-                                            write(lane, opening, reply);
-                                            return null;
-                                        }));
+                                        failure -> complete(submission, Result.fail(failure)),
+                                        opening -> write(submission, opening)));
     }
 
     /** Returns the ledger to write, with the stored version that it replaces. */
@@ -78,12 +97,29 @@
         return Result.of(StepLedger.start(spec, mOwner, ledger.delivery()));
     }
 
-    private void write(Lane lane, Opening opening, Consumer<Result<Opening>> reply) {
+    private Void write(StepSubmission submission, Opening opening) {
         byte[] value = JsonText.write(opening.ledger());
+        String key = key(mEnvironment, submission.lane());
         FutureResults.deliver(
-                mKeyValues.compareAndSwap(key(mEnvironment, lane), opening.version(), value),
+                mKeyValues.compareAndSwap(key, opening.version(), value),
                 mThread,
-                r -> reply.accept(r.map(version -> new Opening(version, opening.ledger()))));
+                r ->
+                        complete(
+                                submission,
+                                r.map(version -> new Opening(version, opening.ledger()))));
+        return null;
+    }
+
+    private Void complete(StepSubmission first, Result<Opening> result) {
+        List<StepSubmission> submissions = mOpen.remove(first.lane());
+        List<StepSubmission> sharing = submissions.stream().filter(first::isSameStep).toList();
+        if (result.isOk()) {
+            mListener.onOpened(sharing.get(sharing.size() - 1), result.get());
+        }
+        // A task each, so that a reply that fails keeps no other from its trainer.
+        sharing.forEach(s -> mThread.execute(() -> s.reply().accept(result.map(Opening::ledger))));
+        submissions.stream().filter(s -> !first.isSameStep(s)).forEach(this::open);
+        return null;
     }
 
     /**
--- a/cactusspan/src/test/java/dev/cactusspan/entry/StepManagerTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/entry/StepManagerTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import net.jqwik.api.ForAll;
@@ -32,6 +33,7 @@
     private static final ServiceId MODEL = ServiceId.of("lantern-lm");
     private static final long STALENESS_BOUND = 2;
     private static final int DELIVERY = 4;
+    private static final int SLOTS = 6;
     private static final String[] KEYS = {"a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7"};
 
     private EntryHarness.Clock mClock;
@@ -109,6 +111,71 @@
         mEntry.steps().submit(LANE, trainer, KeyHash.ofKey("a7"), spec, result -> {});
     }
 
+    /** A step that is submitted again while it is being opened is one step. */
+    @Property(seed = "32", tries = 60)
+    void shouldAcceptAStepThatIsSubmittedAgainWhileItIsOpened(@ForAll long seed) {
+        start(seed);
+        List<Boolean> outcomes = submitTwice();
+        assertThat(outcomes, is(List.of(true, true)));
+    }
+
+    @Property(seed = "33", tries = 60)
+    void shouldRunASlotOnceOfAStepThatIsSubmittedAgainWhileItIsOpened(@ForAll long seed) {
+        start(seed);
+        submitTwice();
+        assertThat(runs(), is(SLOTS));
+    }
+
+    /** A step that comes while another one of its lane is opened waits, and runs nothing. */
+    @Property(seed = "34", tries = 60)
+    void shouldOpenTheStepThatWasSubmittedFirst(@ForAll long seed) {
+        start(seed);
+        List<Optional<Long>> accepted = submitBoth(oneGroup(1), oneGroup(2));
+        assertThat(accepted, is(List.of(Optional.of(1L), Optional.empty())));
+        assertThat(runs(), is(SLOTS));
+    }
+
+    private List<Boolean> submitTwice() {
+        return submitBoth(oneGroup(1), oneGroup(1)).stream().map(Optional::isPresent).toList();
+    }
+
+    private static StepSpec oneGroup(long step) {
+        return new StepSpec(step, List.of(new StepSpec.Group("prompt", SLOTS, 4)));
+    }
+
+    /** Submits two steps and returns the step that each reply names, empty after a refusal. */
+    private List<Optional<Long>> submitBoth(StepSpec first, StepSpec second) {
+        List<Optional<Long>> outcomes = new ArrayList<>();
+        submit(first, outcomes);
+        for (int i = mRandom.nextInt(6); i > 0; i--) {
+            runTurn();
+        }
+        submit(second, outcomes);
+        for (int i = 0; i < 400; i++) {
+            runTurn();
+        }
+        return outcomes;
+    }
+
+    private void submit(StepSpec spec, List<Optional<Long>> outcomes) {
+        Trainer trainer =
+                new Trainer(LANE.trainer(), AccountId.of("lantern-trainer"), MODEL, DELIVERY);
+        mEntry.steps()
+                .submit(
+                        LANE,
+                        trainer,
+                        KeyHash.ofKey("a7"),
+                        spec,
+                        r ->
+                                outcomes.add(
+                                        r.map(ledger -> Optional.of(ledger.step()))
+                                                .getOrElse(Optional.empty())));
+    }
+
+    private int runs() {
+        return mEntry.sides().runCounts().values().stream().mapToInt(n -> n).sum();
+    }
+
     @Property(seed = "31", tries = 150)
     void shouldDeliverEachSampleOnceWithinStalenessBoundDespiteFailures(@ForAll long seed) {
         start(seed);
