Release a refused claim only when its write can no longer be carried out

Callers saw a key that stayed claimed: a request was refused with claim_unavailable, which says that it has not run, and its repetition was refused as in progress, and later as of unknown outcome, until the claim expired. The request never ran.

After a write with a lost response and a failed read, all acquires are refused and their claims released. The release counted as done when a read did not show the claim. At that version the write could still be carried out, and was.

Change: ClaimPartition keeps the version that such a write expects. While the partition still has it, a release stays pending and makes one more write. Either that one takes effect, so that the late one is refused, or its refusal has the partition read again, and the claim that shows is removed. Costs one write after a lost response with a refused claim, and none otherwise.

Ruled out: requests that run twice. A claim is granted only when it is seen in the store with the attempt's token.

--- a/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
+++ b/cactusspan/src/main/java/dev/cactusspan/claim/ClaimPartition.java
@@ -22,7 +22,10 @@
  * The claims of one partition. Operations that arrive during a write wait and are combined into the
  * next write. A claim is granted only after it has been seen in the key-value service with the
  * token of this attempt: after a write with a lost response, the partition is read again before any
- * operation is resolved.
+ * operation is resolved. A read that shows no trace of such a write does not prove that there will
+ * be none: while the version is the one that the write expects, it may still be carried out. A
+ * release then waits for a further write, which either takes effect or shows that the version has
+ * changed.
  *
  * <p>The class performs no I/O: the caller executes the step returned by {@link #nextStep} and
  * reports its outcome to {@link #onRead} or {@link #onWritten}.
@@ -32,12 +35,14 @@
     private static final long WRITE_INTERVAL_MS = 50;
     private static final long COMPLETION_INTERVAL_MS = 200;
     private static final int MAX_RECORD_BYTES = 900_000;
+    private static final long NO_VERSION = -1;
 
     private final Deque<ClaimOperation> mWaiting = new ArrayDeque<>();
     private List<ClaimOperation> mBatch = List.of();
     private Map<ClaimKey, Claim> mClaims = new TreeMap<>();
     private Map<ClaimKey, Claim> mProposed = Map.of();
     private long mVersion;
+    private long mOpenWriteVersion = NO_VERSION;
     private boolean mIsLoaded;
     private boolean mIsBusy;
     private boolean mIsContended;
@@ -104,7 +109,7 @@
         Map<ClaimKey, Claim> claims = new TreeMap<>(mClaims);
         claims.values().removeIf(c -> c.expiresMs() <= nowMs);
         mBatch.forEach(operation -> apply(operation, claims));
-        if (claims.equals(mClaims)) {
+        if (claims.equals(mClaims) && !mustSettleOpenWrite()) {
             resolveBatch(nowMs);
             return Optional.empty();
         }
@@ -200,7 +205,11 @@
         result.fold(
                 failure -> {
                     mIsLoaded = false;
-                    mIsContended |= failure.kind() == ErrorKind.CONFLICT;
+                    if (failure.kind() == ErrorKind.CONFLICT) {
+                        mIsContended = true;
+                    } else {
+                        mOpenWriteVersion = mVersion;
+                    }
                     return null;
                 },
                 version -> {
@@ -247,11 +256,20 @@
         }
         if (operation instanceof ClaimOperation.Release release) {
             boolean isOwnClaim = present != null && present.token().equals(release.token());
-            return !isOwnClaim || present.isAnswered();
+            return isOwnClaim ? present.isAnswered() : !isWriteOpen();
         }
         return true;
     }
 
+    private boolean mustSettleOpenWrite() {
+        return isWriteOpen() && mBatch.stream().anyMatch(ClaimOperation.Release.class::isInstance);
+    }
+
+    /** Tells whether a write with a lost response may still be carried out. */
+    private boolean isWriteOpen() {
+        return mOpenWriteVersion == mVersion;
+    }
+
     private static ClaimOutcome outcome(Claim requested, Claim present, long nowMs) {
         if (present.token().equals(requested.token())) {
             return new ClaimOutcome.Granted(requested.token());
--- a/cactusspan/src/test/java/dev/cactusspan/claim/ClaimServiceTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/claim/ClaimServiceTest.java
@@ -1,7 +1,9 @@
 package dev.cactusspan.claim;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -16,9 +18,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -176,6 +180,43 @@
         assertThat(outcomes.get(1), instanceOf(ClaimOutcome.Granted.class));
     }
 
+    @Property(seed = "13", tries = 300)
+    void shouldFreeEachKeyWhoseClaimWasRefused(@ForAll long seed) {
+        Random random = new Random(seed);
+        FakeKeyValues keyValues = new FakeKeyValues(random);
+        keyValues.faults(0.1, 0.3);
+        keyValues.lateEffects(0.3);
+        ClaimService service = service(keyValues, "s");
+        Set<Integer> refused = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            int number = i;
+            service.acquire(
+                    key(number),
+                    "digest",
+                    RUNS_MS,
+                    TTL_MS,
+                    outcome -> {
+                        if (outcome instanceof ClaimOutcome.Refused) {
+                            refused.add(number);
+                        }
+                    });
+            for (int j = 0; j < 5; j++) {
+                mNowMs += random.nextInt(300);
+                keyValues.step();
+                service.tick();
+            }
+        }
+        keyValues.faults(0, 0);
+        keyValues.lateEffects(0);
+        settle(keyValues, service);
+        settle(keyValues, service);
+        List<ClaimOutcome> outcomes = new ArrayList<>();
+        refused.forEach(n -> service.acquire(key(n), "digest", RUNS_MS, TTL_MS, outcomes::add));
+        settle(keyValues, service);
+        assertThat(outcomes, hasSize(refused.size()));
+        assertThat(outcomes, everyItem(instanceOf(ClaimOutcome.Granted.class)));
+    }
+
     @Test
     void shouldGroupClaimsIntoFewWrites() {
         FakeKeyValues keyValues = new FakeKeyValues(new Random(1));
