Bound what the system keeps to be sent to a client

While many clients read slowly, answers lay in the system's send buffers as a whole, beside the budget of callers: 407,970 bytes of one connection in a trial with pages of results, and up to 4 MB where the system's limit allows it. Found by a trial in which an entry's budget held nothing while 60 clients had not read their answers.

Cause: the send buffer of accepted connections had no size, so the system let it grow. Now it is 64 KB.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/GatewayNode.java
@@ -10,9 +10,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /** Runs a real process of the product on loopback; signals are sent to it by its process id. */
@@ -21,6 +24,10 @@
     private static final int FIRST_PORT = 12_000;
     private static final int PORT_COUNT = 20_000;
 
+    /** Local port and bytes to be sent in a line of the system's list of sockets. */
+    private static final Pattern SOCKET =
+            Pattern.compile("^ *\\d+: \\w+:(\\w+) \\w+:\\w+ \\w+ (\\w+):");
+
     /** The next port to try. Processes of the emulator start at different ports. */
     private static final AtomicInteger sNextPort =
             new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORT_COUNT));
@@ -218,6 +225,25 @@
         }
     }
 
+    /**
+     * Returns the bytes that wait in the system's buffers to be sent to a client.
+     *
+     * @return the most of one connection
+     * @throws IOException if the system does not list its connections
+     */
+    public long unsentBytes() throws IOException {
+        long bytes = 0;
+        for (String table : List.of("tcp", "tcp6")) {
+            for (String line : Files.readAllLines(Path.of("/proc/net", table))) {
+                Matcher socket = SOCKET.matcher(line);
+                if (socket.find() && Integer.parseInt(socket.group(1), 16) == mClientPort) {
+                    bytes = Math.max(bytes, Long.parseLong(socket.group(2), 16));
+                }
+            }
+        }
+        return bytes;
+    }
+
     /**
      * Returns the port that serves clients.
      *
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/LongAnswer.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/LongAnswer.java
@@ -15,6 +15,8 @@
 enum LongAnswer {
     /** With its length. */
     WHOLE("/quotes/long-whole"),
+    /** A shorter one with its length. */
+    MEDIUM("/quotes/medium-whole"),
     /** In chunks. */
     CHUNKED("/quotes/long-chunked"),
     /** A stream of events. */
@@ -25,6 +27,9 @@
     /** Size of an answer: less than the largest that a process accepts. */
     static final int BYTES = 6 << 20;
 
+    /** Size of a shorter answer. */
+    static final int MEDIUM_BYTES = 400 << 10;
+
     /** Size of an item's text: two results are less than a page. */
     static final int ITEM_BYTES = 400 << 10;
 
@@ -51,6 +56,8 @@
     void send(HttpServerExchange exchange) {
         switch (this) {
             case WHOLE -> exchange.getResponseSender().send(ByteBuffer.wrap(ZEROS));
+            case MEDIUM ->
+                    exchange.getResponseSender().send(ByteBuffer.wrap(ZEROS, 0, MEDIUM_BYTES));
             case CHUNKED -> {
                 exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
                 exchange.getResponseSender().send(ByteBuffer.wrap(ZEROS));
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/SlowReadersTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/SlowReadersTrial.java
@@ -37,6 +37,7 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
     private static final long RETRY_DELAY_MS = 200;
     private static final int ITEMS = 6;
+    private static final int LONG_REQUEST_BYTES = 1_000_000;
     private static final int ITEM_BODY_BYTES = 1_000_000;
     private static final long ANY_VERSION = 1;
 
@@ -50,6 +51,7 @@
     private final HttpClient mHttp =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private long mPeakDescriptors;
+    private long mPeakUnsentBytes;
 
     private SlowReadersTrial(GatewayNode node) {
         mNode = node;
@@ -59,6 +61,8 @@
     public enum Answers {
         /** Answers of targets with their length. */
         WHOLE,
+        /** Answers of targets to long requests. */
+        TO_LONG_REQUESTS,
         /** Answers of targets in chunks. */
         CHUNKED,
         /** Streams of events. */
@@ -78,6 +82,7 @@
      * @param isAlive true if the process still runs
      * @param peakMemoryKb the largest memory of the process, in KB
      * @param peakDescriptors the most descriptors that it had open
+     * @param peakUnsentBytes the most bytes of one connection that the system kept to be sent
      * @param isOrdinaryServed true if an ordinary request was answered afterwards
      * @param isServedAfter true if one client was served whole afterwards
      */
@@ -86,6 +91,7 @@
             boolean isAlive,
             long peakMemoryKb,
             long peakDescriptors,
+            long peakUnsentBytes,
             boolean isOrdinaryServed,
             boolean isServedAfter) {}
 
@@ -122,6 +128,7 @@
                 isAlive,
                 mNode.peakMemoryKb(),
                 mPeakDescriptors,
+                mPeakUnsentBytes,
                 isAlive && awaitOrdinary(),
                 isAlive && awaitServed(answers, path));
     }
@@ -131,6 +138,7 @@
     private String prepare(Answers answers) throws IOException, InterruptedException {
         return switch (answers) {
             case WHOLE -> LongAnswer.WHOLE.path();
+            case TO_LONG_REQUESTS -> LongAnswer.MEDIUM.path();
             case CHUNKED -> LongAnswer.CHUNKED.path();
             case EVENTS -> LongAnswer.EVENTS.path();
             case RESULTS -> "/-/lots/" + submit(LongAnswer.ITEM.path(), ANY_VERSION, new byte[1]);
@@ -193,7 +201,8 @@
 
     // Slow clients
 
-    private void play(Answers answers, String path, int bytesPerS) throws InterruptedException {
+    private void play(Answers answers, String path, int bytesPerS)
+            throws InterruptedException, IOException {
         List<SlowReader> readers = new ArrayList<>();
         ByteBuffer buffer = ByteBuffer.allocate(bytesPerS);
         int turnBytes = (int) Math.max(1, bytesPerS / TURNS_PER_S);
@@ -204,6 +213,7 @@
                 open(answers, path, readers);
                 readers.forEach(reader -> reader.turn(buffer, turnBytes));
                 mPeakDescriptors = Math.max(mPeakDescriptors, mNode.openDescriptors());
+                mPeakUnsentBytes = Math.max(mPeakUnsentBytes, mNode.unsentBytes());
                 TimeUnit.MILLISECONDS.sleep(TURN_MS);
             }
         } finally {
@@ -214,7 +224,7 @@
     private void open(Answers answers, String path, List<SlowReader> readers) {
         while (readers.size() < READERS) {
             try {
-                readers.add(new SlowReader(port(answers), head(answers, path)));
+                readers.add(new SlowReader(port(answers), request(answers, path)));
             } catch (IOException e) {
                 // The process refuses the connection, as it may.
                 return;
@@ -222,16 +232,17 @@
         }
     }
 
-    private static byte[] head(Answers answers, String path) {
+    private static byte[] request(Answers answers, String path) {
+        int bodyBytes = answers == Answers.TO_LONG_REQUESTS ? LONG_REQUEST_BYTES : 0;
         return String.join(
                         "\r\n",
                         method(answers) + " " + path + " HTTP/1.1",
                         "Host: 127.0.0.1",
                         "Attempt-Id: " + newId(),
                         "X-Api-Key: " + HostedClients.KEY,
-                        "Content-Length: 0",
+                        "Content-Length: " + bodyBytes,
                         "",
-                        "")
+                        "x".repeat(bodyBytes))
                 .getBytes(StandardCharsets.ISO_8859_1);
     }
 
@@ -241,7 +252,7 @@
 
     private static String method(Answers answers) {
         return switch (answers) {
-            case WHOLE, CHUNKED, EVENTS -> "POST";
+            case WHOLE, TO_LONG_REQUESTS, CHUNKED, EVENTS -> "POST";
             case RESULTS, ITEM_BODIES, METRICS -> "GET";
         };
     }
@@ -249,6 +260,7 @@
     private static long minBytes(Answers answers) {
         return switch (answers) {
             case WHOLE, CHUNKED, EVENTS -> LongAnswer.BYTES;
+            case TO_LONG_REQUESTS -> LongAnswer.MEDIUM_BYTES;
             case RESULTS -> LongAnswer.ITEM_BYTES;
             case ITEM_BODIES -> ITEM_BODY_BYTES;
             case METRICS -> 1;
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/AnswersReadSlowlyTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/AnswersReadSlowlyTest.java
@@ -19,6 +19,9 @@
     /** Descriptors that a process may open on such a machine. */
     private static final long MAX_DESCRIPTORS = 4_100;
 
+    /** Bytes of a connection in the system's buffers, which are beside the budget of callers. */
+    private static final long MAX_UNSENT_BYTES = 256 << 10;
+
     /** Pace of a client that hardly reads, in bytes a second. */
     private static final int STOPPED = 50;
 
@@ -32,6 +35,11 @@
         check(Answers.WHOLE, STOPPED);
     }
 
+    @Test
+    void shouldOutliveAnswersToLongRequestsReadSlowly() throws IOException {
+        check(Answers.TO_LONG_REQUESTS, STOPPED);
+    }
+
     @Test
     void shouldOutliveChunkedAnswersReadSlowly() throws IOException {
         check(Answers.CHUNKED, STOPPED);
@@ -73,6 +81,7 @@
         assertThat(outcome.toString(), outcome.isAlive(), is(true));
         assertThat(outcome.toString(), outcome.peakMemoryKb(), lessThan(MAX_MEMORY_KB));
         assertThat(outcome.toString(), outcome.peakDescriptors(), lessThan(MAX_DESCRIPTORS));
+        assertThat(outcome.toString(), outcome.peakUnsentBytes(), lessThan(MAX_UNSENT_BYTES));
         assertThat(outcome.toString(), outcome.isOrdinaryServed(), is(true));
         assertThat(outcome.toString(), outcome.isServedAfter(), is(true));
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedServer.java
@@ -54,6 +54,12 @@
     /** New connections that wait to be accepted. */
     private static final int BACKLOG = 1_000;
 
+    /**
+     * Bytes of a connection that the system keeps to be sent, of which it takes twice as many.
+     * Without a bound it takes up to some MB for each client that does not read, beside the budget.
+     */
+    private static final int SEND_BUFFER_BYTES = 64 << 10;
+
     /** Interval at which time limits are checked, in milliseconds: a fraction of the shortest. */
     private static final long TICK_MS = 250;
 
@@ -132,6 +138,7 @@
                         OptionMap.builder()
                                 .set(Options.TCP_NODELAY, true)
                                 .set(Options.REUSE_ADDRESSES, true)
+                                .set(Options.SEND_BUFFER, SEND_BUFFER_BYTES)
                                 .set(Options.BACKLOG, BACKLOG)
                                 .getMap());
         mWorker.getIoThread()
