--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/LongAnswer.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/LongAnswer.java
@@ -63,7 +63,7 @@
                 exchange.getResponseSender().send(ByteBuffer.wrap(ZEROS));
             }
             case EVENTS -> sendEvents(exchange, BYTES);
-            case ITEM -> sendEvents(exchange, ITEM_BYTES);
+            default -> sendEvents(exchange, ITEM_BYTES);
         }
     }
 
