--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ChunkedRequestsTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/ChunkedRequestsTrial.java
@@ -167,8 +167,7 @@
                                                     () -> peak.sample(node)));
             crowd.start();
             Thread.sleep(CROWD_MS);
-            boolean isAnswered =
-                    retry(node, RETRY_MS, ChunkedRequestsTrial::isQuoteAnswered);
+            boolean isAnswered = retry(node, RETRY_MS, ChunkedRequestsTrial::isQuoteAnswered);
             isOver.set(true);
             crowd.join();
             return new Outcome(
