--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -48,12 +48,6 @@
     /** Number of events over which the event interval of an attempt is measured. */
     private static final int INTERVAL_EVENTS = 4;
 
-    /**
-     * Events that come this many times as fast as those of their attempt since it was sent had been
-     * held up. Learned limits tolerate work that takes twice as long as at its fastest.
-     */
-    private static final int CATCH_UP_RATIO = 2;
-
     /** Maximum length of a text; the store keeps values of up to 1 MB. */
     private static final int MAX_TEXT_CHARS = 512 << 10;
 
@@ -260,8 +254,6 @@
         private final ItemRun mRun;
         private final int mAttempt;
         private final TargetPort.EventDecoder mDecoder = mPort.newDecoder();
-        private final long mSentMs;
-        private int mEvents;
         private long mIntervalStartMs;
         private int mIntervalEvents;
         private boolean mIsEndExpected;
@@ -270,42 +262,28 @@
             mOwned = owned;
             mRun = run;
             mAttempt = attempt;
-            mSentMs = nowMs;
             mIntervalStartMs = nowMs;
         }
 
         /** Measures the event interval over several events, as events may arrive in bursts. */
         private void measureInterval(long nowMs) {
-            mEvents++;
             mIntervalEvents++;
             if (mIntervalEvents == 1) {
                 mIntervalStartMs = nowMs;
             } else if (mIntervalEvents > INTERVAL_EVENTS) {
                 long eventIntervalMs = (nowMs - mIntervalStartMs) / INTERVAL_EVENTS;
                 mRun.setEventIntervalMs(eventIntervalMs);
-                mRun.target().ifPresent(t -> recordInterval(t, eventIntervalMs, nowMs));
+                mRun.target()
+                        .ifPresent(
+                                t ->
+                                        t.recordInterval(
+                                                mOwned.batch().route(), eventIntervalMs, nowMs));
                 moveIfSlow(mOwned, mRun);
                 mIntervalStartMs = nowMs;
                 mIntervalEvents = 1;
             }
         }
 
-        /**
-         * Tells whether events had been held up, on the way or by this process, so that they arrive
-         * together. Their target has generated them since the request was sent.
-         */
-        private boolean isCatchingUp(long eventIntervalMs, long nowMs) {
-            return eventIntervalMs * CATCH_UP_RATIO * mEvents < nowMs - mSentMs;
-        }
-
-        private void recordInterval(TargetState target, long eventIntervalMs, long nowMs) {
-            if (isCatchingUp(eventIntervalMs, nowMs)) {
-                target.recordHeldUpInterval(mOwned.batch().route(), eventIntervalMs, nowMs);
-            } else {
-                target.recordInterval(mOwned.batch().route(), eventIntervalMs, nowMs);
-            }
-        }
-
         @Override
         public void onHead(ResponseHead head) {
             if (mRun.isCurrentAttempt(mAttempt)) {
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/AimdLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/AimdLimit.java
@@ -15,19 +15,7 @@
     @Override
     public void record(String kind, double durationMs, int inFlight, long nowMs) {
         WorkPace pace = mPaces.computeIfAbsent(kind, k -> new WorkPace());
-        pace.add(durationMs, inFlight);
-        update(pace, nowMs);
-    }
-
-    @Override
-    public void recordHeldUp(String kind, double durationMs, int inFlight, long nowMs) {
-        WorkPace pace = mPaces.computeIfAbsent(kind, k -> new WorkPace());
-        pace.addHeldUp(durationMs, inFlight);
-        update(pace, nowMs);
-    }
-
-    private void update(WorkPace pace, long nowMs) {
-        if (!pace.isComplete()) {
+        if (!pace.add(durationMs, inFlight)) {
             return;
         }
         if (pace.slowdown(nowMs) > TOLERANCE) {
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/ConcurrencyLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/ConcurrencyLimit.java
@@ -13,17 +13,6 @@
      */
     void record(String kind, double durationMs, int inFlight, long nowMs);
 
-    /**
-     * Records work whose results had been held up and came together, so that it seems to have taken
-     * less time than the target needs. It counts in the mean, and not for the shortest one.
-     *
-     * @param kind kind of work
-     * @param durationMs the duration as it seems in milliseconds
-     * @param inFlight work of this process at the target at the time
-     * @param nowMs monotonic clock in milliseconds
-     */
-    void recordHeldUp(String kind, double durationMs, int inFlight, long nowMs);
-
     /**
      * Returns the limit.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/FixedLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/FixedLimit.java
@@ -7,11 +7,6 @@
         // The limit does not depend on durations.
     }
 
-    @Override
-    public void recordHeldUp(String kind, double durationMs, int inFlight, long nowMs) {
-        // The limit does not depend on durations.
-    }
-
     @Override
     public int places(int slots) {
         return slots;
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/GradientLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/GradientLimit.java
@@ -32,33 +32,11 @@
 
     @Override
     public void record(String kind, double durationMs, int inFlight, long nowMs) {
-        pace(kind)
-                .ifPresent(
-                        pace -> {
-                            pace.add(durationMs, inFlight);
-                            update(pace, nowMs);
-                        });
-    }
-
-    @Override
-    public void recordHeldUp(String kind, double durationMs, int inFlight, long nowMs) {
-        pace(kind)
-                .ifPresent(
-                        pace -> {
-                            pace.addHeldUp(durationMs, inFlight);
-                            update(pace, nowMs);
-                        });
-    }
-
-    private Optional<WorkPace> pace(String kind) {
         if (mPaces.size() >= MAX_KINDS && !mPaces.containsKey(kind)) {
-            return Optional.empty();
+            return;
         }
-        return Optional.of(mPaces.computeIfAbsent(kind, k -> new WorkPace()));
-    }
-
-    private void update(WorkPace pace, long nowMs) {
-        if (!pace.isComplete()) {
+        WorkPace pace = mPaces.computeIfAbsent(kind, k -> new WorkPace());
+        if (!pace.add(durationMs, inFlight)) {
             return;
         }
         double gradient = TOLERANCE / pace.slowdown(nowMs);
--- a/cactusspan/src/main/java/dev/cactusspan/capacity/WorkPace.java
+++ b/cactusspan/src/main/java/dev/cactusspan/capacity/WorkPace.java
@@ -24,43 +24,28 @@
     private double mSumMs;
     private int mCount;
     private int mMaxInFlight;
-    private boolean mHasHeldUp;
 
-    /** Adds a unit of work. */
-    void add(double durationMs, int inFlight) {
-        if (isComplete()) {
+    /** Adds a unit of work; returns true if a mean is complete. */
+    boolean add(double durationMs, int inFlight) {
+        if (mCount == UNITS) {
             mCount = 0;
             mSumMs = 0;
             mMaxInFlight = 0;
-            mHasHeldUp = false;
         }
         mSumMs += durationMs;
         mMaxInFlight = Math.max(mMaxInFlight, inFlight);
         mCount++;
-    }
-
-    /** Adds a unit of work that took longer than it seems. */
-    void addHeldUp(double durationMs, int inFlight) {
-        add(durationMs, inFlight);
-        mHasHeldUp = true;
-    }
-
-    /** Tells whether the latest unit completed a mean. */
-    boolean isComplete() {
         return mCount == UNITS;
     }
 
     /** Returns the complete mean relative to the shortest one, 1 or more. */
     double slowdown(long nowMs) {
         double meanMs = Math.max(1, mSumMs / mCount);
-        if (mShortestMs == 0 && mHasHeldUp) {
-            return 1;
-        }
         double forgotten = Math.exp(FORGET_PER_S * (nowMs - mShortestAsOfMs) / MS_PER_S);
-        double usualMs = mShortestMs == 0 ? meanMs : mShortestMs * forgotten;
-        mShortestMs = mHasHeldUp ? usualMs : Math.min(meanMs, usualMs);
+        double usualMs = mShortestMs * forgotten;
+        mShortestMs = mShortestMs == 0 ? meanMs : Math.min(meanMs, usualMs);
         mShortestAsOfMs = nowMs;
-        return Math.max(1, meanMs / mShortestMs);
+        return meanMs / mShortestMs;
     }
 
     /** Returns the shortest mean seen, zero if there is none. */
--- a/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
+++ b/cactusspan/src/main/java/dev/cactusspan/fleet/TargetState.java
@@ -261,18 +261,7 @@
      * @param nowMs monotonic clock in milliseconds
      */
     public void recordInterval(RouteId kind, long intervalMs, long nowMs) {
-        recordWork(kind, intervalMs, mInFlight, mLimit::record, nowMs);
-    }
-
-    /**
-     * Records the interval between two events that had been held up and arrived together.
-     *
-     * @param kind kind of the request
-     * @param intervalMs the interval in milliseconds
-     * @param nowMs monotonic clock in milliseconds
-     */
-    public void recordHeldUpInterval(RouteId kind, long intervalMs, long nowMs) {
-        recordWork(kind, intervalMs, mInFlight, mLimit::recordHeldUp, nowMs);
+        recordWork(kind, intervalMs, mInFlight, nowMs);
     }
 
     /**
@@ -283,19 +272,13 @@
      * @param nowMs monotonic clock in milliseconds
      */
     public void recordRequest(RouteId kind, long durationMs, long nowMs) {
-        recordWork(kind, durationMs, mInFlight + 1, mLimit::record, nowMs);
-    }
-
-    /** Records work in a limit. */
-    private interface Recording {
-        void record(String kind, double durationMs, int inFlight, long nowMs);
+        recordWork(kind, durationMs, mInFlight + 1, nowMs);
     }
 
-    private void recordWork(
-            RouteId kind, long durationMs, int inFlight, Recording recording, long nowMs) {
+    private void recordWork(RouteId kind, long durationMs, int inFlight, long nowMs) {
         recordDuration(durationMs);
         int before = places();
-        recording.record(kind.value(), (double) durationMs, inFlight, nowMs);
+        mLimit.record(kind.value(), (double) durationMs, inFlight, nowMs);
         int places = places();
         if (places > before) {
             notifyPlace();
