Play two crowds whose long requests are answered slowly

Two crowds show it more often, as their clients are just fast enough not to be closed: whole answers and streams of events to requests of 1 MB at 2,000 bytes a second. The bounds are those of the other crowds.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/SlowReadersTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/SlowReadersTrial.java
@@ -67,6 +67,8 @@
         CHUNKED,
         /** Streams of events. */
         EVENTS,
+        /** Streams of events that long requests ask for. */
+        EVENTS_TO_LONG_REQUESTS,
         /** Pages of a batch's results. */
         RESULTS,
         /** Bodies of items without a result. */
@@ -140,7 +142,7 @@
             case WHOLE -> LongAnswer.WHOLE.path();
             case TO_LONG_REQUESTS -> LongAnswer.MEDIUM.path();
             case CHUNKED -> LongAnswer.CHUNKED.path();
-            case EVENTS -> LongAnswer.EVENTS.path();
+            case EVENTS, EVENTS_TO_LONG_REQUESTS -> LongAnswer.EVENTS.path();
             case RESULTS -> "/-/lots/" + submit(LongAnswer.ITEM.path(), ANY_VERSION, new byte[1]);
             case ITEM_BODIES -> {
                 String batch = submit("/train/x", NO_VERSION, new byte[ITEM_BODY_BYTES]);
@@ -233,7 +235,9 @@
     }
 
     private static byte[] request(Answers answers, String path) {
-        int bodyBytes = answers == Answers.TO_LONG_REQUESTS ? LONG_REQUEST_BYTES : 0;
+        boolean isLong =
+                answers == Answers.TO_LONG_REQUESTS || answers == Answers.EVENTS_TO_LONG_REQUESTS;
+        int bodyBytes = isLong ? LONG_REQUEST_BYTES : 0;
         return String.join(
                         "\r\n",
                         method(answers) + " " + path + " HTTP/1.1",
@@ -252,14 +256,14 @@
 
     private static String method(Answers answers) {
         return switch (answers) {
-            case WHOLE, TO_LONG_REQUESTS, CHUNKED, EVENTS -> "POST";
+            case WHOLE, TO_LONG_REQUESTS, CHUNKED, EVENTS, EVENTS_TO_LONG_REQUESTS -> "POST";
             case RESULTS, ITEM_BODIES, METRICS -> "GET";
         };
     }
 
     private static long minBytes(Answers answers) {
         return switch (answers) {
-            case WHOLE, CHUNKED, EVENTS -> LongAnswer.BYTES;
+            case WHOLE, CHUNKED, EVENTS, EVENTS_TO_LONG_REQUESTS -> LongAnswer.BYTES;
             case TO_LONG_REQUESTS -> LongAnswer.MEDIUM_BYTES;
             case RESULTS -> LongAnswer.ITEM_BYTES;
             case ITEM_BODIES -> ITEM_BODY_BYTES;
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/AnswersReadSlowlyTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/AnswersReadSlowlyTest.java
@@ -70,6 +70,16 @@
         check(Answers.WHOLE, JUST_FAST_ENOUGH);
     }
 
+    @Test
+    void shouldOutliveAnswersToLongRequestsReadJustFastEnough() throws IOException {
+        check(Answers.TO_LONG_REQUESTS, JUST_FAST_ENOUGH);
+    }
+
+    @Test
+    void shouldOutliveEventsToLongRequestsReadJustFastEnough() throws IOException {
+        check(Answers.EVENTS_TO_LONG_REQUESTS, JUST_FAST_ENOUGH);
+    }
+
     @Test
     void shouldOutliveResultsReadJustFastEnough() throws IOException {
         check(Answers.RESULTS, JUST_FAST_ENOUGH);
