Let go of a request's body where its hold is given back

Cause: once an answer is whole, the hold of its request becomes the answer's, but the body stayed reachable until the answer was written: from the listener that watches for the client to leave, and from the reader of the request, which kept the chunks that it had handed on (also those that a batch lets go of as it is parsed). In a dump at the end, 33 of 58 MB of byte arrays were such bodies; answers that were held took 12 MB.

Ruled out by the dump: bodies of targets' answers, buffers of the server, and requests in progress, whose bodies (5 MB) were held.

Change: the watcher takes its listener off when it stops; the reader moves its chunks into the body, and drops them where the request is refused, as that connection lingers for 500 ms.

--- a/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/RequestReader.java
@@ -202,7 +202,7 @@
             }
         } catch (IOException e) {
             // The client has gone, or sent no valid chunks; nothing of the request has run.
-            mIsDone = true;
+            drop();
             IoUtils.safeClose(mExchange.getConnection());
         }
     }
@@ -223,7 +223,7 @@
     private void checkFraming() {
         mFraming.onFraming(mConnection.consumedBytes(mExchange));
         if (mFraming.isExceeded()) {
-            mIsDone = true;
+            drop();
             mConnection.close(Refusal.FRAMING);
             return;
         }
@@ -243,7 +243,7 @@
             refuse(failure);
             return;
         }
-        mIsDone = true;
+        drop();
         IoUtils.safeClose(mExchange.getConnection());
     }
 
@@ -252,16 +252,22 @@
             // It was answered, and its connection is being closed.
             return;
         }
-        mIsDone = true;
+        drop();
         mListener.onRefused(failure);
     }
 
+    /** Ends reading and lets go of what was read, as the connection may stay open for a while. */
+    private void drop() {
+        mIsDone = true;
+        mCollector.clear();
+    }
+
     private void complete() {
         mIsDone = true;
         // Trailers are not passed on.
         Optional.ofNullable(mExchange.getAttachment(HttpAttachments.REQUEST_TRAILERS))
                 .ifPresent(HeaderMap::clear);
         mConnection.onRequestRead();
-        mListener.onRead(mCollector.body(mHold));
+        mListener.onRead(mCollector.take(mHold));
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/intake/BodyCollector.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/BodyCollector.java
@@ -78,16 +78,25 @@
     }
 
     /**
-     * Returns the body; the collector is not used afterwards.
+     * Moves the chunks into a body; the collector is not used afterwards.
      *
      * @param hold the bytes held for it
      * @return the body
      */
-    public Body body(Hold hold) {
+    public Body take(Hold hold) {
         if (mLength == 0) {
+            clear();
             return Body.empty();
         }
         mChunks.forEach(ByteBuffer::flip);
-        return Body.of(mChunks, mLength, hold);
+        Body body = Body.of(mChunks, mLength, hold);
+        clear();
+        return body;
+    }
+
+    /** Lets go of the chunks; the collector is not used afterwards. */
+    public void clear() {
+        mChunks.clear();
+        mCurrent = ByteBuffer.allocate(0);
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/ClientDisconnectWatcher.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/ClientDisconnectWatcher.java
@@ -29,10 +29,14 @@
         connection.getOriginalSourceConduit().resumeReads();
     }
 
-    /** Stops watching; Undertow reads again after the response. Call this on the I/O thread. */
+    /**
+     * Stops watching; Undertow reads again after the response. The connection no longer refers to
+     * the request, which the listener refers to. Call this on the I/O thread.
+     */
     static void stop(HttpServerExchange exchange) {
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             connection.getOriginalSourceConduit().suspendReads();
+            connection.getChannel().getSourceChannel().setReadListener(null);
         }
     }
 
--- a/cactusspan/src/test/java/dev/cactusspan/intake/BodyTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/intake/BodyTest.java
@@ -36,7 +36,7 @@
             offset += count;
             assertThat(collector.length(), is(lessThanOrEqualTo(collector.heldBytes())));
         }
-        Body body = collector.body(Hold.UNLIMITED);
+        Body body = collector.take(Hold.UNLIMITED);
         assertThat(body.length(), is((long) length));
         assertThat(body.toBytes(), is(bytes));
         assertThat(joined(body), is(bytes));
--- a/cactusspan/src/test/java/dev/cactusspan/platform/BatchParserTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/BatchParserTest.java
@@ -32,7 +32,7 @@
             collector.added(count);
         }
         Hold hold = mBudget.reserve(bytes.length).orElseThrow();
-        return collector.body(hold);
+        return collector.take(hold);
     }
 
     private static String batch(String item, int items) {
