Abandon a request when the process closes its client's connection

What callers saw: an entry ended out of memory while clients read streams, asked for by long requests, slowly; and streams that were closed for their reader's pace went on at their targets, in places that others waited for.

Cause: a request was abandoned only when the client closed its connection. When the process closed it (the client too slow, no room, an error while writing), the hold was given back, and the request went on without an owner until its target or its deadline ended it.

Ruled out: the hold of a request that shrinks to what its stream has unsent.

Change: the connection knows what abandons its request and runs it when it closes, whoever closed it; the watcher only closes.

--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -18,6 +18,7 @@
     private final TurnQueue mTurns;
     private Caller mCaller;
     private Optional<Runnable> mOnEvicted = Optional.empty();
+    private Optional<Runnable> mOnClosed = Optional.empty();
     private long mReadBytes;
 
     GuardedConnection(StreamConnection channel, Callers callers, TurnQueue turns) {
@@ -52,6 +53,9 @@
 
     void onClosed() {
         mCallers.close(mCaller, GuardedServer.nowMs());
+        Optional<Runnable> task = mOnClosed;
+        mOnClosed = Optional.empty();
+        task.ifPresent(Runnable::run);
     }
 
     void evict() {
@@ -114,6 +118,24 @@
         mCallers.onBody(mCaller, GuardedServer.nowMs());
     }
 
+    /**
+     * Runs a task if the connection closes, by whichever end, before the response is complete.
+     *
+     * @param task abandons the present request
+     */
+    public void whenClosed(Runnable task) {
+        if (mChannel.isOpen()) {
+            mOnClosed = Optional.of(task);
+        } else {
+            task.run();
+        }
+    }
+
+    /** Notes that the response is complete, though not yet written. */
+    public void onResponseComplete() {
+        mOnClosed = Optional.empty();
+    }
+
     /**
      * Holds memory for the response in place of the request.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/platform/ClientDisconnectWatcher.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/ClientDisconnectWatcher.java
@@ -15,32 +15,23 @@
 final class ClientDisconnectWatcher {
     private ClientDisconnectWatcher() {}
 
-    /** Watches until the response starts. Call this on the I/O thread. */
-    static void start(HttpServerExchange exchange, Runnable onDisconnect) {
-        if (!(exchange.getConnection() instanceof HttpServerConnection connection)
-                || exchange.isResponseStarted()
-                || exchange.isComplete()) {
+    /** Closes the connection once the client has closed it. Call this on the I/O thread. */
+    static void start(HttpServerExchange exchange) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
             return;
         }
-        connection
-                .getChannel()
-                .getSourceChannel()
-                .setReadListener(channel -> read(connection, onDisconnect));
+        connection.getChannel().getSourceChannel().setReadListener(channel -> read(connection));
         connection.getOriginalSourceConduit().resumeReads();
     }
 
-    /**
-     * Stops watching; Undertow reads again after the response. The connection no longer refers to
-     * the request, which the listener refers to. Call this on the I/O thread.
-     */
+    /** Stops watching; Undertow reads again after the response. Call this on the I/O thread. */
     static void stop(HttpServerExchange exchange) {
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             connection.getOriginalSourceConduit().suspendReads();
-            connection.getChannel().getSourceChannel().setReadListener(null);
         }
     }
 
-    private static void read(HttpServerConnection connection, Runnable onDisconnect) {
+    private static void read(HttpServerConnection connection) {
         StreamSourceConduit source = connection.getOriginalSourceConduit();
         PooledByteBuffer buffer = connection.getByteBufferPool().allocate();
         boolean isKept = false;
@@ -53,12 +44,10 @@
                 isKept = true;
             } else if (count < 0) {
                 IoUtils.safeClose(connection);
-                onDisconnect.run();
             }
         } catch (IOException e) {
             // A reset connection is handled like a closed one.
             IoUtils.safeClose(connection);
-            onDisconnect.run();
         } finally {
             if (!isKept) {
                 buffer.close();
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -51,7 +51,14 @@
 
     /** Runs a task on a thread if the client closes its connection before the response starts. */
     void onClientDisconnect(Executor thread, Runnable task) {
-        onIoThread(() -> ClientDisconnectWatcher.start(mExchange, () -> thread.execute(task)));
+        onIoThread(
+                () -> {
+                    if (mExchange.isResponseStarted() || mExchange.isComplete()) {
+                        return;
+                    }
+                    mConnection.whenClosed(() -> thread.execute(task));
+                    ClientDisconnectWatcher.start(mExchange);
+                });
     }
 
     @Override
@@ -71,6 +78,7 @@
             return;
         }
         ClientDisconnectWatcher.stop(mExchange);
+        mConnection.onResponseComplete();
         if (body.length() > SMALL_RESPONSE_BYTES && !mConnection.holdResponse(body.length())) {
             IoUtils.safeClose(mExchange.getConnection());
             return;
@@ -126,6 +134,7 @@
         onIoThread(
                 () -> {
                     mIsEnding = true;
+                    mConnection.onResponseComplete();
                     sendNext();
                 });
     }
