Hold a request's memory while its answer is streamed

Cause: the first bytes of a stream took the hold down to what was unsent, though the request is kept until its stream ends: 1 MB in memory, 0.1 MB held in RequestBodyKeptTest. A stream is never sent again, so the request could be let go of instead; its exchange with the target keeps it as well, which is not changed here.

Change: what a stream has unsent is held beside the request, in a hold of its own, so that a short part takes room from the share of small sizes and is not refused beside a crowd of long requests (CallersTest).

Before: RequestBodyKeptTest.shouldHoldTheBodyOfARequestWhoseAnswerIsStreamed failed.

--- a/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/GuardedConnection.java
@@ -146,6 +146,16 @@
         return mCallers.onResponse(mCaller, bytes, GuardedServer.nowMs());
     }
 
+    /**
+     * Holds memory for the part of a stream that waits to be written, beside the request.
+     *
+     * @param bytes bytes that wait to be written
+     * @return false if there is no room, so that the connection is to be closed
+     */
+    public boolean holdStream(long bytes) {
+        return mCallers.onStream(mCaller, bytes, GuardedServer.nowMs());
+    }
+
     /**
      * Sends a complete response and, if the request was not read to its end, closes the connection.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/intake/Caller.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/Caller.java
@@ -19,6 +19,7 @@
     private boolean mIsAnswerBlocked;
     private boolean mWasServed;
     private Hold mHold = Hold.UNLIMITED;
+    private Hold mStreamHold = Hold.UNLIMITED;
 
     /** What a connection waits for. */
     public enum Phase {
@@ -102,6 +103,7 @@
     /** Notes the end of a response, or of the connection. */
     void onEnd(long nowMs) {
         setHold(Hold.UNLIMITED);
+        setStreamHold(Hold.UNLIMITED);
         mWasServed = true;
         enter(Phase.IDLE, nowMs);
     }
@@ -112,6 +114,12 @@
         mHold = hold;
     }
 
+    /** Replaces the hold of a stream; the former one is closed. */
+    void setStreamHold(Hold hold) {
+        mStreamHold.close();
+        mStreamHold = hold;
+    }
+
     void evict() {
         mEvict.run();
     }
@@ -164,6 +172,16 @@
         return mPhase;
     }
 
+    /** Returns the hold of the part of a stream that waits to be written. */
+    Hold streamHold() {
+        return mStreamHold;
+    }
+
+    /** Returns the larger of the holds, in bytes. */
+    long largestHoldBytes() {
+        return Math.max(mHold.bytes(), mStreamHold.bytes());
+    }
+
     /**
      * Returns the bytes held for the present request.
      *
--- a/cactusspan/src/main/java/dev/cactusspan/intake/Callers.java
+++ b/cactusspan/src/main/java/dev/cactusspan/intake/Callers.java
@@ -139,7 +139,7 @@
             return true;
         }
         if (isFirst) {
-            caller.setHold(mBudget.reserve(0).orElse(Hold.UNLIMITED));
+            caller.setHold(newHold());
         }
         boolean isHeader = caller.phase() == Caller.Phase.HEAD;
         return grow(caller, isHeader ? HEADER_FACTOR * bytes : bytes, nowMs);
@@ -170,7 +170,8 @@
      * @return the hold, empty if the request is to be refused
      */
     public Optional<Hold> onHead(Caller caller, long headerBytes, long bodyBytes, long nowMs) {
-        caller.setHold(mBudget.reserve(0).orElse(Hold.UNLIMITED));
+        caller.setHold(newHold());
+        caller.setStreamHold(newHold());
         caller.onHead(nowMs);
         long bytes = REQUEST_BYTES + HEADER_FACTOR * headerBytes + bodyBytes;
         return grow(caller, bytes, nowMs) ? Optional.of(caller.hold()) : Optional.empty();
@@ -188,8 +189,10 @@
         if (!mCallers.contains(caller)) {
             return false;
         }
-        Hold hold = caller.hold();
-        long wanted = hold.bytes() + bytes;
+        return resize(caller, caller.hold(), caller.hold().bytes() + bytes, nowMs);
+    }
+
+    private boolean resize(Caller caller, Hold hold, long wanted, long nowMs) {
         for (int i = 0; i < MAX_EVICTIONS; i++) {
             if (hold.resize(wanted)) {
                 return true;
@@ -215,6 +218,23 @@
         return grow(caller, bytes, nowMs);
     }
 
+    /**
+     * Holds memory for the part of a stream that waits to be written, beside its request, which is
+     * kept until the stream ends.
+     *
+     * @param caller its connection
+     * @param bytes bytes that wait
+     * @param nowMs the steady clock in milliseconds
+     * @return false if there is no room, so that the connection is to be closed
+     */
+    public boolean onStream(Caller caller, long bytes, long nowMs) {
+        return mCallers.contains(caller) && resize(caller, caller.streamHold(), bytes, nowMs);
+    }
+
+    private Hold newHold() {
+        return mBudget.reserve(0).orElse(Hold.UNLIMITED);
+    }
+
     /** Closes the slowest caller that holds memory in the way of a request of the given size. */
     private boolean makeRoom(Caller caller, long bytes, long nowMs) {
         SizeClass sizeClass = SizeClass.of(bytes);
@@ -223,9 +243,9 @@
                         nowMs,
                         c ->
                                 c != caller
-                                        && c.hold().bytes() > 0
+                                        && c.largestHoldBytes() > 0
                                         && (sizeClass == SizeClass.SMALL
-                                                || SizeClass.of(c.hold().bytes())
+                                                || SizeClass.of(c.largestHoldBytes())
                                                         != SizeClass.SMALL));
         victim.ifPresent(v -> evict(v, Refusal.MEMORY, nowMs));
         return victim.isPresent();
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -120,7 +120,7 @@
         onIoThread(
                 () -> {
                     mUnsentBytes += data.length;
-                    if (!mConnection.holdResponse(mUnsentBytes)) {
+                    if (!mConnection.holdStream(mUnsentBytes)) {
                         IoUtils.safeClose(mExchange.getConnection());
                         return;
                     }
--- a/cactusspan/src/test/java/dev/cactusspan/intake/CallersTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/intake/CallersTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
@@ -163,4 +164,20 @@
         }
         assertThat(mEvicted.contains("ordinary"), is(false));
     }
+
+    @Test
+    void shouldGoOnWithAStreamBesideACrowdOfLongRequests() {
+        Caller stream = open("stream", 0);
+        mCallers.onHead(stream, 100, 1 << 20, 0);
+        mCallers.onBody(stream, 0);
+        for (int i = 0; i < 9; i++) {
+            Caller running = open("running", 0);
+            mCallers.onHead(running, 100, 1 << 20, 0);
+            mCallers.onBody(running, 0);
+            assertThat(mCallers.onStream(stream, 4_000 + i, 0), is(true));
+        }
+        mCallers.onStream(stream, 0, 0);
+        assertThat(stream.hold().bytes(), greaterThanOrEqualTo(1L << 20));
+        assertThat(mEvicted, is(List.of()));
+    }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/platform/RequestBodyKeptTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/platform/RequestBodyKeptTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
 import dev.cactusspan.http.GuardedConnection;
@@ -34,6 +35,7 @@
 final class RequestBodyKeptTest {
     private static final int REQUEST_BYTES = 1_000_000;
     private static final int ANSWER_BYTES = 8_000_000;
+    private static final int EVENT_BYTES = 100_000;
     private static final int CLIENT_BUFFER_BYTES = 4 << 10;
     private static final int MAX_PASSES = 500;
     private static final long PASS_MS = 10;
@@ -47,6 +49,7 @@
                     "test", 1, mBudget, new IntakeReport(r -> {}, (counts, nowMs) -> {}));
     private final List<WeakReference<byte[]>> mChunks = new CopyOnWriteArrayList<>();
     private final CountDownLatch mIsAnswered = new CountDownLatch(1);
+    private boolean mIsStream;
     private int mPort;
 
     @BeforeEach
@@ -88,8 +91,13 @@
         }
         // As a request in progress does, which is abandoned with its client.
         sink.onClientDisconnect(Runnable::run, () -> assertThat(body.length(), greaterThan(0L)));
-        sink.respond(200, Map.of(), Body.of(new byte[ANSWER_BYTES]));
-        mIsAnswered.countDown();
+        if (mIsStream) {
+            sink.start(200, Map.of());
+            sink.data(new byte[EVENT_BYTES], mIsAnswered::countDown);
+        } else {
+            sink.respond(200, Map.of(), Body.of(new byte[ANSWER_BYTES]));
+            mIsAnswered.countDown();
+        }
     }
 
     private Socket send() throws IOException {
@@ -123,4 +131,14 @@
             assertThat(mBudget.heldBytes(), greaterThan((long) ANSWER_BYTES));
         }
     }
+
+    @Test
+    void shouldHoldTheBodyOfARequestWhoseAnswerIsStreamed() throws Exception {
+        mIsStream = true;
+        try (Socket socket = send()) {
+            socket.getInputStream().readNBytes(EVENT_BYTES);
+            assertThat(mIsAnswered.await(TIMEOUT_S, TimeUnit.SECONDS), is(true));
+            assertThat(mBudget.heldBytes(), greaterThanOrEqualTo((long) REQUEST_BYTES));
+        }
+    }
 }
