Close a connection to a target whose request is unfinished

What callers saw: nothing yet; found by a reviewer who had not seen the work, in the search for memory that is kept beyond its hold.

Cause: a target that answers before it has read a long request (a 503, say) ended the exchange; its connection was kept for reuse and the rest of the body went on being written, without a deadline or a hold. The next request on that connection waited behind it.

Change: writing stops with the exchange, and a connection is only kept once its request was written.

Before: EndedRequestTest found the body in memory 2 s after the answer. After: let go of, and the next request is answered on another connection.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -46,6 +46,7 @@
     private ResponseFraming mFraming = ResponseFraming.EXPLICIT;
     private boolean mIsOwnResponse = true;
     private boolean mSent;
+    private boolean mIsWritten;
     private boolean mDone;
 
     HttpExchange(HttpClient client, HttpRequest request, ResponseListener listener) {
@@ -116,11 +117,16 @@
         if (mRequest.body().length() > 0) {
             Iterator<ByteBuffer> parts = mRequest.body().parts();
             write(exchange.getRequestChannel(), parts.next(), parts);
+        } else {
+            mIsWritten = true;
         }
     }
 
     /** Writes one part after another, as the socket copies each buffer that it is given. */
     private void write(StreamSinkChannel channel, ByteBuffer first, Iterator<ByteBuffer> rest) {
+        if (mDone) {
+            return;
+        }
         try {
             ByteBuffer part = first;
             while (part.hasRemaining() || rest.hasNext()) {
@@ -145,6 +151,9 @@
         try {
             if (channel.flush()) {
                 channel.suspendWrites();
+                // The listener that wrote the body refers to it.
+                channel.getWriteSetter().set(null);
+                mIsWritten = true;
                 return;
             }
             channel.getWriteSetter().set(this::flush);
@@ -235,7 +244,7 @@
             return;
         }
         if (markDone()) {
-            if (mFraming == ResponseFraming.CONNECTION_END || !mIsOwnResponse) {
+            if (mFraming == ResponseFraming.CONNECTION_END || !mIsOwnResponse || !mIsWritten) {
                 IoUtils.safeClose(mConnection.connection());
             } else {
                 mClient.release(mRequest.server(), mConnection, mKeepAlive);
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
@@ -0,0 +1,83 @@
+package dev.cactusspan.http;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.lang.ref.WeakReference;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A request that has ended is neither written on nor kept in memory. */
+final class EndedRequestTest {
+    /** More than the system takes of a connection that nobody reads. */
+    private static final int LONG_BYTES = 20_000_000;
+
+    private static final int MAX_BYTES = 1_000;
+    private static final long TIMEOUT_MS = 60_000;
+    private static final long SHORT_TIMEOUT_MS = 5_000;
+    private static final int MAX_PASSES = 200;
+    private static final long PASS_MS = 10;
+
+    private final HttpClient mHttp;
+    private WeakReference<byte[]> mBody = new WeakReference<>(null);
+
+    EndedRequestTest() throws IOException {
+        mHttp = HttpClient.create();
+    }
+
+    @AfterEach
+    void close() {
+        mHttp.close();
+    }
+
+    private HttpRequest request(URI server, int bodyBytes, long timeoutMs) {
+        byte[] body = new byte[bodyBytes];
+        mBody = new WeakReference<>(body);
+        return new HttpRequest("POST", server, "/", Map.of(), body, timeoutMs, MAX_BYTES, false);
+    }
+
+    private int status(HttpRequest request) throws Exception {
+        return mHttp.collect(request, MAX_BYTES)
+                .get(TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .fold(f -> 0, HttpResponse::status);
+    }
+
+    private boolean isBodyKept() throws InterruptedException {
+        for (int i = 0; i < MAX_PASSES; i++) {
+            System.gc();
+            if (mBody.get() == null) {
+                return false;
+            }
+            TimeUnit.MILLISECONDS.sleep(PASS_MS);
+        }
+        return true;
+    }
+
+    @Test
+    void shouldNotReuseAConnectionOnWhichARequestIsUnfinished() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        CountDownLatch isOver = new CountDownLatch(1);
+        try (RawServer server =
+                new RawServer(
+                        out -> {
+                            int status = requests.getAndIncrement() == 0 ? 503 : 200;
+                            out.write(
+                                    KeepAliveServer.response(status, "A: b", "")
+                                            .getBytes(US_ASCII));
+                            isOver.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                        })) {
+            assertThat(status(request(server.uri(), LONG_BYTES, TIMEOUT_MS)), is(503));
+            assertThat(isBodyKept(), is(false));
+            assertThat(status(request(server.uri(), 1, SHORT_TIMEOUT_MS)), is(200));
+        } finally {
+            isOver.countDown();
+        }
+    }
+}
