Let go of a request that is cancelled before it is connected

Cause: the system may take minutes to give up connecting to a VM that is silent. The callback that waits for it refers to the exchange, which kept its request after it was cancelled or late, and with it a body whose hold was given back.

Change: an exchange drops the body once it has ended.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -33,7 +33,7 @@
     private static final long NS_PER_MS = 1_000_000;
 
     private final HttpClient mClient;
-    private final HttpRequest mRequest;
+    private HttpRequest mRequest;
     private final ResponseListener mListener;
     private final ByteBuffer mReadBuffer = ByteBuffer.allocate(READ_BYTES);
     private final ReadWindow mWindow = new ReadWindow();
@@ -267,6 +267,7 @@
             return false;
         }
         mDone = true;
+        mRequest = mRequest.withoutBody();
         if (mTimer != null) {
             mTimer.remove();
         }
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpRequest.java
@@ -91,6 +91,25 @@
                 maxSendDelayMs);
     }
 
+    /**
+     * Returns this request without its body, which is no longer needed once the request has ended.
+     *
+     * @return the request
+     */
+    HttpRequest withoutBody() {
+        return new HttpRequest(
+                method,
+                server,
+                path,
+                headers,
+                Body.empty(),
+                timeoutMs,
+                maxBytes,
+                newConnection,
+                tag,
+                maxSendDelayMs);
+    }
+
     /**
      * Returns this request with another limit of its response.
      *
--- a/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
@@ -4,9 +4,16 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import dev.cactusspan.result.SendFailure;
 import java.io.IOException;
 import java.lang.ref.WeakReference;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.URI;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +31,7 @@
     private static final long SHORT_TIMEOUT_MS = 5_000;
     private static final int MAX_PASSES = 200;
     private static final long PASS_MS = 10;
+    private static final int CLIENTS_IN_BACKLOG = 64;
 
     private final HttpClient mHttp;
     private WeakReference<byte[]> mBody = new WeakReference<>(null);
@@ -80,4 +88,49 @@
             isOver.countDown();
         }
     }
+
+    @Test
+    void shouldLetGoOfARequestThatIsCancelledBeforeItIsConnected() throws Exception {
+        List<SocketChannel> backlog = new ArrayList<>();
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address =
+                    new InetSocketAddress(silent.getInetAddress(), silent.getLocalPort());
+            for (int i = 0; i < CLIENTS_IN_BACKLOG; i++) {
+                SocketChannel channel = SocketChannel.open();
+                channel.configureBlocking(false);
+                channel.connect(address);
+                backlog.add(channel);
+            }
+            URI uri = URI.create("http://127.0.0.1:" + silent.getLocalPort());
+            CountDownLatch isEnded = new CountDownLatch(1);
+            Runnable canceller = mHttp.send(request(uri, LONG_BYTES, TIMEOUT_MS), ended(isEnded));
+            canceller.run();
+            assertThat(isEnded.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+            assertThat(isBodyKept(), is(false));
+        } finally {
+            for (SocketChannel channel : backlog) {
+                channel.close();
+            }
+        }
+    }
+
+    private static ResponseListener ended(CountDownLatch isEnded) {
+        return new ResponseListener() {
+            @Override
+            public void onHead(int status, Map<String, String> headers) {}
+
+            @Override
+            public void onData(byte[] data, Runnable consumed) {}
+
+            @Override
+            public void onEnd() {
+                isEnded.countDown();
+            }
+
+            @Override
+            public void onFailure(SendFailure failure, String reason) {
+                isEnded.countDown();
+            }
+        };
+    }
 }
