Close the connection of a client that leaves while it waits for results

Cause: a read of results that waits was not told that its client had left, and waited as long as the client had asked for. Its connection, its place and its hold stayed: with a wait of an hour and clients that come again, until no connection was left for others. It takes a key that is accepted.

Change: the connection is watched like that of a request in progress, and a read waits 10 s at most, after which the client asks again.

The trials that submit a batch share TrialBatch.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/SlowReadersTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/SlowReadersTrial.java
@@ -1,6 +1,5 @@
 package dev.cactusspan.standin.hosted;
 
-import dev.cactusspan.text.JsonText;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -11,12 +10,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
-import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 
 /** Has many clients read long answers of one real process slowly. */
 public final class SlowReadersTrial {
@@ -36,16 +32,11 @@
 
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
     private static final long RETRY_DELAY_MS = 200;
-    private static final int ITEMS = 6;
     private static final int LONG_REQUEST_BYTES = 1_000_000;
     private static final int ITEM_BODY_BYTES = 1_000_000;
     private static final long ANY_VERSION = 1;
 
-    /** A version that no target loads, so that no item runs. */
-    private static final long NO_VERSION = 1_000;
-
     private static final int OK = 200;
-    private static final int ACCEPTED = 202;
 
     private final GatewayNode mNode;
     private final HttpClient mHttp =
@@ -143,60 +134,24 @@
             case TO_LONG_REQUESTS -> LongAnswer.MEDIUM.path();
             case CHUNKED -> LongAnswer.CHUNKED.path();
             case EVENTS, EVENTS_TO_LONG_REQUESTS -> LongAnswer.EVENTS.path();
-            case RESULTS -> "/-/lots/" + submit(LongAnswer.ITEM.path(), ANY_VERSION, new byte[1]);
+            case RESULTS ->
+                    "/-/lots/"
+                            + TrialBatch.submit(
+                                    mHttp, mNode, LongAnswer.ITEM.path(), ANY_VERSION, new byte[1]);
             case ITEM_BODIES -> {
-                String batch = submit("/train/x", NO_VERSION, new byte[ITEM_BODY_BYTES]);
+                String batch =
+                        TrialBatch.submit(
+                                mHttp,
+                                mNode,
+                                "/train/x",
+                                TrialBatch.NO_VERSION,
+                                new byte[ITEM_BODY_BYTES]);
                 yield "/-/items/" + batch + "?id=" + batch + "-0";
             }
             case METRICS -> "/metrics";
         };
     }
 
-    /** Submits a batch of items with the given body, and returns its id. */
-    private String submit(String path, long minVersion, byte[] body)
-            throws IOException, InterruptedException {
-        String batch = newId();
-        List<Map<String, Object>> items =
-                IntStream.range(0, ITEMS).mapToObj(i -> item(batch + "-" + i, path, body)).toList();
-        Map<String, Object> fields =
-                Map.of(
-                        "step",
-                        0,
-                        "model",
-                        HostedDeployment.MODEL,
-                        "min_version",
-                        minVersion,
-                        "target_groups",
-                        1,
-                        "items",
-                        items);
-        HttpRequest request =
-                request(mNode.clientPort(), "/train/" + batch, batch)
-                        .POST(HttpRequest.BodyPublishers.ofByteArray(JsonText.write(fields)))
-                        .build();
-        int status = mHttp.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
-        if (status != ACCEPTED) {
-            throw new IOException("the batch was answered with " + status);
-        }
-        return batch;
-    }
-
-    private static Map<String, Object> item(String id, String path, byte[] body) {
-        return Map.of(
-                "id",
-                id,
-                "path",
-                path,
-                "headers",
-                Map.of("Model", HostedDeployment.MODEL),
-                "body",
-                Base64.getEncoder().encodeToString(body),
-                "tokens",
-                10,
-                "group",
-                "g");
-    }
-
     private static String newId() {
         return UUID.randomUUID().toString().replace("-", "");
     }
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformServer.java
@@ -50,6 +50,9 @@
     /** Connections of the probe's address: the platform opens one a second. */
     private static final int MAX_READY_CONNECTIONS = 64;
 
+    /** Maximum time that a client may wait for results in one request, in milliseconds. */
+    private static final long MAX_READ_WAIT_MS = 10_000;
+
     /** Delay after which a client should retry a request refused at the door, in milliseconds. */
     private static final long RETRY_AFTER_MS = 150;
 
@@ -231,7 +234,8 @@
                     BatchId.of(id), key, r -> sink.sendResult(r.map(ok -> new byte[0]), ""));
             return;
         }
-        long waitMs = number(exchange, PlatformHeaders.WAIT_MS).orElse(0);
+        long waitMs =
+                Math.min(MAX_READ_WAIT_MS, number(exchange, PlatformHeaders.WAIT_MS).orElse(0));
         int after =
                 (int)
                         Math.min(
@@ -245,6 +249,8 @@
                 after,
                 waitMs,
                 r -> sink.sendResult(r.map(PlatformBatches::results), "application/json"));
+        // The connection is closed with the client's; the wait itself ends soon.
+        sink.onClientDisconnect(mThread, () -> {});
     }
 
     private void handleItem(HttpServerExchange exchange, PlatformSink sink, String id) {
--- a/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
+++ b/cactusspan/src/main/java/dev/cactusspan/platform/PlatformSink.java
@@ -49,7 +49,7 @@
     /** Bytes of a streamed response and what to run once they are written. */
     private record Chunk(byte[] data, Runnable written) {}
 
-    /** Runs a task on a thread if the client closes its connection before the response starts. */
+    /** Runs a task on a thread if the connection closes before the response is complete. */
     void onClientDisconnect(Executor thread, Runnable task) {
         onIoThread(
                 () -> {
