--- a/review/standin2/LargeSubmission.java
+++ b/review/standin2/LargeSubmission.java
@@ -7,13 +7,13 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
- * A trainer submits one batch that is within the limits of the desired state, but large. The entry
- * that accepts it runs out of memory and ends.
+ * A trainer submits one step of 4,096 samples, within the limits of the desired state. The entry
+ * that reads it runs out of memory and ends.
  */
 final class LargeSubmission {
-    private static final int SMALL_BODY_BYTES = 4_000;
-    private static final int LARGE_BODY_BYTES = 40_000;
-    private static final int ITEMS = 512;
+    private static final int SMALL_BODY_BYTES = 600;
+    private static final int LARGE_BODY_BYTES = 3_500;
+    private static final int ITEMS = 4_096;
     private static final int ALLOWED = 3;
 
     private LargeSubmission() {}
