--- a/review/standin2/OneKillEndsOthers.java
+++ b/review/standin2/OneKillEndsOthers.java
@@ -9,7 +9,7 @@
 
 /**
  * Three entries each hold five open batches of 8.2 MB. One entry is killed once and is dark
- * for 5 s. The one that takes its batches over runs out of memory and ends, and so do those that
+ * for 3.5 s. The one that takes its batches over runs out of memory and ends, and so do those that
  * take over from it.
  */
 final class OneKillEndsOthers {
@@ -72,8 +72,8 @@
         }
         long killMs = Worker.now();
         if (isTroubled) {
-            c.record("SIGKILL of edge-1; it is started again after 5 s");
-            c.nodes.get(0).darkMs = 5_000;
+            c.record("SIGKILL of edge-1; it is started again after 3.5 s");
+            c.nodes.get(0).darkMs = 3_500;
             c.nodes.get(0).signal("KILL");
         }
         Main.pause(TRAINER_DEADLINE_MS);
