Refuse responses whose status line is outside the grammar

Callers saw answers whose status was 000: a target in trouble sent such a status line, and its client got "HTTP/1.1 000 Unknown" as an answer, once a status outside 100 to 599 even with the target's body and stamp.

Cause: the parser of Undertow's client reads any number as the status, and any word as the protocol. HttpExchange took what it had parsed, so that a broken head counted as a whole answer of its target for requests, items, scores, orders, load queries and calls to the store alike.

Change: ResponseSyntax follows the raw bytes of each response where ResponseLimit reads them, before the parser. It accepts status lines of the grammar only (RFC 9112, section 4): HTTP/1.0 or 1.1, three digits from 100 to 599, a reason phrase of text. 101 is refused, as no request asks for an upgrade. A response that is refused ends as UNUSABLE_RESPONSE: its target is avoided as after any failure, the kind of the route decides on a further run, and the request is not suspected to have crashed it.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -213,7 +213,7 @@
                 pass(channel, count);
             }
         } catch (IOException e) {
-            fail(SendFailure.CONNECTION_LOST, "answer cut: " + e.getMessage());
+            fail(failureOf(e), "answer cut: " + e.getMessage());
         }
     }
 
@@ -283,8 +283,15 @@
 
             @Override
             public void failed(IOException e) {
-                fail(SendFailure.CONNECTION_LOST, String.valueOf(e.getMessage()));
+                fail(failureOf(e), String.valueOf(e.getMessage()));
             }
         };
     }
+
+    /** A target that sends no response has not crashed, so that its connection is not lost. */
+    private static SendFailure failureOf(IOException e) {
+        return e instanceof MalformedResponseException
+                ? SendFailure.UNUSABLE_RESPONSE
+                : SendFailure.CONNECTION_LOST;
+    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -21,6 +21,7 @@
     /** A chunk of one byte has a size line of five bytes; twice that is allowed. */
     private static final int MAX_FRAMING_PER_BODY_BYTE = 10;
 
+    private final ResponseSyntax mSyntax = new ResponseSyntax();
     private long mReadBytes;
     private long mBodyBytes;
 
@@ -40,10 +41,11 @@
         return limit;
     }
 
-    /** Starts to count the next response. */
+    /** Starts to count and check the next response. */
     void startResponse() {
         mReadBytes = 0;
         mBodyBytes = 0;
+        mSyntax.startResponse();
     }
 
     /** Counts bytes of the body that were received. */
@@ -58,24 +60,32 @@
 
     @Override
     public int read(ByteBuffer dst) throws IOException {
-        return (int) count(super.read(dst));
+        int start = dst.position();
+        int count = super.read(dst);
+        if (count > 0) {
+            count(count);
+            mSyntax.accept(dst, start, dst.position());
+        }
+        return count;
     }
 
+    /** Fills the first buffer that has room; a read may return less than there is. */
     @Override
     public long read(ByteBuffer[] dsts, int offset, int length) throws IOException {
-        return count(super.read(dsts, offset, length));
+        for (int i = offset; i < offset + length; i++) {
+            if (dsts[i].hasRemaining()) {
+                return read(dsts[i]);
+            }
+        }
+        return 0;
     }
 
-    private long count(long bytes) throws IOException {
-        if (bytes <= 0) {
-            return bytes;
-        }
+    private void count(int bytes) throws IOException {
         mReadBytes += bytes;
         long maxBytes = MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * mBodyBytes;
         if (mReadBytes - mBodyBytes > maxBytes) {
             throw new IOException(
                     "the response has more than " + maxBytes + " bytes besides its body");
         }
-        return bytes;
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/result/SendFailure.java
+++ b/cactusspan/src/main/java/dev/cactusspan/result/SendFailure.java
@@ -8,7 +8,7 @@
     CONNECTION_LOST,
     /** There was no complete response in time, or it was no longer wanted. */
     NO_RESPONSE,
-    /** The response exceeds a limit. */
+    /** What the server sent exceeds a limit, or is no response. */
     UNUSABLE_RESPONSE;
 
     /**
--- a/cactusspan/src/test/java/dev/cactusspan/http/KeepAliveServer.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/KeepAliveServer.java
@@ -14,11 +14,16 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Answers requests, many on a connection, and counts the connections. */
+/**
+ * Answers requests, many on a connection, and counts the connections. It closes a connection after
+ * an answer that says so.
+ */
 public final class KeepAliveServer implements AutoCloseable {
     private static final String HEAD_END = "\r\n\r\n";
     private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: *([0-9]+)");
 
+    private static final String CLOSE = "Connection: close";
+
     private final ServerSocket mSocket;
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
     private final AtomicInteger mConnections = new AtomicInteger();
@@ -71,6 +76,9 @@
                     head = readHead(socket.getInputStream())) {
                 String response = responder.respond(head, number++);
                 out.write(response.getBytes(StandardCharsets.ISO_8859_1));
+                if (response.contains(CLOSE)) {
+                    return;
+                }
             }
         } catch (IOException e) {
             // The client has closed the connection.
