Skip all interim responses, not only those with status 100

Callers can see a 103, 102 or any other interim status as the answer, without the target's body; the answer itself then comes where that to the next request on the connection is expected.

Cause: the parser of Undertow's client skips 100 and takes every other status for a final response.

Evidence: MalformedResponseTest.shouldTakeTheResponseAfterInterimOnes failed 12 of 12 cases before: "103" and "102" as answers, bytes of the true answer as a body, and no answer at all for two interim responses in a row. Found while the status line was traced; not among the users' reports.

Change: ResponseSyntax writes the digits of 100 over those of any other interim status, in place, so that the parser skips it. Which interim status it was makes no difference to anybody behind it.

All cases pass now.

--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
@@ -39,7 +39,8 @@
     }
 
     /**
-     * Checks the next bytes.
+     * Checks the next bytes. All interim responses get status 100, the only one that the parser
+     * skips; another one would be taken for the answer.
      *
      * @param bytes buffer that holds them
      * @param start index of the first
@@ -49,6 +50,9 @@
     void accept(ByteBuffer bytes, int start, int end) throws MalformedResponseException {
         for (int i = start; i < end && mPart != Part.REST; i++) {
             accept(Byte.toUnsignedInt(bytes.get(i)));
+            if (mPart == Part.STATUS_LINE && mStatusLine.isLateInterimDigit()) {
+                bytes.put(i, (byte) '0');
+            }
         }
     }
 
--- a/cactusspan/src/main/java/dev/cactusspan/http/StatusLine.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/StatusLine.java
@@ -6,11 +6,13 @@
     private static final String VERSION_START = "HTTP/1.";
     private static final int MINOR_VERSION_AT = VERSION_START.length();
     private static final int FIRST_DIGIT_AT = MINOR_VERSION_AT + 2;
-    private static final int REASON_AT = FIRST_DIGIT_AT + 4;
+    private static final int STATUS_END_AT = FIRST_DIGIT_AT + 3;
+    private static final int REASON_AT = STATUS_END_AT + 1;
     private static final int SWITCHING_PROTOCOLS = 101;
     private static final int MIN_FINAL_STATUS = 200;
 
     private int mLength;
+    private int mFirstDigit;
     private int mStatus;
 
     @Override
@@ -18,7 +20,10 @@
         if (!isExpected(b)) {
             throw MalformedResponseException.unexpected(PART, b);
         }
-        if (mLength >= FIRST_DIGIT_AT && mLength < REASON_AT - 1) {
+        if (mLength == FIRST_DIGIT_AT) {
+            mFirstDigit = b;
+        }
+        if (mLength >= FIRST_DIGIT_AT && mLength < STATUS_END_AT) {
             mStatus = mStatus * 10 + b - '0';
         }
         mLength++;
@@ -31,7 +36,7 @@
         if (mLength == MINOR_VERSION_AT) {
             return b == '0' || b == '1';
         }
-        if (mLength == FIRST_DIGIT_AT - 1 || mLength == REASON_AT - 1) {
+        if (mLength == FIRST_DIGIT_AT - 1 || mLength == STATUS_END_AT) {
             return b == ' ';
         }
         if (mLength == FIRST_DIGIT_AT) {
@@ -61,4 +66,9 @@
     boolean isInterim() {
         return mStatus < MIN_FINAL_STATUS;
     }
+
+    /** Returns whether the last byte was a digit behind the first of an interim status. */
+    boolean isLateInterimDigit() {
+        return mLength > FIRST_DIGIT_AT + 1 && mLength <= STATUS_END_AT && mFirstDigit == '1';
+    }
 }
--- a/cactusspan/src/test/java/dev/cactusspan/http/MalformedResponseTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/MalformedResponseTest.java
@@ -143,6 +143,26 @@
         assertThat(outcome("GET", end.response(statusLine), true), is("200 ok"));
     }
 
+    static Stream<Arguments> interimResponses() {
+        return withEachEnd(
+                Stream.of(
+                        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n",
+                        "HTTP/1.1 102 \r\n\r\n",
+                        "HTTP/1.1 199 \r\nContent-Length: 9\r\n\r\n",
+                        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 110 \r\nA: b\r\n\r\n"));
+    }
+
+    /**
+     * An interim response was taken for the answer, and the answer for that to the next request.
+     */
+    @ParameterizedTest
+    @MethodSource("interimResponses")
+    void shouldTakeTheResponseAfterInterimOnes(String interim, End end) throws Exception {
+        String response = interim + end.response(GOOD_STATUS);
+        assertThat(outcome("GET", response, false), is("200 ok"));
+        assertThat(outcome("GET", response, true), is("200 ok"));
+    }
+
     /** Records the status and the body of a response, or the failure. */
     private static final class Recorder implements ResponseListener {
         private final CompletableFuture<String> mOutcome;
