Refuse responses whose fields are outside the grammar

Callers saw answers in whose head the name of a field held a blank or a control byte: the line was passed on, or the body was not the target's.

Cause: the parser of Undertow's client ends a name at a blank and skips what it does not expect. "Bad Name: x" comes out as the field "bad", "Content- Length: 2" as no length at all, and what follows a bare CR as a field of its own. The parsed head no longer shows what was wrong, so that a check behind the parser finds some of the cases only.

Change: ResponseSyntax checks each line of the head before the parser sees it: a name that is a token, a colon right behind it, a value of text, CR and LF at its end. A line that begins with a blank (the obsolete folding) is refused too, as RFC 9112, section 5.2, allows a gateway to do.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpField.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpField.java
@@ -97,6 +97,11 @@
         return Result.of(value);
     }
 
+    /** Returns whether a character may stand in a token, such as the name of a header. */
+    static boolean isTokenCharacter(char c) {
+        return isLetterOrDigit(c) || TOKEN_MARKS.indexOf(c) >= 0;
+    }
+
     static boolean isLetterOrDigit(char c) {
         return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
     }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
@@ -17,6 +17,7 @@
 
     private Part mPart = Part.STATUS_LINE;
     private StatusLine mStatusLine = new StatusLine();
+    private LineSyntax mLine = mStatusLine;
     private int mLineLength;
     private boolean mIsAfterReturn;
 
@@ -30,10 +31,11 @@
     private void startHead() {
         mPart = Part.STATUS_LINE;
         mStatusLine = new StatusLine();
-        startLine();
+        startLine(mStatusLine);
     }
 
-    private void startLine() {
+    private void startLine(LineSyntax line) {
+        mLine = line;
         mLineLength = 0;
         mIsAfterReturn = false;
     }
@@ -66,21 +68,18 @@
             mIsAfterReturn = true;
         } else {
             mLineLength++;
-            if (mPart == Part.STATUS_LINE) {
-                mStatusLine.accept(b);
-            }
+            mLine.accept(b);
         }
     }
 
     private void endLine() throws MalformedResponseException {
-        if (mPart == Part.STATUS_LINE) {
-            mStatusLine.end();
-            mPart = Part.FIELDS;
-        } else if (mLineLength == 0) {
+        if (mPart == Part.FIELDS && mLineLength == 0) {
             endHead();
             return;
         }
-        startLine();
+        mLine.end();
+        mPart = Part.FIELDS;
+        startLine(new FieldLine());
     }
 
     private void endHead() {
--- a/cactusspan/src/test/java/dev/cactusspan/http/MalformedResponseTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/MalformedResponseTest.java
@@ -6,9 +6,12 @@
 
 import dev.cactusspan.result.SendFailure;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -47,7 +50,17 @@
         }
 
         String response(String statusLine) {
-            return String.join("\r\n", statusLine, mField, "", mBody);
+            return response(statusLine, mField);
+        }
+
+        String responseWithField(String line, int at) {
+            List<String> fields = new ArrayList<>(List.of("Server-Stamp: s", mField));
+            fields.add(at, line);
+            return response(GOOD_STATUS, String.join("\r\n", fields));
+        }
+
+        private String response(String statusLine, String fields) {
+            return String.join("\r\n", statusLine, fields, "", mBody);
         }
     }
 
@@ -163,6 +176,58 @@
         assertThat(outcome("GET", response, true), is("200 ok"));
     }
 
+    static Stream<Arguments> malformedFields() {
+        Stream<String> names =
+                Stream.of(
+                                " ", "\t", "\0", "\u0001", "\u001f", "\u007f", "\r", "\n", "(", "@",
+                                "\u00e9")
+                        .flatMap(
+                                c ->
+                                        Stream.of(
+                                                c + "Name: x",
+                                                "Na" + c + "me: x",
+                                                "Name" + c + ": x"));
+        Stream<String> framingNames =
+                Stream.of(
+                        "Content- Length: 1", "Content-Length : 1", "Transfer-\tEncoding: chunked");
+        Stream<String> lines = Stream.of("Name", ": x", ":", "Name x", "Name;x", " folded");
+        Stream<String> values =
+                Stream.of("\0", "\u0001", "\b", "\u007f", "\r", "\n", "\r\n ", "\r\n\t")
+                        .flatMap(c -> Stream.of("Name: " + c + "x", "Name: x" + c + "y"));
+        return withEachEnd(
+                Stream.of(names, framingNames, lines, values).flatMap(Function.identity()));
+    }
+
+    /** A wrong line hides a field, or comes as another one, wherever it stands. */
+    @ParameterizedTest
+    @MethodSource("malformedFields")
+    void shouldRefuseAMalformedField(String line, End end) throws Exception {
+        for (int at = 0; at <= 2; at++) {
+            shouldRefuse(end.responseWithField(line, at));
+        }
+    }
+
+    static Stream<Arguments> fields() {
+        return withEachEnd(
+                Stream.of(
+                        "Name:",
+                        "Name: ",
+                        "Name:x",
+                        "Name:\t x \t",
+                        "!#$%&'*+-.^_`|~09azAZ: x",
+                        "Name: a:b, (c) \"d\" @ \u00e9\u00ff"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("fields")
+    void shouldTakeAnyFieldOfTheGrammar(String line, End end) throws Exception {
+        for (int at = 0; at <= 2; at++) {
+            String response = end.responseWithField(line, at);
+            assertThat(response, outcome("GET", response, false), is("200 ok"));
+            assertThat(response, outcome("GET", response, true), is("200 ok"));
+        }
+    }
+
     /** Records the status and the body of a response, or the failure. */
     private static final class Recorder implements ResponseListener {
         private final CompletableFuture<String> mOutcome;
