Do not take an endless head or endless chunks for a lost connection

What callers see: after three answers without end to one request, CrashGuard refuses that request as one that crashes its targets, though each of them still runs.

Cause: a response beyond ResponseLimit ended as CONNECTION_LOST, the failure that a crashed target leaves. Where the parser reads ahead, its exception is lost besides, and what the reader of the body gets is that the connection is closed.

Change: the limit fails as any malformed response does, and ResponseLimit keeps what was wrong, so that each failure to read is told from a lost connection.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -209,7 +209,7 @@
                 pass(channel, count);
             }
         } catch (IOException e) {
-            fail(failureOf(e), "answer cut: " + e.getMessage());
+            failRead("answer cut: " + e.getMessage());
         }
     }
 
@@ -279,15 +279,18 @@
 
             @Override
             public void failed(IOException e) {
-                fail(failureOf(e), String.valueOf(e.getMessage()));
+                failRead(String.valueOf(e.getMessage()));
             }
         };
     }
 
-    /** A target that sends no response has not crashed, so that its connection is not lost. */
-    private static SendFailure failureOf(IOException e) {
-        return e instanceof MalformedResponseException
-                ? SendFailure.UNUSABLE_RESPONSE
-                : SendFailure.CONNECTION_LOST;
+    /** A target that sends no valid response has not crashed, so that no connection is lost. */
+    private void failRead(String reason) {
+        mConnection
+                .limit()
+                .fault()
+                .ifPresentOrElse(
+                        fault -> fail(SendFailure.UNUSABLE_RESPONSE, fault),
+                        () -> fail(SendFailure.CONNECTION_LOST, reason));
     }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -24,6 +25,7 @@
     private final ResponseSyntax mSyntax = new ResponseSyntax();
     private long mReadBytes;
     private long mBodyBytes;
+    private Optional<String> mFault = Optional.empty();
 
     private ResponseLimit(StreamSourceConduit next) {
         super(next);
@@ -62,6 +64,14 @@
         return mReadBytes;
     }
 
+    /**
+     * Returns what was wrong with the response, empty if nothing was. The exception itself may not
+     * reach the reader of the body, as the parser reads ahead.
+     */
+    Optional<String> fault() {
+        return mFault;
+    }
+
     /** Returns whether the response is whole and nothing came behind it. */
     boolean isAtEnd() {
         return mSyntax.isAtEnd();
@@ -72,8 +82,13 @@
         int start = dst.position();
         int count = super.read(dst);
         if (count > 0) {
-            count(count);
-            mSyntax.accept(dst, start, dst.position());
+            try {
+                count(count);
+                mSyntax.accept(dst, start, dst.position());
+            } catch (MalformedResponseException e) {
+                mFault = Optional.of(e.getMessage());
+                throw e;
+            }
         }
         return count;
     }
@@ -89,11 +104,11 @@
         return 0;
     }
 
-    private void count(int bytes) throws IOException {
+    private void count(int bytes) throws MalformedResponseException {
         mReadBytes += bytes;
         long maxBytes = MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * mBodyBytes;
         if (mReadBytes - mBodyBytes > maxBytes) {
-            throw new IOException(
+            throw new MalformedResponseException(
                     "the response has more than " + maxBytes + " bytes besides its body");
         }
     }
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -97,6 +97,31 @@
         }
     }
 
+    /** A request whose connection is lost is suspected to have crashed its target. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "status line|HTTP/1.1 200 |O",
+                "header name|HTTP/1.1 200 OK\\r\\n|n",
+                "header value|HTTP/1.1 200 OK\\r\\nName: |v",
+                "interim responses||HTTP/1.1 100 Continue\\r\\n\\r\\n",
+                "chunk size|CHUNKED|0",
+                "chunk extension|CHUNKED1;x=|y",
+                "trailers|CHUNKED0\\r\\n|Name: v\\r\\n",
+                "chunks|CHUNKED|1\\r\\nx\\r\\n",
+                "body|HTTP/1.1 200 OK\\r\\n\\r\\n|body"
+            })
+    void shouldNotTakeAnEndlessResponseForALostConnection(String name, String prefix, String part)
+            throws Exception {
+        String start = prefix == null ? "" : unescape(prefix);
+        try (RawServer server = new RawServer(RawServer.endless(start, unescape(part)));
+                ResponseProbe probe = new ResponseProbe()) {
+            String outcome = probe.send("GET", server.uri());
+            assertThat(name, outcome, is(SendFailure.UNUSABLE_RESPONSE.name()));
+        }
+    }
+
     private static String unescape(String text) {
         return text.replace("CHUNKED", CHUNKED_HEAD).replace("\\r\\n", "\r\n");
     }
--- a/cactusspan/src/test/java/dev/cactusspan/http/MalformedBodyTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/MalformedBodyTest.java
@@ -144,7 +144,7 @@
         String bytes = unescape(response.replace("CHUNKED", CHUNKED));
         try (KeepAliveServer server = ResponseProbe.serverOf(bytes, bytes, bytes)) {
             for (int i = 0; i < 3; i++) {
-                assertThat(mProbe.send(method, server).strip(), is(outcome.strip()));
+                assertThat(mProbe.send(method, server.uri()).strip(), is(outcome.strip()));
             }
             assertThat(server.connections(), is(1));
         }
@@ -163,8 +163,8 @@
     void shouldNotUseAConnectionAgainWithBytesBehindAnAnswer(String response) throws Exception {
         String bytes = unescape(response.replace("CHUNKED", CHUNKED));
         try (KeepAliveServer server = ResponseProbe.serverOf(bytes, bytes)) {
-            assertThat(mProbe.send("GET", server), is("200 ok"));
-            assertThat(mProbe.send("GET", server), is("200 ok"));
+            assertThat(mProbe.send("GET", server.uri()), is("200 ok"));
+            assertThat(mProbe.send("GET", server.uri()), is("200 ok"));
             assertThat(server.connections(), is(2));
         }
     }
--- a/cactusspan/src/test/java/dev/cactusspan/http/ResponseProbe.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/ResponseProbe.java
@@ -4,6 +4,7 @@
 
 import dev.cactusspan.result.SendFailure;
 import java.io.IOException;
+import java.net.URI;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +34,7 @@
         try (KeepAliveServer server = serverOf(responses)) {
             String outcome = "";
             for (int i = 0; i < responses.length; i++) {
-                outcome = send("GET", server);
+                outcome = send("GET", server.uri());
             }
             if (server.connections() != 1) {
                 throw new IllegalStateException("the connection was not kept");
@@ -48,18 +49,11 @@
     }
 
     /** Sends a request; returns the status and the body of the response, or the failure. */
-    String send(String method, KeepAliveServer server) throws Exception {
+    String send(String method, URI server) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
         HttpRequest request =
                 new HttpRequest(
-                        method,
-                        server.uri(),
-                        "/",
-                        Map.of(),
-                        new byte[0],
-                        TIMEOUT_MS,
-                        MAX_BYTES,
-                        false);
+                        method, server, "/", Map.of(), new byte[0], TIMEOUT_MS, MAX_BYTES, false);
         mHttp.send(request, new Recorder(outcome));
         return outcome.get(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
