Show with a real process that broken answers reach nobody

EndlessTarget becomes RawTarget, which sends any answer in raw bytes and reads one request after another on a connection; the shapes of bytes without end become EndlessAnswer, unchanged. HostedClients counts a status outside the grammar, or what its own parser refuses, as a violation.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/EndlessTargetsTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultyTargetsTrial.java
@@ -10,11 +10,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Sends quotes and a training step through one real process while most of its targets answer with
- * bytes without end.
+ * Sends quotes and training steps through one real process while most of its targets are faulty.
  */
-public final class EndlessTargetsTrial {
-    private static final int QUOTES = 40;
+public final class FaultyTargetsTrial {
     private static final int ITEMS = 16;
     private static final int ROUNDS = 4;
 
@@ -24,7 +22,7 @@
     private static final long DUE_MS = 30_000;
     private static final long TIMEOUT_MS = 60_000;
 
-    private EndlessTargetsTrial() {}
+    private FaultyTargetsTrial() {}
 
     /**
      * Result of a trial.
@@ -32,57 +30,60 @@
      * @param counts counts by name
      * @param peakMemoryKb the largest memory of the process, in KB
      * @param isAlive true if the process still runs
-     * @param untried shapes that no request met
+     * @param untried answers that no request met
      * @param violations violated guarantees
      */
     public record Outcome(
             Map<String, Long> counts,
             long peakMemoryKb,
             boolean isAlive,
-            List<EndlessTarget.Shape> untried,
+            List<RawTarget.Answer> untried,
             List<String> violations) {}
 
     /**
      * Runs the trial.
      *
      * @param folder where settings and logs are written
+     * @param answers what the faulty targets send, each a plain service and an engine
+     * @param quotes number of quotes
+     * @param callers number of clients that send them
      * @return its result
      * @throws IOException if a process cannot be started
      */
-    public static Outcome run(Path folder) throws IOException {
-        ExecutorService callers = Executors.newFixedThreadPool(8);
+    public static Outcome run(
+            Path folder, List<? extends RawTarget.Answer> answers, int quotes, int callers)
+            throws IOException {
+        ExecutorService threads = Executors.newFixedThreadPool(callers);
         try (HostedDeployment deployment =
                 HostedDeployment.start(folder, 1, HostedDeployment.StoreProxy.NONE)) {
-            for (EndlessTarget.Shape shape : EndlessTarget.Shape.values()) {
-                deployment.addEndlessTargets(shape);
-            }
+            answers.forEach(deployment::addFaultyTargets);
             TimeUnit.MILLISECONDS.sleep(TARGETS_KNOWN_MS);
             HostedClients clients =
                     new HostedClients(
                             deployment.nodes(), deployment.observations(), HostedDeployment.MODEL);
-            for (int i = 0; i < QUOTES; i++) {
-                callers.execute(clients::sendQuote);
+            for (int i = 0; i < quotes; i++) {
+                threads.execute(clients::sendQuote);
             }
             for (int step = 0; step < ROUNDS; step++) {
                 clients.runStep(step, 1, ITEMS, DUE_MS, TIMEOUT_MS);
             }
-            callers.shutdown();
-            callers.awaitTermination(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            threads.shutdown();
+            threads.awaitTermination(TIMEOUT_MS, TimeUnit.MILLISECONDS);
             GatewayNode node = deployment.nodes().get(0);
             return new Outcome(
                     new LinkedHashMap<>(clients.counts()),
                     node.peakMemoryKb(),
                     !node.awaitExit(0),
-                    deployment.endlessTargets().stream()
-                            .filter(t -> t.connectionCount() == 0)
-                            .map(EndlessTarget::shape)
+                    deployment.faultyTargets().stream()
+                            .filter(t -> t.requestCount() == 0)
+                            .map(RawTarget::answer)
                             .toList(),
                     deployment.observations().violations());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("the trial was interrupted", e);
         } finally {
-            callers.shutdownNow();
+            threads.shutdownNow();
         }
     }
 }
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedClients.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.cactusspan.text.JsonText;
 import java.io.IOException;
+import java.net.ProtocolException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -29,6 +30,8 @@
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(3);
     private static final long QUOTE_TIMEOUT_MS = 6_000;
     private static final long RETRY_DELAY_MS = 100;
+    private static final int MIN_STATUS = 200;
+    private static final int MAX_STATUS = 599;
     private static final String HOST = "127.0.0.1";
 
     /** The key that clients send. */
@@ -94,6 +97,8 @@
                     mQuotesAnswered.incrementAndGet();
                     return;
                 }
+            } catch (ProtocolException e) {
+                mObservations.addViolation(id + ": no HTTP response: " + e.getMessage());
             } catch (IOException e) {
                 // The process is down or slow; retry at the next one.
             } catch (InterruptedException e) {
@@ -183,6 +188,9 @@
                                 + " characters");
             }
         }
+        if (response.statusCode() < MIN_STATUS || response.statusCode() > MAX_STATUS) {
+            mObservations.addViolation(id + ": the status is " + response.statusCode());
+        }
         boolean isNotExecuted = response.statusCode() == 503 || response.statusCode() == 429;
         if (isNotExecuted && mObservations.runs(id) > 0) {
             mObservations.addViolation(id + ": was reported as not executed, but a target ran it");
--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/HostedDeployment.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Stream;
 
@@ -26,7 +25,7 @@
     private final StoreEmulator mStore = StoreEmulator.start();
     private final UsageEmulator mUsage = UsageEmulator.start(mObservations);
     private final List<TargetEmulator> mTargets = new ArrayList<>();
-    private final List<EndlessTarget> mEndlessTargets = new ArrayList<>();
+    private final List<RawTarget> mFaultyTargets = new ArrayList<>();
     private final List<GatewayNode> mNodes = new ArrayList<>();
     private final long mStartMs = System.currentTimeMillis();
 
@@ -120,12 +119,11 @@
         addTarget(id, "advice-lm", software, MODEL);
     }
 
-    /** Adds a plain service and an engine that answer with bytes without end. */
-    void addEndlessTargets(EndlessTarget.Shape shape) {
-        String name = "endless-" + shape.name().toLowerCase(Locale.ROOT);
-        mEndlessTargets.add(EndlessTarget.start(mStore, name + "-app", "slotdesk-app", "", shape));
-        mEndlessTargets.add(
-                EndlessTarget.start(mStore, name + "-engine", "advice-lm", MODEL, shape));
+    /** Adds a plain service and an engine in trouble, which send the same answer. */
+    void addFaultyTargets(RawTarget.Answer answer) {
+        String name = "faulty-" + mFaultyTargets.size() + "-";
+        mFaultyTargets.add(RawTarget.start(mStore, name + "app", "slotdesk-app", "", answer));
+        mFaultyTargets.add(RawTarget.start(mStore, name + "engine", "advice-lm", MODEL, answer));
     }
 
     /**
@@ -283,8 +281,8 @@
         return mTargets.stream().filter(t -> t.id().equals(id)).findFirst().orElseThrow();
     }
 
-    List<EndlessTarget> endlessTargets() {
-        return mEndlessTargets;
+    List<RawTarget> faultyTargets() {
+        return mFaultyTargets;
     }
 
     List<GatewayNode> nodes() {
@@ -312,7 +310,7 @@
     public void close() {
         mNodes.forEach(GatewayNode::close);
         mTargets.forEach(TargetEmulator::close);
-        mEndlessTargets.forEach(EndlessTarget::close);
+        mFaultyTargets.forEach(RawTarget::close);
         mUsage.close();
         mStore.close();
     }
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/EndlessTargetsTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/EndlessTargetsTest.java
@@ -5,9 +5,11 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
-import dev.cactusspan.standin.hosted.EndlessTargetsTrial;
+import dev.cactusspan.standin.hosted.EndlessAnswer;
+import dev.cactusspan.standin.hosted.FaultyTargetsTrial;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -20,7 +22,8 @@
 
     @Test
     void shouldServeFromGoodTargetsBesideEndlessOnes() throws IOException {
-        EndlessTargetsTrial.Outcome outcome = EndlessTargetsTrial.run(mFolder);
+        FaultyTargetsTrial.Outcome outcome =
+                FaultyTargetsTrial.run(mFolder, List.of(EndlessAnswer.values()), 40, 8);
         assertThat(outcome.violations(), is(empty()));
         assertThat(outcome.isAlive(), is(true));
         assertThat(outcome.peakMemoryKb(), lessThan(MAX_MEMORY_KB));
