Bound the memory that heads and trailers of all targets take

What callers see: many targets send long heads that do not end, and their entry answers nobody any more, neither while these requests wait nor when the targets are gone. The process does not end by itself: its threads die one by one.

Cause: ResponseLimit allows 128 KB of head, and ten times the body for trailers, on each connection. The parser keeps each field as an entry, a name and a value: 100 KB of fields of four bytes take 3.4 MB of heap until the request's time-out (measured with 50 connections), so that 28 of them fill the heap of the deploy file.

Change: a response has 200 fields at most, as Undertow's requests have. HeadBudget counts what all heads and trailers take together, 8 MB at most, and drops the longest first.

HttpClientTest.shouldNotTakeAnEndlessResponseForALostConnection has its last case now: many fields are refused before the parser fails on them.

--- a/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultyTargetsTrial.java
+++ b/cactusspan-standin/src/main/java/dev/cactusspan/standin/hosted/FaultyTargetsTrial.java
@@ -14,7 +14,6 @@
  */
 public final class FaultyTargetsTrial {
     private static final int ITEMS = 16;
-    private static final int ROUNDS = 4;
 
     /** Time until the process knows all targets. */
     private static final long TARGETS_KNOWN_MS = 3_000;
@@ -24,10 +23,20 @@
 
     private FaultyTargetsTrial() {}
 
+    /**
+     * What callers send.
+     *
+     * @param quotes number of quotes
+     * @param callers number of clients that send them
+     * @param steps number of training steps, one after the other
+     */
+    public record Load(int quotes, int callers, int steps) {}
+
     /**
      * Result of a trial.
      *
      * @param counts counts by name
+     * @param isServedAfter true if a quote is answered once the faulty targets are gone
      * @param peakMemoryKb the largest memory of the process, in KB
      * @param isAlive true if the process still runs
      * @param untried answers that no request met
@@ -35,6 +44,7 @@
      */
     public record Outcome(
             Map<String, Long> counts,
+            boolean isServedAfter,
             long peakMemoryKb,
             boolean isAlive,
             List<RawTarget.Answer> untried,
@@ -45,15 +55,13 @@
      *
      * @param folder where settings and logs are written
      * @param answers what the faulty targets send, each a plain service and an engine
-     * @param quotes number of quotes
-     * @param callers number of clients that send them
+     * @param load what callers send
      * @return its result
      * @throws IOException if a process cannot be started
      */
-    public static Outcome run(
-            Path folder, List<? extends RawTarget.Answer> answers, int quotes, int callers)
+    public static Outcome run(Path folder, List<? extends RawTarget.Answer> answers, Load load)
             throws IOException {
-        ExecutorService threads = Executors.newFixedThreadPool(callers);
+        ExecutorService threads = Executors.newFixedThreadPool(load.callers());
         try (HostedDeployment deployment =
                 HostedDeployment.start(folder, 1, HostedDeployment.StoreProxy.NONE)) {
             answers.forEach(deployment::addFaultyTargets);
@@ -61,17 +69,21 @@
             HostedClients clients =
                     new HostedClients(
                             deployment.nodes(), deployment.observations(), HostedDeployment.MODEL);
-            for (int i = 0; i < quotes; i++) {
+            for (int i = 0; i < load.quotes(); i++) {
                 threads.execute(clients::sendQuote);
             }
-            for (int step = 0; step < ROUNDS; step++) {
+            for (int step = 0; step < load.steps(); step++) {
                 clients.runStep(step, 1, ITEMS, DUE_MS, TIMEOUT_MS);
             }
             threads.shutdown();
             threads.awaitTermination(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            Map<String, Long> counts = new LinkedHashMap<>(clients.counts());
+            deployment.faultyTargets().forEach(RawTarget::close);
+            clients.sendQuote();
             GatewayNode node = deployment.nodes().get(0);
             return new Outcome(
-                    new LinkedHashMap<>(clients.counts()),
+                    counts,
+                    clients.counts().get("quotes_answered") > counts.get("quotes_answered"),
                     node.peakMemoryKb(),
                     !node.awaitExit(0),
                     deployment.faultyTargets().stream()
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/BrokenAnswersTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/BrokenAnswersTest.java
@@ -19,9 +19,13 @@
     @Test
     void shouldAnswerFromGoodTargetsOnly() throws IOException {
         FaultyTargetsTrial.Outcome outcome =
-                FaultyTargetsTrial.run(mFolder, List.of(BrokenAnswer.values()), 80, 8);
+                FaultyTargetsTrial.run(
+                        mFolder,
+                        List.of(BrokenAnswer.values()),
+                        new FaultyTargetsTrial.Load(80, 8, 4));
         assertThat(outcome.violations(), is(empty()));
         assertThat(outcome.isAlive(), is(true));
+        assertThat(outcome.isServedAfter(), is(true));
         assertThat(outcome.untried(), is(empty()));
         assertThat(outcome.counts().get("quotes_answered"), is(outcome.counts().get("quotes")));
         assertThat(outcome.counts().get("samples"), is(64L));
--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/EndlessTargetsTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/EndlessTargetsTest.java
@@ -23,9 +23,13 @@
     @Test
     void shouldServeFromGoodTargetsBesideEndlessOnes() throws IOException {
         FaultyTargetsTrial.Outcome outcome =
-                FaultyTargetsTrial.run(mFolder, List.of(EndlessAnswer.values()), 40, 8);
+                FaultyTargetsTrial.run(
+                        mFolder,
+                        List.of(EndlessAnswer.values()),
+                        new FaultyTargetsTrial.Load(40, 8, 4));
         assertThat(outcome.violations(), is(empty()));
         assertThat(outcome.isAlive(), is(true));
+        assertThat(outcome.isServedAfter(), is(true));
         assertThat(outcome.peakMemoryKb(), lessThan(MAX_MEMORY_KB));
         assertThat(outcome.untried(), is(empty()));
         assertThat(outcome.counts().get("quotes_answered"), is(outcome.counts().get("quotes")));
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -86,7 +86,11 @@
             fail(SendFailure.NOT_SENT, target.fold(f -> f.detail(), t -> ""));
             return;
         }
-        mConnection.limit().startResponse(!mRequest.method().equals("HEAD"));
+        mConnection
+                .limit()
+                .startResponse(
+                        !mRequest.method().equals("HEAD"),
+                        () -> fail(SendFailure.UNUSABLE_RESPONSE, "no memory for the head"));
         mConnection.sent().add(mRequest.tag());
         mSent = true;
         ClientRequest request = new ClientRequest();
@@ -263,6 +267,9 @@
             return false;
         }
         mDone = true;
+        if (mSent) {
+            mConnection.limit().endResponse();
+        }
         mRequest = mRequest.withoutBody();
         if (mTimer != null) {
             mTimer.remove();
--- a/cactusspan/src/main/java/dev/cactusspan/http/LimitingIoThread.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/LimitingIoThread.java
@@ -16,6 +16,7 @@
  */
 final class LimitingIoThread extends XnioIoThread {
     private final XnioIoThread mDelegate;
+    private final HeadBudget mBudget = new HeadBudget(HeadBudget.MAX_BYTES);
     private ResponseLimit mLatest;
 
     LimitingIoThread(XnioIoThread delegate) {
@@ -40,7 +41,7 @@
         return mDelegate.openStreamConnection(
                 destination,
                 connection -> {
-                    mLatest = ResponseLimit.install(connection);
+                    mLatest = ResponseLimit.install(connection, mBudget);
                     openListener.handleEvent(connection);
                 },
                 bindListener,
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -22,23 +22,27 @@
     /** A chunk of one byte has a size line of five bytes; twice that is allowed. */
     private static final int MAX_FRAMING_PER_BODY_BYTE = 10;
 
+    private final HeadBudget mBudget;
     private final ResponseSyntax mSyntax = new ResponseSyntax();
     private long mReadBytes;
     private long mBodyBytes;
     private Optional<String> mFault = Optional.empty();
+    private Optional<HeadBudget.Hold> mHold = Optional.empty();
 
-    private ResponseLimit(StreamSourceConduit next) {
+    private ResponseLimit(StreamSourceConduit next, HeadBudget budget) {
         super(next);
+        mBudget = budget;
     }
 
     /**
      * Limits the responses on a connection.
      *
      * @param connection a new connection
+     * @param budget limits the heads on all connections together
      * @return the limit
      */
-    static ResponseLimit install(StreamConnection connection) {
-        ResponseLimit limit = new ResponseLimit(connection.getSourceChannel().getConduit());
+    static ResponseLimit install(StreamConnection connection, HeadBudget budget) {
+        ResponseLimit limit = new ResponseLimit(connection.getSourceChannel().getConduit(), budget);
         connection.getSourceChannel().setConduit(limit);
         return limit;
     }
@@ -47,23 +51,27 @@
      * Starts to count and check the next response.
      *
      * @param isBodyExpected false for the response to a HEAD request
+     * @param onDropped gives the response up if the heads of all connections are too long
      */
-    void startResponse(boolean isBodyExpected) {
+    void startResponse(boolean isBodyExpected, Runnable onDropped) {
         mReadBytes = 0;
         mBodyBytes = 0;
+        endResponse();
+        mHold = Optional.of(mBudget.open(onDropped));
         mSyntax.startResponse(isBodyExpected);
     }
 
+    /** Lets go of what the response holds. */
+    void endResponse() {
+        mHold.ifPresent(HeadBudget.Hold::close);
+        mHold = Optional.empty();
+    }
+
     /** Counts bytes of the body that were received. */
     void addBody(int bytes) {
         mBodyBytes += bytes;
     }
 
-    /** Returns the number of bytes read since the response was started. */
-    long readBytes() {
-        return mReadBytes;
-    }
-
     /**
      * Returns what was wrong with the response, empty if nothing was. The exception itself may not
      * reach the reader of the body, as the parser reads ahead.
@@ -84,7 +92,7 @@
         if (count > 0) {
             try {
                 count(count);
-                mSyntax.accept(dst, start, dst.position());
+                accept(dst, start, dst.position());
             } catch (MalformedResponseException e) {
                 mFault = Optional.of(e.getMessage());
                 throw e;
@@ -93,6 +101,16 @@
         return count;
     }
 
+    private void accept(ByteBuffer bytes, int start, int end) throws MalformedResponseException {
+        long before = mSyntax.keptBytes();
+        mSyntax.accept(bytes, start, end);
+        long addedBytes = mSyntax.keptBytes() - before;
+        mHold.ifPresent(hold -> hold.grow(addedBytes));
+        if (mHold.isPresent() && !mHold.get().isOpen()) {
+            throw new MalformedResponseException("no memory for the head");
+        }
+    }
+
     /** Fills the first buffer that has room; a read may return less than there is. */
     @Override
     public long read(ByteBuffer[] dsts, int offset, int length) throws IOException {
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
@@ -9,6 +9,12 @@
  * once and to every request.
  */
 final class ResponseSyntax {
+    /** Maximum number of fields of one response; Undertow accepts as many in a request. */
+    static final int MAX_FIELDS = 200;
+
+    /** Memory of a field besides its bytes: its entry, and the objects of its name and value. */
+    private static final int FIELD_MEMORY_BYTES = 300;
+
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
@@ -31,6 +37,8 @@
     private BodyFields mBodyFields = new BodyFields();
     private ChunkSizeLine mChunkSize = new ChunkSizeLine();
     private long mRemainingBytes;
+    private int mFields;
+    private long mKeptBytes;
     private LineSyntax mLine = mStatusLine;
     private int mLineLength;
     private boolean mIsAfterReturn;
@@ -45,6 +53,8 @@
     void startResponse(boolean isBodyExpected) {
         mIsBodyExpected = isBodyExpected;
         mHasExcess = false;
+        mFields = 0;
+        mKeptBytes = 0;
         startHead();
     }
 
@@ -113,6 +123,7 @@
         } else {
             mLineLength++;
             mLine.accept(b);
+            mKeptBytes += mPart == Part.CHUNK_SIZE ? 0 : 1;
         }
     }
 
@@ -127,6 +138,9 @@
             return;
         }
         mLine.end();
+        if (mPart == Part.FIELDS || mPart == Part.TRAILERS) {
+            countField();
+        }
         switch (mPart) {
             case CHUNK_SIZE -> startChunk();
             case CHUNK_END -> startChunkSize();
@@ -135,6 +149,13 @@
         }
     }
 
+    private void countField() throws MalformedResponseException {
+        mKeptBytes += FIELD_MEMORY_BYTES;
+        if (++mFields > MAX_FIELDS) {
+            throw new MalformedResponseException("over " + MAX_FIELDS + " fields");
+        }
+    }
+
     private void endHead() throws MalformedResponseException {
         if (mStatusLine.isInterim()) {
             startHead();
@@ -177,6 +198,11 @@
 
     // Accessors
 
+    /** Returns the memory that the parser takes for the head and the trailers so far. */
+    long keptBytes() {
+        return mKeptBytes;
+    }
+
     /** Returns whether the response is whole and nothing came behind it. */
     boolean isAtEnd() {
         return mPart == Part.END && !mHasExcess;
--- /dev/null
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HeadBudgetTest.java
@@ -0,0 +1,81 @@
+package dev.cactusspan.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** The longest head yields when all heads together are too long. */
+final class HeadBudgetTest {
+    private static final long MAX_BYTES = 100;
+
+    private final HeadBudget mBudget = new HeadBudget(MAX_BYTES);
+    private final List<String> mDropped = new ArrayList<>();
+
+    private HeadBudget.Hold open(String name) {
+        return mBudget.open(() -> mDropped.add(name));
+    }
+
+    @Test
+    void shouldDropTheLongestFirst() {
+        HeadBudget.Hold small = open("small");
+        small.grow(10);
+        HeadBudget.Hold large = open("large");
+        large.grow(60);
+        HeadBudget.Hold medium = open("medium");
+        medium.grow(40);
+        assertThat(mDropped, contains("large"));
+        assertThat(large.isOpen(), is(false));
+        assertThat(mBudget.heldBytes(), is(50L));
+    }
+
+    @Test
+    void shouldDropOneThatAsksForTooMuch() {
+        open("small").grow(99);
+        HeadBudget.Hold large = open("large");
+        large.grow(MAX_BYTES + 1);
+        assertThat(mDropped, contains("large"));
+        large.grow(MAX_BYTES + 1);
+        large.close();
+        assertThat(mBudget.heldBytes(), is(99L));
+    }
+
+    @Test
+    void shouldGetAllBackOfResponsesThatEnd() {
+        for (int i = 0; i < 1_000; i++) {
+            try (HeadBudget.Hold hold = open("response")) {
+                hold.grow(MAX_BYTES);
+            }
+        }
+        assertThat(mDropped, is(empty()));
+        assertThat(mBudget.heldBytes(), is(0L));
+    }
+
+    @Property(seed = "4401", tries = 200)
+    void shouldNeverHoldMoreThanItsSize(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<HeadBudget.Hold> holds = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            if (holds.isEmpty() || random.nextInt(4) == 0) {
+                holds.add(open("response " + i));
+            }
+            HeadBudget.Hold hold = holds.get(random.nextInt(holds.size()));
+            if (random.nextInt(5) == 0) {
+                hold.close();
+            } else {
+                hold.grow(random.nextInt(60));
+            }
+            assertThat(mBudget.heldBytes(), lessThanOrEqualTo(MAX_BYTES));
+        }
+        holds.forEach(HeadBudget.Hold::close);
+        assertThat(mBudget.heldBytes(), is(0L));
+    }
+}
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -105,6 +105,7 @@
                 "status line|HTTP/1.1 200 |O",
                 "header name|HTTP/1.1 200 OK\\r\\n|n",
                 "header value|HTTP/1.1 200 OK\\r\\nName: |v",
+                "headers|HTTP/1.1 200 OK\\r\\n|Name: value\\r\\n",
                 "interim responses||HTTP/1.1 100 Continue\\r\\n\\r\\n",
                 "chunk size|CHUNKED|0",
                 "chunk extension|CHUNKED1;x=|y",
