Give up a text of more events than any output has tokens

What callers see: an engine that sends empty events without end fills the heap of the entry that reads them; the requests of all clients there wait or are lost.

Cause: a text is given up when it has too many characters. An event without data has none, but takes an entry in the list of texts and a string, and events of few bytes take ten times their length.

Evidence: EndlessTextTest.shouldGiveUpATextOfEmptyEvents; 200,000 empty events were taken before. Its other case, events of 1,000 characters, held before: the test stays, nothing changed for it.

Change: a text has 32,768 events at most, as each has a token at least. The longest text on the users' sheets has some hundred. Beyond it the run is given up and counts as a failure of its target, as one of too many characters does.

--- a/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
+++ b/cactusspan/src/main/java/dev/cactusspan/batch/ItemRunner.java
@@ -51,6 +51,9 @@
     /** Maximum length of a text; the store keeps values of up to 1 MB. */
     private static final int MAX_TEXT_CHARS = 512 << 10;
 
+    /** Maximum number of events of a text; each has a token at least, and takes memory if empty. */
+    private static final int MAX_TEXT_EVENTS = 32 << 10;
+
     private static final int SERVER_ERROR = 500;
     private static final int UNPROCESSABLE = 422;
 
@@ -315,7 +318,7 @@
                     interrupt(mRun, "event " + event.id() + " does not follow", nowMs);
                     return;
                 }
-                if (mRun.textChars() > MAX_TEXT_CHARS) {
+                if (isTooLarge(mRun)) {
                     rejectText("the text is too large", nowMs);
                     mRun.discardText();
                     return;
@@ -335,6 +338,10 @@
             }
         }
 
+        private static boolean isTooLarge(ItemRun run) {
+            return run.textChars() > MAX_TEXT_CHARS || run.eventCount() > MAX_TEXT_EVENTS;
+        }
+
         /** Gives up what the target sends, which is no text. */
         private void rejectText(String reason, long nowMs) {
             mRun.target().ifPresent(t -> t.recordFailure(nowMs));
