Bound the memory of all responses that are collected

What callers see: two answers of the store, the usage interface or a target's report that never end fill the heap of a process; the requests of other clients on it end with it.

Cause: HttpClient.collect limits each response, 24 MB for the store, but not all together, and its buffer doubles as it grows. The heap of the deploy file has 96 MB.

HttpClientTest.shouldBoundTheMemoryOfAllCollectedResponses, four times 20 MB from a server that then falls silent, was red before: nothing was given up within 30 s.

Change: HeadBudget becomes ResponseBudget, and a second one of 24 MB counts the bodies that are being collected; the largest is dropped first and counts as unusable. ResponseCollector keeps the parts as they come and copies them once.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -8,7 +8,6 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayDeque;
@@ -18,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
@@ -48,6 +48,9 @@
      */
     private static final long IDLE_MARGIN_MS = 700;
 
+    /** Memory for all responses that are collected: a quarter of the smallest heap. */
+    private static final long MAX_COLLECTED_BYTES = 24 << 20;
+
     private static final long MS_PER_S = 1_000;
     private static final Deque<IdleConnection> NO_CONNECTIONS = new ArrayDeque<>();
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
@@ -55,6 +58,7 @@
     private final XnioWorker mWorker;
     private final LimitingIoThread mIoThread;
     private final ByteBufferPool mBuffers;
+    private final ResponseBudget mCollected = new ResponseBudget(MAX_COLLECTED_BYTES);
     private final Map<URI, Deque<IdleConnection>> mIdle = new ConcurrentHashMap<>();
 
     private HttpClient(XnioWorker worker) {
@@ -119,9 +123,7 @@
      * @return the response, or {@code platform_unavailable} if it was not received completely
      */
     public CompletableFuture<Result<HttpResponse>> collect(HttpRequest request, int maxBytes) {
-        CompletableFuture<Result<HttpResponse>> future = new CompletableFuture<>();
-        send(request.withMaxBytes(maxBytes), new Collector(future));
-        return future;
+        return collect(request.withMaxBytes(maxBytes), f -> ErrorKind.PLATFORM_UNAVAILABLE);
     }
 
     /**
@@ -133,20 +135,22 @@
      *     outcome_unknown} if the request may have taken effect
      */
     public CompletableFuture<Result<HttpResponse>> collectWrite(HttpRequest request, int maxBytes) {
-        CompletableFuture<Result<HttpResponse>> future = new CompletableFuture<>();
-        send(
+        return collect(
                 request.withMaxBytes(maxBytes),
-                new Collector(future) {
-                    @Override
-                    public void onFailure(SendFailure failure, String reason) {
-                        ErrorKind kind =
-                                failure.mayHaveRun()
-                                        ? ErrorKind.OUTCOME_UNKNOWN
-                                        : ErrorKind.PLATFORM_UNAVAILABLE;
-                        future.complete(Result.fail(kind, reason));
-                    }
-                });
-        return future;
+                failure ->
+                        failure.mayHaveRun()
+                                ? ErrorKind.OUTCOME_UNKNOWN
+                                : ErrorKind.PLATFORM_UNAVAILABLE);
+    }
+
+    private CompletableFuture<Result<HttpResponse>> collect(
+            HttpRequest request, Function<SendFailure, ErrorKind> kindOfFailure) {
+        ResponseCollector collector = new ResponseCollector(mCollected, kindOfFailure);
+        HttpExchange exchange = new HttpExchange(this, request, collector);
+        collector.whenDropped(
+                () -> exchange.fail(SendFailure.UNUSABLE_RESPONSE, "no memory for the response"));
+        mIoThread.execute(() -> start(exchange));
+        return collector.response();
     }
 
     private void start(HttpExchange exchange) {
@@ -226,38 +230,4 @@
     }
 
     private record IdleConnection(HttpConnection connection, long expiresMs) {}
-
-    /** Collects a complete response. */
-    private static class Collector implements ResponseListener {
-        private final CompletableFuture<Result<HttpResponse>> mFuture;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-        private int mStatus;
-        private Map<String, String> mHeaders = Map.of();
-
-        Collector(CompletableFuture<Result<HttpResponse>> future) {
-            mFuture = future;
-        }
-
-        @Override
-        public void onHead(int status, Map<String, String> headers) {
-            mStatus = status;
-            mHeaders = headers;
-        }
-
-        @Override
-        public void onData(byte[] data, Runnable consumed) {
-            mBody.writeBytes(data);
-            consumed.run();
-        }
-
-        @Override
-        public void onEnd() {
-            mFuture.complete(Result.of(new HttpResponse(mStatus, mHeaders, mBody.toByteArray())));
-        }
-
-        @Override
-        public void onFailure(SendFailure failure, String reason) {
-            mFuture.complete(Result.fail(ErrorKind.PLATFORM_UNAVAILABLE, reason));
-        }
-    }
 }
--- a/cactusspan/src/main/java/dev/cactusspan/http/LimitingIoThread.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/LimitingIoThread.java
@@ -15,8 +15,11 @@
  * it wraps.
  */
 final class LimitingIoThread extends XnioIoThread {
+    /** Memory for the heads and trailers of all responses: a twelfth of the smallest heap. */
+    private static final long MAX_HEAD_BYTES = 8 << 20;
+
     private final XnioIoThread mDelegate;
-    private final HeadBudget mBudget = new HeadBudget(HeadBudget.MAX_BYTES);
+    private final ResponseBudget mHeads = new ResponseBudget(MAX_HEAD_BYTES);
     private ResponseLimit mLatest;
 
     LimitingIoThread(XnioIoThread delegate) {
@@ -41,7 +44,7 @@
         return mDelegate.openStreamConnection(
                 destination,
                 connection -> {
-                    mLatest = ResponseLimit.install(connection, mBudget);
+                    mLatest = ResponseLimit.install(connection, mHeads);
                     openListener.handleEvent(connection);
                 },
                 bindListener,
--- a/cactusspan/src/main/java/dev/cactusspan/http/HeadBudget.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseBudget.java
@@ -5,20 +5,17 @@
 import java.util.Set;
 
 /**
- * Limits the memory that the heads and trailers of all responses take together while they are
- * received. Load pattern: many targets in trouble send long heads that do not end, each within its
- * own limit; the largest is dropped first, so that the responses of other targets are not affected.
- * Used on the I/O thread.
+ * Limits the memory that parts of all responses take together while they are received, such as
+ * their heads. Load pattern: many servers in trouble send long responses that do not end, each
+ * within its own limit; the largest is dropped first, so that the responses of other servers are
+ * not affected. Used on the I/O thread.
  */
-final class HeadBudget {
-    /** Memory for all heads: a twelfth of the smallest heap. */
-    static final long MAX_BYTES = 8 << 20;
-
+final class ResponseBudget {
     private final long mMaxBytes;
     private final Set<Hold> mHolds = new LinkedHashSet<>();
     private long mHeldBytes;
 
-    HeadBudget(long maxBytes) {
+    ResponseBudget(long maxBytes) {
         mMaxBytes = maxBytes;
     }
 
@@ -34,6 +31,11 @@
         return hold;
     }
 
+    /** Returns a hold that is closed, as between two responses. */
+    Hold closed() {
+        return new Hold(() -> {});
+    }
+
     /** Returns the bytes that are held now. */
     long heldBytes() {
         return mHeldBytes;
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -22,16 +22,17 @@
     /** A chunk of one byte has a size line of five bytes; twice that is allowed. */
     private static final int MAX_FRAMING_PER_BODY_BYTE = 10;
 
-    private final HeadBudget mBudget;
+    private final ResponseBudget mBudget;
     private final ResponseSyntax mSyntax = new ResponseSyntax();
     private long mReadBytes;
     private long mBodyBytes;
     private Optional<String> mFault = Optional.empty();
-    private Optional<HeadBudget.Hold> mHold = Optional.empty();
+    private ResponseBudget.Hold mHold;
 
-    private ResponseLimit(StreamSourceConduit next, HeadBudget budget) {
+    private ResponseLimit(StreamSourceConduit next, ResponseBudget budget) {
         super(next);
         mBudget = budget;
+        mHold = budget.closed();
     }
 
     /**
@@ -41,7 +42,7 @@
      * @param budget limits the heads on all connections together
      * @return the limit
      */
-    static ResponseLimit install(StreamConnection connection, HeadBudget budget) {
+    static ResponseLimit install(StreamConnection connection, ResponseBudget budget) {
         ResponseLimit limit = new ResponseLimit(connection.getSourceChannel().getConduit(), budget);
         connection.getSourceChannel().setConduit(limit);
         return limit;
@@ -57,14 +58,13 @@
         mReadBytes = 0;
         mBodyBytes = 0;
         endResponse();
-        mHold = Optional.of(mBudget.open(onDropped));
+        mHold = mBudget.open(onDropped);
         mSyntax.startResponse(isBodyExpected);
     }
 
     /** Lets go of what the response holds. */
     void endResponse() {
-        mHold.ifPresent(HeadBudget.Hold::close);
-        mHold = Optional.empty();
+        mHold.close();
     }
 
     /** Counts bytes of the body that were received. */
@@ -105,8 +105,8 @@
         long before = mSyntax.keptBytes();
         mSyntax.accept(bytes, start, end);
         long addedBytes = mSyntax.keptBytes() - before;
-        mHold.ifPresent(hold -> hold.grow(addedBytes));
-        if (mHold.isPresent() && !mHold.get().isOpen()) {
+        mHold.grow(addedBytes);
+        if (addedBytes > 0 && !mHold.isOpen()) {
             throw new MalformedResponseException("no memory for the head");
         }
     }
--- a/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/HttpClientTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import net.jqwik.api.ForAll;
@@ -281,6 +282,34 @@
         }
     }
 
+    /** Each response is within its limit, but all of them are not within the heap. */
+    @Test
+    void shouldBoundTheMemoryOfAllCollectedResponses() throws Exception {
+        int maxBytes = 24 << 20;
+        byte[] part = new byte[20 << 20];
+        CountDownLatch isOver = new CountDownLatch(1);
+        try (RawServer server =
+                new RawServer(
+                        out -> {
+                            out.write(unescape(UNFRAMED_HEAD).getBytes(StandardCharsets.US_ASCII));
+                            out.write(part);
+                            isOver.await();
+                        })) {
+            List<CompletableFuture<Result<HttpResponse>>> responses = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                HttpRequest request = HttpRequest.get(server.uri(), "/", LONG_TIMEOUT_MS);
+                responses.add(mHttp.collect(request, maxBytes));
+            }
+            while (responses.size() > 1) {
+                CompletableFuture.anyOf(responses.toArray(CompletableFuture[]::new))
+                        .get(LONG_TIMEOUT_MS / 2, TimeUnit.MILLISECONDS);
+                responses.removeIf(CompletableFuture::isDone);
+            }
+        } finally {
+            isOver.countDown();
+        }
+    }
+
     /** Whatever bytes arrive, a response or a failure is reported once. */
     @Property(seed = "4711", tries = 60)
     void shouldReportOneOutcomeForAnyBytes(@ForAll long seed) throws Exception {
--- a/cactusspan/src/test/java/dev/cactusspan/http/HeadBudgetTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/ResponseBudgetTest.java
@@ -14,23 +14,23 @@
 import org.junit.jupiter.api.Test;
 
 /** The longest head yields when all heads together are too long. */
-final class HeadBudgetTest {
+final class ResponseBudgetTest {
     private static final long MAX_BYTES = 100;
 
-    private final HeadBudget mBudget = new HeadBudget(MAX_BYTES);
+    private final ResponseBudget mBudget = new ResponseBudget(MAX_BYTES);
     private final List<String> mDropped = new ArrayList<>();
 
-    private HeadBudget.Hold open(String name) {
+    private ResponseBudget.Hold open(String name) {
         return mBudget.open(() -> mDropped.add(name));
     }
 
     @Test
     void shouldDropTheLongestFirst() {
-        HeadBudget.Hold small = open("small");
+        ResponseBudget.Hold small = open("small");
         small.grow(10);
-        HeadBudget.Hold large = open("large");
+        ResponseBudget.Hold large = open("large");
         large.grow(60);
-        HeadBudget.Hold medium = open("medium");
+        ResponseBudget.Hold medium = open("medium");
         medium.grow(40);
         assertThat(mDropped, contains("large"));
         assertThat(large.isOpen(), is(false));
@@ -40,7 +40,7 @@
     @Test
     void shouldDropOneThatAsksForTooMuch() {
         open("small").grow(99);
-        HeadBudget.Hold large = open("large");
+        ResponseBudget.Hold large = open("large");
         large.grow(MAX_BYTES + 1);
         assertThat(mDropped, contains("large"));
         large.grow(MAX_BYTES + 1);
@@ -51,7 +51,7 @@
     @Test
     void shouldGetAllBackOfResponsesThatEnd() {
         for (int i = 0; i < 1_000; i++) {
-            try (HeadBudget.Hold hold = open("response")) {
+            try (ResponseBudget.Hold hold = open("response")) {
                 hold.grow(MAX_BYTES);
             }
         }
@@ -62,12 +62,12 @@
     @Property(seed = "4401", tries = 200)
     void shouldNeverHoldMoreThanItsSize(@ForAll long seed) {
         Random random = new Random(seed);
-        List<HeadBudget.Hold> holds = new ArrayList<>();
+        List<ResponseBudget.Hold> holds = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             if (holds.isEmpty() || random.nextInt(4) == 0) {
                 holds.add(open("response " + i));
             }
-            HeadBudget.Hold hold = holds.get(random.nextInt(holds.size()));
+            ResponseBudget.Hold hold = holds.get(random.nextInt(holds.size()));
             if (random.nextInt(5) == 0) {
                 hold.close();
             } else {
@@ -75,7 +75,7 @@
             }
             assertThat(mBudget.heldBytes(), lessThanOrEqualTo(MAX_BYTES));
         }
-        holds.forEach(HeadBudget.Hold::close);
+        holds.forEach(ResponseBudget.Hold::close);
         assertThat(mBudget.heldBytes(), is(0L));
     }
 }
