Take the end of a body from ResponseSyntax alone

ResponseFraming derived from the parsed head what ResponseSyntax now knows from the raw one. Only one question was left of it: whether events end with their connection, which proves nothing. HttpExchange asks ResponseLimit for that. No change of behaviour; the cases of HttpClientTest for events, and for bodies that end with a connection or a reset, are unchanged and pass.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -31,6 +31,7 @@
     private static final int MAX_TURN_BYTES = 128 << 10;
 
     private static final long NS_PER_MS = 1_000_000;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     private final HttpClient mClient;
     private HttpRequest mRequest;
@@ -43,7 +44,7 @@
     private XnioExecutor.Key mTimer;
     private long mBodyBytes;
     private String mKeepAlive = "";
-    private ResponseFraming mFraming = ResponseFraming.EXPLICIT;
+    private boolean mIsEventStream;
     private boolean mIsOwnResponse = true;
     private boolean mSent;
     private boolean mIsWritten;
@@ -172,12 +173,15 @@
             return;
         }
         int status = exchange.getResponse().getResponseCode();
-        mFraming = ResponseFraming.of(status, exchange.getResponse().getResponseHeaders());
         Map<String, String> headers = new HashMap<>();
         for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
             String name = values.getHeaderName().toString().toLowerCase(Locale.ROOT);
             headers.put(name, values.getFirst());
         }
+        mIsEventStream =
+                headers.getOrDefault("content-type", "")
+                        .toLowerCase(Locale.ROOT)
+                        .startsWith(EVENT_STREAM);
         mKeepAlive = headers.getOrDefault("keep-alive", "");
         mIsOwnResponse = mRequest.tag().isOwn(headers);
         mListener.onHead(status, headers);
@@ -239,7 +243,8 @@
     }
 
     private void complete() {
-        if (mFraming == ResponseFraming.UNPROVEN) {
+        // A server that was stopped between two events ends its stream in the same way.
+        if (mIsEventStream && mConnection.limit().endsWithConnection()) {
             fail(SendFailure.CONNECTION_LOST, "the events have neither a length nor chunks");
             return;
         }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -85,6 +85,11 @@
         return mSyntax.isAtEnd();
     }
 
+    /** Returns whether the body ends with the connection; after a reset it is incomplete. */
+    boolean endsWithConnection() {
+        return mSyntax.endsWithConnection();
+    }
+
     @Override
     public int read(ByteBuffer dst) throws IOException {
         int start = dst.position();
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseSyntax.java
@@ -207,4 +207,9 @@
     boolean isAtEnd() {
         return mPart == Part.END && !mHasExcess;
     }
+
+    /** Returns whether only the end of the connection says where the body ends. */
+    boolean endsWithConnection() {
+        return mPart == Part.BODY_TO_CONNECTION_END;
+    }
 }
