Take no body for that of a 304 that names a length

What callers saw could be a 304 whose body is the start of the next bytes on the connection, such as the late copy of another answer; without such bytes, no answer until the time-out.

Cause: a 304 names the length of the body that the resource has, and has none itself. The parser waits for that many bytes. Clients' conditional requests reach targets, so that a target may send one.

Evidence: MalformedBodyTest.shouldTakeNoBodyForThatOfA304 failed in both cases before: "304 HTTP/" with the first five bytes of another answer, and NO_RESPONSE.

Change: HttpExchange ends such a response behind its head and closes the connection, as the parser still waits on it. Both cases pass, with MalformedResponseTest and HttpClientTest.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -31,6 +31,7 @@
     private static final int MAX_TURN_BYTES = 128 << 10;
 
     private static final long NS_PER_MS = 1_000_000;
+    private static final int NOT_MODIFIED = 304;
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final HttpClient mClient;
@@ -185,6 +186,11 @@
         mKeepAlive = headers.getOrDefault("keep-alive", "");
         mIsOwnResponse = mRequest.tag().isOwn(headers);
         mListener.onHead(status, headers);
+        if (status == NOT_MODIFIED && headers.containsKey("content-length")) {
+            // The parser would wait for the body whose length the head names.
+            end(false);
+            return;
+        }
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(this::read);
         read(channel);
@@ -248,8 +254,12 @@
             fail(SendFailure.CONNECTION_LOST, "the events have neither a length nor chunks");
             return;
         }
+        end(mConnection.limit().isAtEnd() && mIsOwnResponse && mIsWritten);
+    }
+
+    private void end(boolean mayKeepConnection) {
         if (markDone()) {
-            if (mConnection.limit().isAtEnd() && mIsOwnResponse && mIsWritten) {
+            if (mayKeepConnection) {
                 mClient.release(mRequest.server(), mConnection, mKeepAlive);
             } else {
                 IoUtils.safeClose(mConnection.connection());
--- a/cactusspan/src/test/java/dev/cactusspan/http/MalformedBodyTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/MalformedBodyTest.java
@@ -153,6 +153,20 @@
         }
     }
 
+    /**
+     * A 304 names the length of the body that it does not have; the next bytes are not that body.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n"})
+    void shouldTakeNoBodyForThatOfA304(String next) throws Exception {
+        String notModified = "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n";
+        String bytes = notModified + unescape(next);
+        try (KeepAliveServer server = ResponseProbe.serverOf(bytes)) {
+            assertThat(mProbe.send("GET", server.uri()), is("304 "));
+            assertThat(mProbe.send("GET", server.uri()), is("304 "));
+        }
+    }
+
     /** What follows a whole answer would be taken for the start of the next one. */
     @ParameterizedTest
     @ValueSource(
