Never drop ordinary heads and replies from the budgets of responses

Read again: an ordinary head takes some 3 KB in the budget and is held until its response ends, so that 3,000 requests in progress would have had sound responses dropped though no target is in trouble. The budgets drop only what is over 4 KB now. ResponseBudgetTest.shouldNeverDropASmallOne shows it; the property test and the others are unchanged, with a small size of zero.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -51,6 +51,9 @@
     /** Memory for all responses that are collected: a quarter of the smallest heap. */
     private static final long MAX_COLLECTED_BYTES = 24 << 20;
 
+    /** Size of ordinary reports and replies, which are never dropped. */
+    private static final long SMALL_COLLECTED_BYTES = 4 << 10;
+
     private static final long MS_PER_S = 1_000;
     private static final Deque<IdleConnection> NO_CONNECTIONS = new ArrayDeque<>();
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=([0-9]{1,6})");
@@ -58,7 +61,8 @@
     private final XnioWorker mWorker;
     private final LimitingIoThread mIoThread;
     private final ByteBufferPool mBuffers;
-    private final ResponseBudget mCollected = new ResponseBudget(MAX_COLLECTED_BYTES);
+    private final ResponseBudget mCollected =
+            new ResponseBudget(MAX_COLLECTED_BYTES, SMALL_COLLECTED_BYTES);
     private final Map<URI, Deque<IdleConnection>> mIdle = new ConcurrentHashMap<>();
 
     private HttpClient(XnioWorker worker) {
--- a/cactusspan/src/main/java/dev/cactusspan/http/LimitingIoThread.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/LimitingIoThread.java
@@ -18,8 +18,11 @@
     /** Memory for the heads and trailers of all responses: a twelfth of the smallest heap. */
     private static final long MAX_HEAD_BYTES = 8 << 20;
 
+    /** Size of ordinary heads, which are never dropped. */
+    private static final long SMALL_HEAD_BYTES = 4 << 10;
+
     private final XnioIoThread mDelegate;
-    private final ResponseBudget mHeads = new ResponseBudget(MAX_HEAD_BYTES);
+    private final ResponseBudget mHeads = new ResponseBudget(MAX_HEAD_BYTES, SMALL_HEAD_BYTES);
     private ResponseLimit mLatest;
 
     LimitingIoThread(XnioIoThread delegate) {
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseBudget.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseBudget.java
@@ -1,5 +1,6 @@
 package dev.cactusspan.http;
 
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -12,11 +13,19 @@
  */
 final class ResponseBudget {
     private final long mMaxBytes;
+    private final long mSmallBytes;
     private final Set<Hold> mHolds = new LinkedHashSet<>();
     private long mHeldBytes;
 
-    ResponseBudget(long maxBytes) {
+    /**
+     * Creates a budget.
+     *
+     * @param maxBytes bytes of all responses beyond which the largest is dropped
+     * @param smallBytes bytes of a response up to which it is never dropped
+     */
+    ResponseBudget(long maxBytes, long smallBytes) {
         mMaxBytes = maxBytes;
+        mSmallBytes = smallBytes;
     }
 
     /**
@@ -58,9 +67,11 @@
             mBytes += bytes;
             mHeldBytes += bytes;
             while (mHeldBytes > mMaxBytes) {
-                mHolds.stream()
-                        .max(Comparator.comparingLong(hold -> hold.mBytes))
-                        .ifPresent(Hold::drop);
+                Hold largest = Collections.max(mHolds, Comparator.comparingLong(h -> h.mBytes));
+                if (largest.mBytes <= mSmallBytes) {
+                    return;
+                }
+                largest.drop();
             }
         }
 
--- a/cactusspan/src/test/java/dev/cactusspan/http/ResponseBudgetTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/ResponseBudgetTest.java
@@ -13,11 +13,11 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
-/** The longest head yields when all heads together are too long. */
+/** The largest response yields when all of them together are too large. */
 final class ResponseBudgetTest {
     private static final long MAX_BYTES = 100;
 
-    private final ResponseBudget mBudget = new ResponseBudget(MAX_BYTES);
+    private final ResponseBudget mBudget = new ResponseBudget(MAX_BYTES, 0);
     private final List<String> mDropped = new ArrayList<>();
 
     private ResponseBudget.Hold open(String name) {
@@ -48,6 +48,20 @@
         assertThat(mBudget.heldBytes(), is(99L));
     }
 
+    @Test
+    void shouldNeverDropASmallOne() {
+        ResponseBudget budget = new ResponseBudget(MAX_BYTES, 10);
+        List<ResponseBudget.Hold> holds = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            ResponseBudget.Hold hold = budget.open(() -> mDropped.add("small"));
+            hold.grow(10);
+            holds.add(hold);
+        }
+        budget.open(() -> mDropped.add("large")).grow(11);
+        assertThat(mDropped, contains("large"));
+        assertThat(holds.stream().allMatch(ResponseBudget.Hold::isOpen), is(true));
+    }
+
     @Test
     void shouldGetAllBackOfResponsesThatEnd() {
         for (int i = 0; i < 1_000; i++) {
