Let go of a request once its response has ended

A closed hold of the budget for heads still referred to the action that drops its response. An idle connection keeps its latest hold, and so the exchange, its listener and the request with its body, which no budget counts.

Evidence: three heap dumps as memory ran out. Of 59 MB, 22 to 26 MB were bodies of requests that had been answered, reached by ResponseLimit.mHold.mOnDropped only. Ruled out: what is held (within its budget), and a fault from before.

Change: a closed hold lets go of the action.

--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseBudget.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseBudget.java
@@ -52,7 +52,7 @@
 
     /** What one response holds. */
     final class Hold implements AutoCloseable {
-        private final Runnable mOnDropped;
+        private Runnable mOnDropped;
         private long mBytes;
 
         private Hold(Runnable onDropped) {
@@ -76,8 +76,9 @@
         }
 
         private void drop() {
+            Runnable onDropped = mOnDropped;
             close();
-            mOnDropped.run();
+            onDropped.run();
         }
 
         /** Returns false once the response has ended or was dropped. */
@@ -89,6 +90,8 @@
         public void close() {
             if (mHolds.remove(this)) {
                 mHeldBytes -= mBytes;
+                // An idle connection keeps its last hold, but not the request behind it.
+                mOnDropped = () -> {};
             }
         }
     }
--- a/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
@@ -114,7 +114,34 @@
         }
     }
 
+    @Test
+    void shouldNotKeepTheListenerWithAnIdleConnection() throws Exception {
+        try (KeepAliveServer server =
+                new KeepAliveServer(
+                        (head, number) -> KeepAliveServer.response(200, "A: b", "body"))) {
+            CountDownLatch isEnded = new CountDownLatch(1);
+            mHttp.send(request(server.uri(), 1, TIMEOUT_MS), keepingMemory(isEnded));
+            assertThat(isEnded.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+            assertThat(isBodyKept(), is(false));
+        }
+    }
+
+    /** Returns a listener that refers to memory, as one of a request that may be sent again. */
+    private ResponseListener keepingMemory(CountDownLatch isEnded) {
+        byte[] body = new byte[LONG_BYTES];
+        mBody = new WeakReference<>(body);
+        return ended(
+                () -> {
+                    assertThat(body.length, is(LONG_BYTES));
+                    isEnded.countDown();
+                });
+    }
+
     private static ResponseListener ended(CountDownLatch isEnded) {
+        return ended(isEnded::countDown);
+    }
+
+    private static ResponseListener ended(Runnable onEnded) {
         return new ResponseListener() {
             @Override
             public void onHead(int status, Map<String, String> headers) {}
@@ -124,12 +151,12 @@
 
             @Override
             public void onEnd() {
-                isEnded.countDown();
+                onEnded.run();
             }
 
             @Override
             public void onFailure(SendFailure failure, String reason) {
-                isEnded.countDown();
+                onEnded.run();
             }
         };
     }
