--- a/cactusspan-standin/src/test/java/dev/cactusspan/standin/UnfinishedAnswersTest.java
+++ b/cactusspan-standin/src/test/java/dev/cactusspan/standin/UnfinishedAnswersTest.java
@@ -21,8 +21,7 @@
 
     private static final int FAULTY_PAIRS = 48;
 
-    @TempDir(cleanup = org.junit.jupiter.api.io.CleanupMode.NEVER)
-    private Path mFolder;
+    @TempDir private Path mFolder;
 
     private void shouldOutlive(RawTarget.Answer answer) throws IOException {
         FaultyTargetsTrial.Outcome outcome =
