Close the socket of a request that is given up

What callers saw: nothing yet; with UnfinishedAnswersTest.shouldOutliveHeadsOfOneField eight at a time beside four busy processes, the entry ran out of memory.

Cause: a request that fails or is cancelled closed its connection with the close of Undertow's client. That one starts a timer of ten seconds, which refers to the connection until the server has closed it too, and so to what was parsed of the head, to the exchange and to the listener with its request. The budget for heads had given the bytes back.

Evidence: a heap dump as memory ran out. 57 MB in 387 heads of one field, each of a closed socket, each referred to by such a timer due within ten seconds; the budget held 7 of its 8 MB.

Change: the socket is closed itself.

--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpClient.java
@@ -22,7 +22,6 @@
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -195,9 +194,9 @@
                 newest.hasNext(); ) {
             IdleConnection idle = newest.next();
             HttpConnection connection = idle.connection();
-            if (nowMs() >= idle.expiresMs() || !connection.connection().isOpen()) {
+            if (nowMs() >= idle.expiresMs() || !connection.isOpen()) {
                 newest.remove();
-                IoUtils.safeClose(connection.connection());
+                connection.close();
             } else if (!connection.sent().mayAnswer(request)) {
                 newest.remove();
                 return connection;
@@ -208,8 +207,8 @@
 
     void release(URI server, HttpConnection connection, String keepAlive) {
         Deque<IdleConnection> connections = mIdle.computeIfAbsent(server, s -> new ArrayDeque<>());
-        if (!connection.connection().isOpen() || connections.size() >= MAX_IDLE_PER_SERVER) {
-            IoUtils.safeClose(connection.connection());
+        if (!connection.isOpen() || connections.size() >= MAX_IDLE_PER_SERVER) {
+            connection.close();
             return;
         }
         connections.addLast(new IdleConnection(connection, nowMs() + idleMs(keepAlive)));
--- a/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/HttpExchange.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -75,7 +74,7 @@
 
     void send(HttpConnection connection) {
         if (mDone) {
-            IoUtils.safeClose(connection.connection());
+            connection.close();
             return;
         }
         mConnection = connection;
@@ -262,7 +261,7 @@
             if (mayKeepConnection) {
                 mClient.release(mRequest.server(), mConnection, mKeepAlive);
             } else {
-                IoUtils.safeClose(mConnection.connection());
+                mConnection.close();
             }
             mListener.onEnd();
         }
@@ -271,7 +270,7 @@
     void fail(SendFailure failure, String reason) {
         if (markDone()) {
             if (mConnection != null) {
-                IoUtils.safeClose(mConnection.connection());
+                mConnection.close();
             }
             mListener.onFailure(mSent ? failure : SendFailure.NOT_SENT, reason);
         }
--- a/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
+++ b/cactusspan/src/main/java/dev/cactusspan/http/ResponseLimit.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -22,6 +23,7 @@
     /** A chunk of one byte has a size line of five bytes; twice that is allowed. */
     private static final int MAX_FRAMING_PER_BODY_BYTE = 10;
 
+    private final StreamConnection mConnection;
     private final ResponseBudget mBudget;
     private final ResponseSyntax mSyntax = new ResponseSyntax();
     private long mReadBytes;
@@ -29,8 +31,9 @@
     private Optional<String> mFault = Optional.empty();
     private ResponseBudget.Hold mHold;
 
-    private ResponseLimit(StreamSourceConduit next, ResponseBudget budget) {
-        super(next);
+    private ResponseLimit(StreamConnection connection, ResponseBudget budget) {
+        super(connection.getSourceChannel().getConduit());
+        mConnection = connection;
         mBudget = budget;
         mHold = budget.closed();
     }
@@ -43,7 +46,7 @@
      * @return the limit
      */
     static ResponseLimit install(StreamConnection connection, ResponseBudget budget) {
-        ResponseLimit limit = new ResponseLimit(connection.getSourceChannel().getConduit(), budget);
+        ResponseLimit limit = new ResponseLimit(connection, budget);
         connection.getSourceChannel().setConduit(limit);
         return limit;
     }
@@ -67,6 +70,11 @@
         mHold.close();
     }
 
+    /** Closes the socket of the connection. */
+    void closeConnection() {
+        IoUtils.safeClose(mConnection);
+    }
+
     /** Counts bytes of the body that were received. */
     void addBody(int bytes) {
         mBodyBytes += bytes;
--- a/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
@@ -126,6 +126,32 @@
         }
     }
 
+    @Test
+    void shouldNotKeepTheListenerOfARequestThatIsCancelled() throws Exception {
+        CountDownLatch isHeadSent = new CountDownLatch(1);
+        CountDownLatch isOver = new CountDownLatch(1);
+        try (RawServer server =
+                new RawServer(
+                        out -> {
+                            out.write("HTTP/1.1 200 OK\r\nName: val".getBytes(US_ASCII));
+                            isHeadSent.countDown();
+                            isOver.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                        })) {
+            sendAndCancel(server.uri(), isHeadSent);
+            assertThat(isBodyKept(), is(false));
+        } finally {
+            isOver.countDown();
+        }
+    }
+
+    private void sendAndCancel(URI server, CountDownLatch isHeadSent) throws Exception {
+        CountDownLatch isEnded = new CountDownLatch(1);
+        Runnable canceller = mHttp.send(request(server, 0, TIMEOUT_MS), keepingMemory(isEnded));
+        assertThat(isHeadSent.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+        canceller.run();
+        assertThat(isEnded.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+    }
+
     /** Returns a listener that refers to memory, as one of a request that may be sent again. */
     private ResponseListener keepingMemory(CountDownLatch isEnded) {
         byte[] body = new byte[LONG_BYTES];
