Hold that heads of requests that are given up are not kept

Evidence: 200 heads of 100 KB, half dropped by the budget and half cancelled.

Change: the test only.

--- a/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
+++ b/cactusspan/src/test/java/dev/cactusspan/http/EndedRequestTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import dev.cactusspan.result.SendFailure;
 import java.io.IOException;
@@ -26,6 +27,14 @@
     /** More than the system takes of a connection that nobody reads. */
     private static final int LONG_BYTES = 20_000_000;
 
+    /** Less than a head may have. */
+    private static final int HEAD_BYTES = 100_000;
+
+    private static final int REQUESTS = 200;
+
+    /** Memory for the heads of all responses together. */
+    private static final long MAX_HEADS_BYTES = 8 << 20;
+
     private static final int MAX_BYTES = 1_000;
     private static final long TIMEOUT_MS = 60_000;
     private static final long SHORT_TIMEOUT_MS = 5_000;
@@ -152,6 +161,50 @@
         assertThat(isEnded.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
     }
 
+    /** A request that is sent again keeps what cancels its earlier sends until its end. */
+    @Test
+    void shouldNotKeepTheHeadsOfRequestsThatAreGivenUp() throws Exception {
+        byte[] head = ("HTTP/1.1 200 OK\r\nName: " + "v".repeat(HEAD_BYTES)).getBytes(US_ASCII);
+        CountDownLatch isOver = new CountDownLatch(1);
+        try (RawServer server =
+                new RawServer(
+                        out -> {
+                            out.write(head);
+                            isOver.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                        })) {
+            long beforeBytes = usedBytes();
+            CountDownLatch isHalfGivenUp = new CountDownLatch(REQUESTS / 2);
+            CountDownLatch areEnded = new CountDownLatch(REQUESTS);
+            List<Runnable> cancellers = new ArrayList<>();
+            for (int i = 0; i < REQUESTS; i++) {
+                HttpRequest request = request(server.uri(), 0, TIMEOUT_MS);
+                Runnable onEnded =
+                        () -> {
+                            isHalfGivenUp.countDown();
+                            areEnded.countDown();
+                        };
+                cancellers.add(mHttp.send(request, ended(onEnded)));
+            }
+            assertThat(isHalfGivenUp.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+            cancellers.forEach(Runnable::run);
+            assertThat(areEnded.await(TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+            int passes = 0;
+            while (usedBytes() - beforeBytes > MAX_HEADS_BYTES && passes < MAX_PASSES) {
+                TimeUnit.MILLISECONDS.sleep(PASS_MS);
+                passes++;
+            }
+            assertThat(usedBytes() - beforeBytes, lessThan(MAX_HEADS_BYTES));
+            cancellers.forEach(Runnable::run);
+        } finally {
+            isOver.countDown();
+        }
+    }
+
+    private static long usedBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     /** Returns a listener that refers to memory, as one of a request that may be sent again. */
     private ResponseListener keepingMemory(CountDownLatch isEnded) {
         byte[] body = new byte[LONG_BYTES];
